--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# Every target makes the environment that it needs in $(VENV).
+VENV ?= .venv
+PYTHON ?= python3
+LOCK_HASH := $(shell sha256sum requirements.txt | cut -c1-16)
+STAMP := $(VENV)/.installed-$(LOCK_HASH)
+BIN := $(VENV)/bin
+
+.PHONY: demo test lint format measure
+
+demo: $(STAMP)
+	$(BIN)/python -m standins.demo
+
+test: lint
+	$(BIN)/python -m pytest
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/lint-imports --no-cache
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+measure: $(STAMP)
+	$(BIN)/python -m measure
+
+$(STAMP): requirements.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.txt
+	touch $@
--- /dev/null
+++ b/arbutuslift/clock.py
@@ -0,0 +1,89 @@
+"""Clocks: the system's, and one that tests advance."""
+
+import asyncio
+import heapq
+import itertools
+import time
+from abc import ABC, abstractmethod
+
+
+class Clock(ABC):
+    """Source of time for everything that waits or expires."""
+
+    @abstractmethod
+    def monotonic_s(self) -> float:
+        """Return seconds on a clock that never goes back."""
+
+    @abstractmethod
+    def wall_s(self) -> float:
+        """Return seconds since the Unix epoch."""
+
+    @abstractmethod
+    async def sleep(self, duration_s: float) -> None:
+        """Wait for ``duration_s`` seconds."""
+
+
+class SystemClock(Clock):
+    """The machine's clock."""
+
+    def monotonic_s(self) -> float:
+        """Return ``time.monotonic()``."""
+        return time.monotonic()
+
+    def wall_s(self) -> float:
+        """Return ``time.time()``."""
+        return time.time()
+
+    async def sleep(self, duration_s: float) -> None:
+        """Wait on the event loop."""
+        await asyncio.sleep(duration_s)
+
+
+class ManualClock(Clock):
+    """Clock for tests: time moves only in :meth:`advance`.
+
+    Args:
+        start_s: First reading of both clocks, in seconds.
+    """
+
+    def __init__(self, start_s: float = 1000.0) -> None:
+        self._now_s = start_s
+        self._order = itertools.count()
+        self._sleepers: list[tuple[float, int, asyncio.Future[None]]] = []
+
+    def monotonic_s(self) -> float:
+        """Return the current reading."""
+        return self._now_s
+
+    def wall_s(self) -> float:
+        """Return the current reading."""
+        return self._now_s
+
+    async def sleep(self, duration_s: float) -> None:
+        """Wait until the clock was advanced by ``duration_s`` seconds."""
+        wake = asyncio.get_running_loop().create_future()
+        entry = (self._now_s + max(0.0, duration_s), next(self._order), wake)
+        heapq.heappush(self._sleepers, entry)
+        await wake
+
+    def jump(self, duration_s: float) -> None:
+        """Move the reading without waking sleepers, as a frozen process sees it."""
+        self._now_s += duration_s
+
+    async def advance(self, duration_s: float) -> None:
+        """Move time forward and run every sleeper that falls due, in order."""
+        end_s = self._now_s + duration_s
+        await self.settle()
+        while self._sleepers and self._sleepers[0][0] <= end_s:
+            due_s, _, wake = heapq.heappop(self._sleepers)
+            self._now_s = max(self._now_s, due_s)
+            if not wake.done():
+                wake.set_result(None)
+            await self.settle()
+        self._now_s = end_s
+
+    @staticmethod
+    async def settle(rounds: int = 30) -> None:
+        """Let other tasks run until none can make progress without time."""
+        for _ in range(rounds):
+            await asyncio.sleep(0)
--- /dev/null
+++ b/arbutuslift/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that drive state by way of messages."""
--- /dev/null
+++ b/arbutuslift/coordination/forwarding.py
@@ -0,0 +1,43 @@
+"""The task that moves packets between the fabric and the router."""
+
+from collections import Counter
+
+from ..errors import PacketError
+from ..protocol.packets import decode
+from ..transport.fabric import Address, Datagram, Fabric
+from .router import Router
+
+BAD_PACKET = "bad_packet"
+
+
+class Forwarder:
+    """Receives, routes and sends packets until cancelled.
+
+    Args:
+        fabric: Where packets come from and go to.
+        router: Decides about each packet.
+        fabric_address: Takes packets for callers.
+    """
+
+    def __init__(self, fabric: Fabric, router: Router, fabric_address: Address) -> None:
+        self._fabric = fabric
+        self._router = router
+        self._fabric_address = fabric_address
+        self.counts: Counter[str] = Counter()
+
+    async def run(self) -> None:
+        """Forward packets."""
+        while True:
+            self.forward(await self._fabric.receive())
+
+    def forward(self, datagram: Datagram) -> None:
+        """Forward one packet."""
+        try:
+            packet = decode(datagram.data)
+        except PacketError:
+            self.counts[BAD_PACKET] += 1
+            return
+        decision = self._router.route(packet, datagram.source)
+        self.counts[decision.verdict] += 1
+        for send in decision.sends:
+            self._fabric.send(send.data, send.destination or self._fabric_address)
--- /dev/null
+++ b/arbutuslift/errors.py
@@ -0,0 +1,53 @@
+"""Exception tree of the package."""
+
+
+class ArbutusliftError(Exception):
+    """Base of every error raised by the package.
+
+    Args:
+        message: What went wrong.
+        step: The operation during which it went wrong, such as ``decode packet``.
+        peer: The process or file on the other side, if there is one.
+    """
+
+    def __init__(self, message: str, *, step: str, peer: str | None = None) -> None:
+        super().__init__(message)
+        self.message = message
+        self.step = step
+        self.peer = peer
+
+    def __str__(self) -> str:
+        where = f" (peer {self.peer})" if self.peer else ""
+        return f"{self.step}: {self.message}{where}"
+
+
+class PacketError(ArbutusliftError):
+    """A datagram that isn't a valid IPv4 packet with TCP or UDP inside."""
+
+
+class SettingsError(ArbutusliftError):
+    """Settings that can't be used; lists every fault."""
+
+
+class DocumentError(ArbutusliftError):
+    """A configuration document that fails its checks."""
+
+
+class AnnouncementError(ArbutusliftError):
+    """An upstream's announcement that is malformed or not allowed."""
+
+
+class TransportError(ArbutusliftError):
+    """A socket or endpoint can't be used."""
+
+
+class PeerTimeout(TransportError):
+    """A peer didn't answer in time; whether it acted is unknown."""
+
+
+class MessageError(ArbutusliftError):
+    """A message between processes that is malformed or not expected."""
+
+
+class PeerFailure(ArbutusliftError):
+    """A peer answered that it failed."""
--- /dev/null
+++ b/arbutuslift/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Packets, messages and the configuration document."""
--- /dev/null
+++ b/arbutuslift/protocol/channel.py
@@ -0,0 +1,65 @@
+"""Typed messages over a bus."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from ..errors import ArbutusliftError, MessageError, PeerFailure
+from ..transport.bus import Bus
+from .messages import Failure, Message, decode, encode
+
+MessageHandler = Callable[[str, Any], Awaitable[Message | None]]
+
+
+class Channel:
+    """Sends typed messages and calls the handler registered for a class.
+
+    Args:
+        bus: Carries the bytes; its handler is taken over.
+    """
+
+    def __init__(self, bus: Bus) -> None:
+        self._bus = bus
+        self._handlers: dict[type[Message], MessageHandler] = {}
+        bus.handler = self._handle
+
+    @property
+    def name(self) -> str:
+        """Name of this process."""
+        return self._bus.name
+
+    def on(self, message_class: type[Message], handler: MessageHandler) -> None:
+        """Set the handler of a message class."""
+        self._handlers[message_class] = handler
+
+    def connect(self, peer: str, endpoint: str) -> None:
+        """Set the endpoint of a peer."""
+        self._bus.connect(peer, endpoint)
+
+    async def request(self, peer: str, message: Message, timeout_s: float) -> Message:
+        """Send a request and return the answer.
+
+        Raises:
+            PeerTimeout: No answer in time; whether the peer acted is unknown.
+            PeerFailure: The peer's handler raised an error.
+            MessageError: The answer is malformed.
+        """
+        answer = decode(await self._bus.request(peer, encode(message), timeout_s))
+        if isinstance(answer, Failure):
+            raise PeerFailure(answer.reason, step=answer.step, peer=peer)
+        return answer
+
+    async def send(self, peer: str, message: Message) -> None:
+        """Send a message that needs no answer."""
+        await self._bus.send(peer, encode(message))
+
+    async def _handle(self, peer: str, body: bytes) -> bytes | None:
+        try:
+            message = decode(body)
+            handler = self._handlers.get(type(message))
+            if handler is None:
+                name = type(message).__name__
+                raise MessageError(f"no handler for {name}", step="handle message")
+            answer = await handler(peer, message)
+        except ArbutusliftError as error:
+            answer = Failure(step=error.step, reason=error.message)
+        return encode(answer) if answer is not None else None
--- /dev/null
+++ b/arbutuslift/protocol/messages.py
@@ -0,0 +1,71 @@
+"""Codec of typed messages between the system's processes."""
+
+from typing import TypeVar
+
+import cattrs
+import msgpack
+from attrs import frozen
+from cattrs.preconf.msgpack import make_converter
+
+from ..errors import MessageError
+
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+
+_converter = make_converter(forbid_extra_keys=True)
+_classes: dict[str, type["Message"]] = {}
+
+M = TypeVar("M", bound=type)
+
+
+@frozen
+class Message:
+    """Base of all messages."""
+
+
+@frozen(kw_only=True)
+class Failure(Message):
+    """Answer of a handler that raised an error.
+
+    Attributes:
+        step: The step at which the error arose.
+        reason: What went wrong.
+    """
+
+    step: str
+    reason: str
+
+
+def register(message_class: M) -> M:
+    """Class decorator: make a message class known to the codec."""
+    _classes[message_class.__name__] = message_class
+    return message_class
+
+
+register(Failure)
+
+
+def encode(message: Message) -> bytes:
+    """Return the message as bytes."""
+    name = type(message).__name__
+    return msgpack.packb([name, _converter.unstructure(message)])
+
+
+def decode(body: bytes) -> Message:
+    """Return the message in ``body``.
+
+    Raises:
+        MessageError: Too large, malformed or of an unknown class.
+    """
+    if len(body) > MAX_MESSAGE_BYTES:
+        raise MessageError(f"{len(body)} bytes", step="decode message")
+    try:
+        name, fields = msgpack.unpackb(body)
+        return _converter.structure(fields, _classes[name])
+    except (
+        cattrs.BaseValidationError,
+        msgpack.UnpackException,
+        KeyError,
+        TypeError,
+        ValueError,
+    ) as error:
+        raise MessageError(f"malformed: {error!r}", step="decode message") from error
--- /dev/null
+++ b/arbutuslift/state/__init__.py
@@ -0,0 +1,1 @@
+"""State of one process, in memory and on disk."""
--- /dev/null
+++ b/arbutuslift/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets and endpoints: moves bytes, knows no message."""
--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Focused measurements on one machine."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for what surrounds the system: fabric, upstreams, callers."""
--- /dev/null
+++ b/standins/fabric.py
@@ -0,0 +1,186 @@
+"""Stand-in fabric: callers' TCP connections in, sprayed packets out."""
+
+import asyncio
+import ipaddress
+import random
+import socket
+from contextlib import AsyncExitStack
+from functools import partial
+from pathlib import Path
+
+from absl import app, flags
+
+from arbutuslift.errors import PacketError
+from arbutuslift.protocol.document import Service, load_document
+from arbutuslift.protocol.packets import TcpPacket, decode
+from arbutuslift.state.flowkey import Endpoint
+
+from .addresses import parse_address
+from .tcp import Connection, ConnectionLost
+
+AVOID_S = 0.5
+READ_BYTES = 65536
+
+flags.DEFINE_string("fabric_listen", None, "ip:port that takes packets for callers.")
+flags.DEFINE_string("returns", None, "ip:port that takes packets of upstreams.")
+flags.DEFINE_list("instances", [], "ip:port of each entry instance.")
+flags.DEFINE_string("services", None, "Path of the configuration document.")
+
+
+class Spray:
+    """Sends each packet to a random instance, as seen from one source address.
+
+    An instance that refuses a datagram (nobody listens) is avoided for a while.
+
+    Args:
+        source_ip: Outer source address of the packets.
+        instances: Addresses of the instances.
+    """
+
+    def __init__(self, source_ip: str, instances: list[tuple[str, int]]) -> None:
+        self._instances = instances
+        self._avoid_until_s: dict[tuple[str, int], float] = {}
+        self._sockets = {}
+        for instance in instances:
+            udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            udp.setblocking(False)
+            udp.bind((source_ip, 0))
+            udp.connect(instance)
+            self._sockets[instance] = udp
+
+    def send(self, data: bytes) -> None:
+        """Send one packet."""
+        now_s = asyncio.get_running_loop().time()
+        usable = [
+            instance
+            for instance in self._instances
+            if self._avoid_until_s.get(instance, 0.0) <= now_s
+        ]
+        for instance in random.sample(usable, len(usable)):
+            try:
+                self._sockets[instance].send(data)
+                return
+            except BlockingIOError:
+                return
+            except OSError:
+                self._avoid_until_s[instance] = now_s + AVOID_S
+
+    def close(self) -> None:
+        """Close all sockets."""
+        for udp in self._sockets.values():
+            udp.close()
+
+
+class ReceivingSocket(asyncio.DatagramProtocol):
+    """Hands each datagram to a function."""
+
+    def __init__(self, handle) -> None:
+        self._handle = handle
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Hand on a datagram."""
+        self._handle(data, addr)
+
+
+class FabricStandIn:
+    """Turns callers' connections into packets and sprays all packets."""
+
+    def __init__(self, instances: list[tuple[str, int]]) -> None:
+        self._instances = instances
+        self._callers = Spray("127.0.0.1", instances)
+        self._upstreams: dict[str, Spray] = {}
+        self._connections: dict[tuple[Endpoint, Endpoint], Connection] = {}
+
+    def to_caller(self, data: bytes, _source: tuple[str, int]) -> None:
+        """Take a packet for a caller."""
+        try:
+            packet = decode(data)
+        except PacketError:
+            return
+        connection = self._connections.get((packet.destination, packet.source))
+        if connection and isinstance(packet, TcpPacket):
+            connection.handle(packet)
+
+    def from_upstream(self, data: bytes, source: tuple[str, int]) -> None:
+        """Spray a packet of an upstream, keeping its outer address."""
+        if source[0] not in self._upstreams:
+            self._upstreams[source[0]] = Spray(source[0], self._instances)
+        self._upstreams[source[0]].send(data)
+
+    async def serve_caller(
+        self,
+        service: Service,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Carry one caller's connection."""
+        ip, port = writer.get_extra_info("peername")[:2]
+        caller = Endpoint(ipaddress.IPv4Address(ip).packed, port)
+        address = ipaddress.IPv4Address(service.address).packed
+        target = Endpoint(address, service.port)
+        connection = Connection(caller, target, self._callers.send, is_active=True)
+        self._connections[caller, target] = connection
+        connection.connect()
+        upward = asyncio.create_task(_carry_up(reader, connection))
+        try:
+            await _carry_down(connection, writer)
+        finally:
+            upward.cancel()
+            del self._connections[caller, target]
+
+    def close(self) -> None:
+        """Close all sockets."""
+        self._callers.close()
+        for spray in self._upstreams.values():
+            spray.close()
+
+
+async def _carry_up(reader: asyncio.StreamReader, connection: Connection) -> None:
+    await connection.opened
+    while data := await reader.read(READ_BYTES):
+        connection.write(data)
+    connection.finish()
+
+
+async def _carry_down(connection: Connection, writer: asyncio.StreamWriter) -> None:
+    try:
+        while data := await connection.read():
+            writer.write(data)
+            await writer.drain()
+        writer.close()
+    except (ConnectionLost, ConnectionError):
+        writer.transport.abort()
+
+
+async def serve() -> None:
+    """Run the stand-in until it is terminated."""
+    instances = [parse_address(text) for text in flags.FLAGS.instances]
+    document = load_document(Path(flags.FLAGS.services))
+    loop = asyncio.get_running_loop()
+    async with AsyncExitStack() as stack:
+        fabric = FabricStandIn(instances)
+        stack.callback(fabric.close)
+        for listen, handle in (
+            (flags.FLAGS.fabric_listen, fabric.to_caller),
+            (flags.FLAGS.returns, fabric.from_upstream),
+        ):
+            transport, _ = await loop.create_datagram_endpoint(
+                partial(ReceivingSocket, handle), local_addr=parse_address(listen)
+            )
+            stack.callback(transport.close)
+        for service in document.services:
+            server = await asyncio.start_server(
+                partial(fabric.serve_caller, service), service.address, service.port
+            )
+            stack.callback(server.close)
+        await asyncio.Event().wait()
+
+
+def main(argv: list[str]) -> None:
+    """Run the stand-in."""
+    del argv
+    asyncio.run(serve())
+
+
+if __name__ == "__main__":
+    app.run(main)
--- /dev/null
+++ b/standins/upstream.py
@@ -0,0 +1,192 @@
+"""Stand-in upstream: terminates inner TCP and answers one line per request."""
+
+import asyncio
+import ipaddress
+import secrets
+import signal
+import time
+from contextlib import AsyncExitStack
+
+import aiohttp
+from absl import app, flags
+
+from arbutuslift.errors import PacketError
+from arbutuslift.protocol.packets import (
+    RST,
+    ResetPacket,
+    SynPacket,
+    TcpPacket,
+    decode,
+    encode_tcp,
+)
+from arbutuslift.state.flowkey import Endpoint, FlowKey
+from arbutuslift.state.upstreams import UpstreamState
+
+from .addresses import parse_address
+from .tcp import Connection, ConnectionLost
+
+ANNOUNCE_INTERVAL_S = 0.5
+SLOTS = 2
+WORK_S = 0.005
+
+flags.DEFINE_string("upstream_name", None, "Name.")
+flags.DEFINE_string("upstream_data_centre", None, "Data centre.")
+flags.DEFINE_string("upstream_listen", None, "ip:port for encapsulated packets.")
+flags.DEFINE_string("service", None, "Name of the service.")
+flags.DEFINE_string("service_address", None, "ip:port of the service.")
+flags.DEFINE_list("work_kinds", [], "Kinds of work.")
+flags.DEFINE_list("announce", [], "URLs that take announcements.")
+flags.DEFINE_string("return_path", None, "ip:port of the fabric for return packets.")
+
+
+class UpstreamStandIn(asyncio.DatagramProtocol):
+    """Serves lines ``ID TEXT`` with ``ID done NAME``, two at a time."""
+
+    def __init__(self, name: str, service: Endpoint, return_path) -> None:
+        self.name = name
+        self._service = service
+        self._return_path = return_path
+        self._connections: dict[FlowKey, Connection] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._slots = asyncio.Semaphore(SLOTS)
+        self._transport: asyncio.DatagramTransport | None = None
+
+    @property
+    def open_connections(self) -> int:
+        """Number of connections."""
+        return len(self._connections)
+
+    def connection_made(self, transport: asyncio.DatagramTransport) -> None:
+        """Keep the transport."""
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take a packet; one for another service is discarded."""
+        try:
+            packet = decode(data)
+        except PacketError:
+            return
+        if packet.destination != self._service or not isinstance(packet, TcpPacket):
+            return
+        flow = packet.flow_from_caller()
+        connection = self._connections.get(flow)
+        if connection is not None and isinstance(packet, SynPacket):
+            connection.accept(packet.seq)
+        elif connection is not None:
+            connection.handle(packet)
+        elif isinstance(packet, SynPacket):
+            self._open(flow, packet)
+        elif not isinstance(packet, ResetPacket):
+            self._send(
+                encode_tcp(packet.destination, packet.source, flags=RST, seq=packet.ack)
+            )
+
+    def _open(self, flow: FlowKey, packet: SynPacket) -> None:
+        connection = Connection(
+            packet.destination, packet.source, self._send, is_active=False
+        )
+        self._connections[flow] = connection
+        connection.accept(packet.seq)
+        task = asyncio.create_task(self._serve(flow, connection))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, flow: FlowKey, connection: Connection) -> None:
+        rest = b""
+        try:
+            while data := await connection.read():
+                *lines, rest = (rest + data).split(b"\n")
+                for line in lines:
+                    await self._answer(line, connection)
+            connection.finish()
+        except ConnectionLost:
+            pass
+        finally:
+            self._connections.pop(flow, None)
+
+    async def _answer(self, line: bytes, connection: Connection) -> None:
+        request_id = line.split(b" ")[0]
+        async with self._slots:
+            await asyncio.sleep(WORK_S)
+        connection.write(b"%s done %s\n" % (request_id, self.name.encode()))
+
+    def _send(self, data: bytes) -> None:
+        self._transport.sendto(data, self._return_path)
+
+
+class Announcer:
+    """Posts announcements until cancelled."""
+
+    def __init__(self, upstream: UpstreamStandIn, fixed: dict[str, object]) -> None:
+        self.state = UpstreamState.READY
+        self._upstream = upstream
+        self._fixed = fixed
+        self._sequence = 0
+
+    async def run(self, urls: list[str]) -> None:
+        """Announce to every URL at each interval."""
+        async with aiohttp.ClientSession() as session:
+            while True:
+                self._sequence += 1
+                body = self._fixed | {
+                    "state": int(self.state),
+                    "sequence": self._sequence,
+                    "open_connections": self._upstream.open_connections,
+                }
+                for url in urls:
+                    await self._post(session, url, body)
+                await asyncio.sleep(ANNOUNCE_INTERVAL_S)
+
+    async def _post(self, session, url: str, body: dict[str, object]) -> None:
+        try:
+            async with session.post(url, json=body) as response:
+                await response.read()
+        except aiohttp.ClientError:
+            return
+
+    def drain(self) -> None:
+        """Announce the state draining from now on."""
+        self.state = UpstreamState.DRAINING
+
+
+async def serve() -> None:
+    """Run the stand-in; SIGUSR1 makes it drain."""
+    settings = flags.FLAGS
+    listen = parse_address(settings.upstream_listen)
+    service_ip, service_port = parse_address(settings.service_address)
+    service = Endpoint(ipaddress.IPv4Address(service_ip).packed, service_port)
+    return_path = parse_address(settings.return_path)
+    loop = asyncio.get_running_loop()
+    async with AsyncExitStack() as stack:
+        transport, upstream = await loop.create_datagram_endpoint(
+            lambda: UpstreamStandIn(settings.upstream_name, service, return_path),
+            local_addr=listen,
+        )
+        stack.callback(transport.close)
+        announcer = Announcer(
+            upstream,
+            {
+                "upstream_id": secrets.token_hex(16),
+                "name": settings.upstream_name,
+                "data_centre": settings.upstream_data_centre,
+                "address": listen[0],
+                "port": listen[1],
+                "service": settings.service,
+                "work_kinds": settings.work_kinds,
+                "weight": 100,
+                "busy_slots": 0,
+                "started_at_s": time.time(),
+            },
+        )
+        loop.add_signal_handler(signal.SIGUSR1, announcer.drain)
+        await announcer.run(settings.announce)
+
+
+def main(argv: list[str]) -> None:
+    """Run the stand-in."""
+    del argv
+    asyncio.run(serve())
+
+
+if __name__ == "__main__":
+    app.run(main)
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,71 @@
+"""Builders of test data."""
+
+import ipaddress
+
+from arbutuslift.protocol.document import (
+    Configuration,
+    DataCentre,
+    Document,
+    Service,
+)
+from arbutuslift.protocol.packets import SYN, encode_tcp
+from arbutuslift.state.flowkey import Endpoint
+from arbutuslift.state.upstreams import UpstreamRecord, UpstreamState
+
+SERVICE_ADDRESS = "127.10.0.1"
+SERVICE_PORT = 8443
+
+
+def endpoint(ip: str, port: int) -> Endpoint:
+    return Endpoint(ipaddress.IPv4Address(ip).packed, port)
+
+
+SERVICE = endpoint(SERVICE_ADDRESS, SERVICE_PORT)
+
+
+def caller(number: int = 1) -> Endpoint:
+    return endpoint("127.0.0.1", 20000 + number)
+
+
+def service(**changes) -> Service:
+    fields = {
+        "name": "alerts",
+        "address": SERVICE_ADDRESS,
+        "port": SERVICE_PORT,
+        "kind": "alerts",
+        "priority": "urgent",
+    }
+    return Service(**(fields | changes))
+
+
+def configuration(revision: int = 1, services=None, data_centres=None):
+    centres = data_centres or (DataCentre(name="dc-1"), DataCentre(name="dc-2"))
+    document = Document(services=services or (service(),), data_centres=centres)
+    return Configuration(revision=revision, document=document)
+
+
+def upstream(number: int = 1, **changes) -> UpstreamRecord:
+    fields = {
+        "upstream_id": f"{number:032x}",
+        "name": f"alerts-{number}",
+        "data_centre": f"dc-{1 + number % 2}",
+        "address": f"127.20.0.{number}",
+        "port": 6081,
+        "service": "alerts",
+        "work_kinds": ("alerts",),
+        "state": UpstreamState.READY,
+        "sequence": 1,
+    }
+    return UpstreamRecord(**(fields | changes))
+
+
+def syn(number: int = 1, payload: bytes = b"") -> bytes:
+    return encode_tcp(caller(number), SERVICE, flags=SYN, seq=100, payload=payload)
+
+
+def segment(number: int = 1, *, flags: int, seq: int = 101, ack: int = 501) -> bytes:
+    return encode_tcp(caller(number), SERVICE, flags=flags, seq=seq, ack=ack)
+
+
+def returned(number: int = 1, *, flags: int, seq: int = 501, ack: int = 101) -> bytes:
+    return encode_tcp(SERVICE, caller(number), flags=flags, seq=seq, ack=ack)
--- /dev/null
+++ b/tests/protocol/test_channel.py
@@ -0,0 +1,71 @@
+"""Channel: typed requests, failures and timeouts."""
+
+import asyncio
+
+import pytest
+from attrs import frozen
+
+from arbutuslift.clock import ManualClock
+from arbutuslift.errors import MessageError, PeerFailure, PeerTimeout
+from arbutuslift.protocol.channel import Channel
+from arbutuslift.protocol.messages import Message, decode, register
+from arbutuslift.transport.bus import MemoryNetwork
+
+
+@register
+@frozen(kw_only=True)
+class Echo(Message):
+    text: str
+
+
+async def _echo(peer, message):
+    if message.text == "bad":
+        raise MessageError("refused", step="echo")
+    return message
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def network(clock):
+    return MemoryNetwork(clock)
+
+
+@pytest.fixture
+def channels(network):
+    left = Channel(network.bus("left"))
+    right = Channel(network.bus("right"))
+    right.on(Echo, _echo)
+    return left, right
+
+
+async def test_request_returns_the_answer(clock, channels):
+    task = asyncio.create_task(channels[0].request("right", Echo(text="a"), 1.0))
+    await clock.advance(0.1)
+    assert await task == Echo(text="a")
+
+
+async def test_failure_of_the_handler_reaches_the_caller(clock, channels):
+    task = asyncio.create_task(channels[0].request("right", Echo(text="bad"), 1.0))
+    await clock.advance(0.1)
+    with pytest.raises(PeerFailure, match="refused"):
+        await task
+
+
+async def test_request_over_a_cut_times_out(clock, network, channels):
+    network.cut(["left"], ["right"])
+    task = asyncio.create_task(channels[0].request("right", Echo(text="a"), 1.0))
+    await clock.advance(1.1)
+    with pytest.raises(PeerTimeout):
+        await task
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"\xc1", b"\x90", b"\x92\xa4Nope\x80", b"\x92\xa4Echo\x80"]
+)
+def test_malformed_messages_are_rejected(body):
+    with pytest.raises(MessageError):
+        decode(body)
