--- a/arbutuslift/errors.py
+++ b/arbutuslift/errors.py
@@ -51,3 +51,37 @@
 
 class PeerFailure(ArbutusliftError):
     """A peer answered that it failed."""
+
+
+class NoQuorum(ArbutusliftError):
+    """No quorum of members answered; whether a change was accepted is unknown."""
+
+
+class ConfigurationConflict(ArbutusliftError):
+    """A document was based on a revision that no longer stands.
+
+    Args:
+        message: What went wrong.
+        standing: The revision that stands, a ``StoredRevision`` or None.
+        step: The operation during which it went wrong.
+        peer: The process on the other side.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        standing: object,
+        step: str,
+        peer: str | None = None,
+    ) -> None:
+        super().__init__(message, step=step, peer=peer)
+        self.standing = standing
+
+
+class MembershipChangeError(ArbutusliftError):
+    """A change of members can't be made."""
+
+
+class StorageError(ArbutusliftError):
+    """A file of the data folder can't be read or written; the peer is its path."""
--- a/arbutuslift/state/admission.py
+++ b/arbutuslift/state/admission.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 
+from .flowkey import FlowKey
 from .upstreams import UpstreamRecord
 
 
@@ -24,6 +25,14 @@
     def note_return(self, upstream_id: str) -> None:
         """Note return traffic of an upstream: it answers."""
 
+    @abstractmethod
+    def note_restart(self, upstream_id: str) -> None:
+        """Note that an upstream denied a flow that it held: it is cold."""
+
+    @abstractmethod
+    def relay_holder(self, record: UpstreamRecord, flow: FlowKey) -> str | None:
+        """Return the instance to relay a SYN to when this one has no share."""
+
 
 class UnlimitedAdmission(Admission):
     """Admits every flow."""
@@ -34,3 +43,10 @@
 
     def note_return(self, upstream_id: str) -> None:
         """Do nothing."""
+
+    def note_restart(self, upstream_id: str) -> None:
+        """Do nothing."""
+
+    def relay_holder(self, record: UpstreamRecord, flow: FlowKey) -> str | None:
+        """Return None."""
+        return None
