Describe a deployment of stand-ins once, for the demo and for measurements

The demo also kills an instance, counts requests that ran twice and polls the health endpoint by which an instance asks the fabric to stop spraying.

--- a/standins/caller.py
+++ b/standins/caller.py
@@ -4,7 +4,7 @@
 import json
 
 from absl import app, flags
-from attrs import asdict, define
+from attrs import asdict, define, field
 
 from .addresses import parse_address
 
@@ -14,6 +14,15 @@
 flags.DEFINE_integer("connections", 20, "Connections held at a time.")
 flags.DEFINE_integer("requests", 40, "Requests on each connection.")
 flags.DEFINE_float("pause_s", 0.3, "Pause between requests of a connection.")
+flags.DEFINE_integer("rounds", 1, "Connections that each caller opens in turn.")
+
+
+@define
+class Second:
+    """What the callers saw of the requests sent in one second."""
+
+    sent: int = 0
+    answered: int = 0
 
 
 @define
@@ -27,6 +36,7 @@
         unknown: Requests without an answer.
         crossed: Answers to another request.
         broken_flows: Established connections that ended too early.
+        seconds: What was sent and answered in each second.
     """
 
     sent: int = 0
@@ -35,42 +45,69 @@
     unknown: int = 0
     crossed: int = 0
     broken_flows: int = 0
+    seconds: list[Second] = field(factory=list)
+
+    def second_at(self, elapsed_s: float) -> Second:
+        """Return the counts of the second that ``elapsed_s`` falls in."""
+        while len(self.seconds) <= int(elapsed_s):
+            self.seconds.append(Second())
+        return self.seconds[int(elapsed_s)]
 
 
-async def hold_connection(number: int, counts: Counts) -> None:
+async def call(number: int, counts: Counts) -> None:
+    """Open connections in turn and count what happens on them."""
+    started_s = asyncio.get_running_loop().time()
+    for turn in range(flags.FLAGS.rounds):
+        await hold_connection(
+            f"{flags.FLAGS.target}-{number}-{turn}", counts, started_s
+        )
+
+
+async def hold_connection(label: str, counts: Counts, started_s: float) -> None:
     """Hold one connection and count what happens on it."""
     settings = flags.FLAGS
+    loop = asyncio.get_running_loop()
     try:
         reader, writer = await asyncio.open_connection(*parse_address(settings.target))
     except OSError:
         counts.refused += 1
         return
     for request in range(settings.requests):
-        request_id = f"{number}-{request}"
-        writer.write(f"{request_id} lot-check\n".encode())
+        request_id = f"{label}-{request}"
+        second = counts.second_at(loop.time() - started_s)
         counts.sent += 1
-        try:
-            line = await asyncio.wait_for(reader.readline(), ANSWER_TIMEOUT_S)
-        except (OSError, TimeoutError):
-            line = b""
+        second.sent += 1
+        line = await _exchange(request_id, reader, writer)
         if not line:
             counts.unknown += 1
             counts.broken_flows += 1
             return
         if line.split(b" ")[0].decode() == request_id:
             counts.answered += 1
+            second.answered += 1
         else:
             counts.crossed += 1
         await asyncio.sleep(settings.pause_s)
     writer.close()
 
 
+async def _exchange(
+    request_id: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> bytes:
+    """Send one request and return the answer, empty if there is none."""
+    try:
+        writer.write(f"{request_id} lot-check\n".encode())
+        return await asyncio.wait_for(reader.readline(), ANSWER_TIMEOUT_S)
+    except (OSError, TimeoutError):
+        return b""
+
+
 async def serve() -> None:
-    """Run all connections and print the counts as one JSON line."""
+    """Run all callers and print the counts as one JSON line."""
     counts = Counts()
     async with asyncio.TaskGroup() as group:
         for number in range(flags.FLAGS.connections):
-            group.create_task(hold_connection(number, counts))
+            group.create_task(call(number, counts))
     print(json.dumps(asdict(counts)), flush=True)
 
 
--- /dev/null
+++ b/standins/deployment.py
@@ -0,0 +1,275 @@
+"""A whole deployment as separate processes on loopback addresses."""
+
+import json
+import signal
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from collections import Counter
+from contextlib import ExitStack
+from pathlib import Path
+
+import yaml
+from attrs import define, field, frozen
+
+FABRIC = "127.0.0.1:7400"
+RETURNS = "127.0.0.1:7401"
+SERVICE_PORT = 8443
+LISTEN_PORT = 7100
+ANNOUNCEMENT_PORT = 7200
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 15.0
+
+
+@frozen
+class ServiceSize:
+    """A service and the number of its upstreams."""
+
+    name: str
+    address: str
+    upstream_count: int
+    priority: str
+
+
+@frozen
+class Size:
+    """What to start.
+
+    Attributes:
+        data_centres: Names of the data centres.
+        instances_per_data_centre: Entry instances in each.
+        services: The services.
+    """
+
+    data_centres: tuple[str, ...]
+    instances_per_data_centre: int
+    services: tuple[ServiceSize, ...]
+
+
+AGENCIA = Size(
+    ("madrid-1", "madrid-2", "madrid-3"),
+    3,
+    (
+        ServiceSize("alerts", "127.10.0.1", 7, "urgent"),
+        ServiceSize("dossiers", "127.10.0.2", 3, "ordinary"),
+    ),
+)
+
+
+@frozen
+class Instance:
+    """A running entry instance."""
+
+    name: str
+    data_centre: str
+    number: int
+    process: subprocess.Popen
+
+    @property
+    def listen(self) -> str:
+        """Its address for packets."""
+        return f"127.0.0.1:{LISTEN_PORT + self.number}"
+
+    @property
+    def url(self) -> str:
+        """Base URL of its HTTP endpoint."""
+        return f"http://127.0.0.1:{ANNOUNCEMENT_PORT + self.number}"
+
+
+@frozen
+class Upstream:
+    """A running stand-in upstream."""
+
+    name: str
+    data_centre: str
+    process: subprocess.Popen
+
+
+@define
+class Deployment:
+    """Processes of one deployment; closing the stack ends them.
+
+    Args:
+        size: What to start.
+        folder: Takes the document, logs and data folders.
+        stack: Owns the processes.
+    """
+
+    size: Size
+    folder: Path
+    stack: ExitStack
+    instances: list[Instance] = field(factory=list)
+    upstreams: list[Upstream] = field(factory=list)
+
+    def start(self) -> None:
+        """Start instances, fabric and upstreams, and wait until they serve."""
+        document = self.write_document()
+        for number in range(self._instance_count()):
+            self.instances.append(self.start_instance(number, document))
+        for instance in self.instances:
+            self._await_http(instance.url + "/v1/announcements")
+        self._start_fabric(document)
+        for group, service in enumerate(self.size.services):
+            for number in range(service.upstream_count):
+                self.upstreams.append(self.start_upstream(group, service, number))
+
+    def write_document(self) -> Path:
+        """Write the configuration and return its path."""
+        services = [
+            {
+                "name": service.name,
+                "address": service.address,
+                "port": SERVICE_PORT,
+                "kind": service.name,
+                "priority": service.priority,
+            }
+            for service in self.size.services
+        ]
+        centres = [
+            {"name": centre, "instances": self._names_in(centre)}
+            for centre in self.size.data_centres
+        ]
+        path = self.folder / "document.yaml"
+        content = {"services": services, "data_centres": centres}
+        path.write_text(yaml.safe_dump(content))
+        return path
+
+    def start_instance(self, number: int, document: Path) -> Instance:
+        """Start one entry instance."""
+        centre = self.size.data_centres[number // self.size.instances_per_data_centre]
+        name = self._names_in(centre)[number % self.size.instances_per_data_centre]
+        process = self.start_process(
+            name,
+            "arbutuslift.daemon",
+            name=name,
+            data_centre=centre,
+            listen=f"127.0.0.1:{LISTEN_PORT + number}",
+            fabric=FABRIC,
+            announcements=f"127.0.0.1:{ANNOUNCEMENT_PORT + number}",
+            document=document,
+        )
+        return Instance(name, centre, number, process)
+
+    def start_upstream(self, group: int, service: ServiceSize, number: int) -> Upstream:
+        """Start one stand-in upstream."""
+        name = f"{service.name}-{number}"
+        centre = self.size.data_centres[number % len(self.size.data_centres)]
+        urls = [f"{instance.url}/v1/announcements" for instance in self.instances]
+        process = self.start_process(
+            name,
+            "standins.upstream",
+            upstream_name=name,
+            upstream_data_centre=centre,
+            upstream_listen=f"127.20.{group}.{number + 1}:6081",
+            service=service.name,
+            service_address=f"{service.address}:{SERVICE_PORT}",
+            work_kinds=service.name,
+            announce=",".join(urls),
+            return_path=RETURNS,
+        )
+        return Upstream(name, centre, process)
+
+    def start_callers(self, service: ServiceSize, **options: object) -> "Callers":
+        """Start stand-in callers of one service."""
+        label = f"callers-{service.name}"
+        target = f"{service.address}:{SERVICE_PORT}"
+        process = self.start_process(label, "standins.caller", target=target, **options)
+        return Callers(process, self.folder / f"{label}.log")
+
+    def doubled_requests(self) -> int:
+        """Return how many requests ran more than once, at any upstream."""
+        runs: Counter[str] = Counter()
+        for upstream in self.upstreams:
+            log = self.folder / f"{upstream.name}.log"
+            runs.update(
+                line.removeprefix("ran ")
+                for line in log.read_text().splitlines()
+                if line.startswith("ran ")
+            )
+        return sum(count - 1 for count in runs.values())
+
+    def start_process(
+        self, label: str, module: str, **options: object
+    ) -> subprocess.Popen:
+        """Start a module with flags; its output goes to a file in the folder."""
+        arguments = [f"--{name}={value}" for name, value in options.items()]
+        log = self.stack.enter_context((self.folder / f"{label}.log").open("a"))
+        process = subprocess.Popen(
+            [sys.executable, "-m", module, *arguments], stdout=log, stderr=log
+        )
+        self.stack.callback(_end, process)
+        return process
+
+    def _start_fabric(self, document: Path) -> None:
+        self.start_process(
+            "fabric",
+            "standins.fabric",
+            fabric_listen=FABRIC,
+            returns=RETURNS,
+            instances=",".join(instance.listen for instance in self.instances),
+            health=",".join(f"{i.url}/v1/health" for i in self.instances),
+            services=document,
+        )
+
+    def _instance_count(self) -> int:
+        return len(self.size.data_centres) * self.size.instances_per_data_centre
+
+    def _names_in(self, centre: str) -> list[str]:
+        count = self.size.instances_per_data_centre
+        return [f"{centre}-{number}" for number in range(count)]
+
+    def _await_http(self, url: str) -> None:
+        deadline_s = time.monotonic() + START_TIMEOUT_S
+        while not _answers(url):
+            if time.monotonic() > deadline_s:
+                raise SystemExit(f"no answer from {url}; logs are in {self.folder}")
+            time.sleep(0.1)
+
+
+@frozen
+class Callers:
+    """Running stand-in callers."""
+
+    process: subprocess.Popen
+    log: Path
+
+    def result(self) -> dict[str, object]:
+        """Wait for the end and return what the callers counted."""
+        self.process.wait()
+        return json.loads(self.log.read_text().splitlines()[-1])
+
+
+def drain(upstream: Upstream) -> None:
+    """Make a stand-in upstream announce that it drains."""
+    upstream.process.send_signal(signal.SIGUSR1)
+
+
+def stop(instance: Instance) -> None:
+    """Stop an instance gracefully."""
+    instance.process.send_signal(signal.SIGTERM)
+
+
+def kill(instance: Instance) -> None:
+    """Kill an instance."""
+    instance.process.kill()
+
+
+def _end(process: subprocess.Popen) -> None:
+    process.terminate()
+    try:
+        process.wait(STOP_TIMEOUT_S)
+    except subprocess.TimeoutExpired:
+        process.kill()
+        process.wait()
+
+
+def _answers(url: str) -> bool:
+    try:
+        urllib.request.urlopen(url, timeout=1.0)
+    except urllib.error.HTTPError:
+        return True
+    except OSError:
+        return False
+    return True
--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -6,8 +6,10 @@
 import socket
 from contextlib import AsyncExitStack
 from functools import partial
+from http import HTTPStatus
 from pathlib import Path
 
+import aiohttp
 from absl import app, flags
 
 from arbutuslift.errors import PacketError
@@ -19,11 +21,14 @@
 from .tcp import Connection, ConnectionLost
 
 AVOID_S = 0.5
+HEALTH_INTERVAL_S = 0.5
+HEALTH_TIMEOUT_S = 0.5
 READ_BYTES = 65536
 
 flags.DEFINE_string("fabric_listen", None, "ip:port that takes packets for callers.")
 flags.DEFINE_string("returns", None, "ip:port that takes packets of upstreams.")
 flags.DEFINE_list("instances", [], "ip:port of each entry instance.")
+flags.DEFINE_list("health", [], "Health URL of each entry instance, in order.")
 flags.DEFINE_string("services", None, "Path of the configuration document.")
 
 
@@ -35,10 +40,17 @@
     Args:
         source_ip: Outer source address of the packets.
         instances: Addresses of the instances.
+        stopping: Instances whose health endpoint says that they stop.
     """
 
-    def __init__(self, source_ip: str, instances: list[tuple[str, int]]) -> None:
+    def __init__(
+        self,
+        source_ip: str,
+        instances: list[tuple[str, int]],
+        stopping: set[tuple[str, int]],
+    ) -> None:
         self._instances = instances
+        self._stopping = stopping
         self._avoid_until_s: dict[tuple[str, int], float] = {}
         self._sockets = {}
         for instance in instances:
@@ -54,7 +66,8 @@
         usable = [
             instance
             for instance in self._instances
-            if self._avoid_until_s.get(instance, 0.0) <= now_s
+            if instance not in self._stopping
+            and self._avoid_until_s.get(instance, 0.0) <= now_s
         ]
         for instance in random.sample(usable, len(usable)):
             try:
@@ -87,7 +100,8 @@
 
     def __init__(self, instances: list[tuple[str, int]]) -> None:
         self._instances = instances
-        self._callers = Spray("127.0.0.1", instances)
+        self._stopping: set[tuple[str, int]] = set()
+        self._callers = Spray("127.0.0.1", instances, self._stopping)
         self._upstreams: dict[str, Spray] = {}
         self._connections: dict[tuple[Endpoint, Endpoint], Connection] = {}
 
@@ -104,7 +118,9 @@
     def from_upstream(self, data: bytes, source: tuple[str, int]) -> None:
         """Spray a packet of an upstream, keeping its outer address."""
         if source[0] not in self._upstreams:
-            self._upstreams[source[0]] = Spray(source[0], self._instances)
+            self._upstreams[source[0]] = Spray(
+                source[0], self._instances, self._stopping
+            )
         self._upstreams[source[0]].send(data)
 
     async def serve_caller(
@@ -128,6 +144,28 @@
             upward.cancel()
             del self._connections[caller, target]
 
+    async def watch_health(self, urls: list[str]) -> None:
+        """Poll the health endpoints; one that answers 503 gets no more packets."""
+        timeout = aiohttp.ClientTimeout(total=HEALTH_TIMEOUT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while True:
+                for instance, url in zip(self._instances, urls, strict=True):
+                    await self._check_health(session, instance, url)
+                await asyncio.sleep(HEALTH_INTERVAL_S)
+
+    async def _check_health(
+        self, session: aiohttp.ClientSession, instance: tuple[str, int], url: str
+    ) -> None:
+        try:
+            async with session.get(url) as response:
+                is_stopping = response.status == HTTPStatus.SERVICE_UNAVAILABLE
+        except (aiohttp.ClientError, TimeoutError):
+            is_stopping = False
+        if is_stopping:
+            self._stopping.add(instance)
+        else:
+            self._stopping.discard(instance)
+
     def close(self) -> None:
         """Close all sockets."""
         self._callers.close()
@@ -173,7 +211,7 @@
                 partial(fabric.serve_caller, service), service.address, service.port
             )
             stack.callback(server.close)
-        await asyncio.Event().wait()
+        await fabric.watch_health(flags.FLAGS.health)
 
 
 def main(argv: list[str]) -> None:
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -50,6 +50,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._slots = asyncio.Semaphore(SLOTS)
         self._transport: asyncio.DatagramTransport | None = None
+        self._last_packet_second = 0
 
     @property
     def open_connections(self) -> int:
@@ -68,6 +69,7 @@
             return
         if packet.destination != self._service or not isinstance(packet, TcpPacket):
             return
+        self._note_packet()
         flow = packet.flow_from_caller()
         connection = self._connections.get(flow)
         if connection is not None and isinstance(packet, SynPacket):
@@ -81,6 +83,13 @@
                 encode_tcp(packet.destination, packet.source, flags=RST, seq=packet.ack)
             )
 
+    def _note_packet(self) -> None:
+        """Print once a second that packets arrive."""
+        second = int(time.time())
+        if second != self._last_packet_second:
+            self._last_packet_second = second
+            print(f"received {second}", flush=True)
+
     def _open(self, flow: FlowKey, packet: SynPacket) -> None:
         connection = Connection(
             packet.destination, packet.source, self._send, is_active=False
@@ -106,6 +115,7 @@
 
     async def _answer(self, line: bytes, connection: Connection) -> None:
         request_id = line.split(b" ")[0]
+        print(f"ran {request_id.decode()}", flush=True)
         async with self._slots:
             await asyncio.sleep(WORK_S)
         connection.write(b"%s done %s\n" % (request_id, self.name.encode()))
