Check documents by schema and across fields, with a canonical form

Cause: a document with wrong values was accepted if its types fitted, and only the first fault was reported.

Change: a published JSON schema, cross-field checks and all faults at once with their paths. One address belongs to one service, because an upstream rejects misdirected packets by not owning the address. YAML input refuses duplicate keys, merge keys and aliases; both formats have a size limit. Canonical JSON bytes are read with the schema only, so an accepted document stays readable when a later version adds a cross-field check. Differences are typed changes that can be applied again.

Ruled out: cattrs for checking input, which converts "8443" to a port and stops at the first class that fails.

--- a/arbutuslift/errors.py
+++ b/arbutuslift/errors.py
@@ -1,5 +1,23 @@
 """Exception tree of the package."""
 
+from attrs import frozen
+
+
+@frozen
+class Fault:
+    """One fault of an input.
+
+    Attributes:
+        path: Where it is, such as ``services[0].port``.
+        reason: What is wrong there.
+    """
+
+    path: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"{self.path}: {self.reason}" if self.path else self.reason
+
 
 class ArbutusliftError(Exception):
     """Base of every error raised by the package.
@@ -25,12 +43,28 @@
     """A datagram that isn't a valid IPv4 packet with TCP or UDP inside."""
 
 
-class SettingsError(ArbutusliftError):
+class InputError(ArbutusliftError):
+    """An input with faults.
+
+    Args:
+        faults: Every fault that was found.
+        step: The operation during which they were found.
+        peer: The process or file on the other side, if there is one.
+    """
+
+    def __init__(
+        self, faults: tuple[Fault, ...], *, step: str, peer: str | None = None
+    ) -> None:
+        super().__init__("; ".join(map(str, faults)), step=step, peer=peer)
+        self.faults = faults
+
+
+class SettingsError(InputError):
     """Settings that can't be used; lists every fault."""
 
 
-class DocumentError(ArbutusliftError):
-    """A configuration document that fails its checks."""
+class DocumentError(InputError):
+    """A configuration document that fails its checks; lists every fault."""
 
 
 class AnnouncementError(ArbutusliftError):
@@ -79,6 +113,22 @@
         self.standing = standing
 
 
+class ChangeNotAccepted(ArbutusliftError):
+    """A change was refused; it's certain that it wasn't and won't be made."""
+
+
+class OutcomeUnknown(ArbutusliftError):
+    """No answer tells whether a change was made."""
+
+
+class ServersUnreachable(TransportError):
+    """No server answered; nothing was asked of any."""
+
+
+class UsageError(ArbutusliftError):
+    """A command line that can't be understood."""
+
+
 class MembershipChangeError(ArbutusliftError):
     """A change of members can't be made."""
 
--- a/arbutuslift/protocol/document.py
+++ b/arbutuslift/protocol/document.py
@@ -1,14 +1,29 @@
-"""The configuration document that operators hand in."""
+"""The configuration document that operators submit."""
 
+import json
 from pathlib import Path
 
 import cattrs
-import yaml
 from attrs import field, frozen
 
-from ..errors import DocumentError
+from ..errors import DocumentError, Fault
+from .documentchecks import PRIORITIES, find_faults, find_shape_faults
+from .documentfile import parse_json, read_plain
 
-PRIORITIES = ("urgent", "high", "ordinary")
+__all__ = [
+    "PRIORITIES",
+    "Configuration",
+    "DataCentre",
+    "Document",
+    "Service",
+    "from_canonical_json",
+    "load_document",
+    "structure_document",
+    "to_canonical_json",
+]
+
+_STEP = "check document"
+_converter = cattrs.Converter(forbid_extra_keys=True)
 
 
 @frozen(kw_only=True)
@@ -24,6 +39,7 @@
         priority: ``urgent``, ``high`` or ``ordinary``.
         idempotent: Whether running a request twice does no harm.
         max_connections: What one upstream bears.
+        slots: Requests that one upstream works on at the same time.
         cold_new_flows_per_s: New flows that one upstream in cold start bears.
         warm_up_s: How long an upstream stays cold.
     """
@@ -36,6 +52,7 @@
     priority: str = "ordinary"
     idempotent: bool = False
     max_connections: int = 2000
+    slots: int = 2
     cold_new_flows_per_s: int = 10
     warm_up_s: float = 30.0
 
@@ -87,24 +104,59 @@
     """Read a document from a YAML or JSON file.
 
     Raises:
-        DocumentError: The file can't be read or doesn't hold a document.
+        DocumentError: The file can't be read or the document has faults.
     """
+    content = read_plain(path)
     try:
-        content = yaml.safe_load(path.read_text())
-    except (OSError, yaml.YAMLError) as error:
-        raise DocumentError(str(error), step="read document", peer=str(path)) from error
-    return structure_document(content)
+        return structure_document(content)
+    except DocumentError as error:
+        raise DocumentError(error.faults, step=error.step, peer=str(path)) from error
 
 
 def structure_document(content: object) -> Document:
     """Build a document from plain values.
 
     Raises:
-        DocumentError: A field is missing, unknown or of the wrong type.
+        DocumentError: Lists every fault.
     """
-    converter = cattrs.Converter(forbid_extra_keys=True)
+    faults = find_faults(content)
+    if faults:
+        raise DocumentError(faults, step=_STEP)
+    return _structure(content)
+
+
+def to_canonical_json(document: Document) -> bytes:
+    """Return the document as JSON bytes that are equal for equal documents."""
+    plain = _converter.unstructure(document)
+    text = json.dumps(
+        plain,
+        sort_keys=True,
+        separators=(",", ":"),
+        ensure_ascii=False,
+        allow_nan=False,
+    )
+    return text.encode()
+
+
+def from_canonical_json(body: bytes) -> Document:
+    """Build a document from JSON bytes.
+
+    Only the shape is checked. A document that was accepted stays readable when a
+    later version adds a check across fields.
+
+    Raises:
+        DocumentError: Not JSON, or a field is missing, unknown or malformed.
+    """
+    content = parse_json(body)
+    faults = find_shape_faults(content)
+    if faults:
+        raise DocumentError(faults, step=_STEP)
+    return _structure(content)
+
+
+def _structure(content: object) -> Document:
     try:
-        return converter.structure(content, Document)
+        return _converter.structure(content, Document)
     except (cattrs.BaseValidationError, TypeError, ValueError) as error:
-        faults = "; ".join(cattrs.transform_error(error))
-        raise DocumentError(faults, step="check document") from error
+        faults = tuple(Fault("", text) for text in cattrs.transform_error(error))
+        raise DocumentError(faults, step=_STEP) from error
--- /dev/null
+++ b/arbutuslift/protocol/documentchecks.py
@@ -0,0 +1,204 @@
+"""Checks of a configuration document: published JSON schema and cross-field checks."""
+
+import ipaddress
+import json
+import math
+from collections.abc import Iterable, Iterator
+from importlib import resources
+
+from attrs import frozen
+from jsonschema import Draft202012Validator
+
+from ..errors import Fault
+
+PRIORITIES = ("urgent", "high", "ordinary")
+SCHEMA_FILE = "document-schema.json"
+NAME_RULE = "letters, digits, dot, hyphen and underscore, at most 64"
+MAX_REPORTED_FAULTS = 200
+
+_SHOWN_VALUE_CHARACTERS = 60
+
+
+@frozen
+class _Entry:
+    """An object in a list of the document; its fields may be malformed."""
+
+    path: str
+    fields: dict
+
+
+def load_schema() -> dict:
+    """Return the published JSON schema."""
+    package = resources.files(__package__)
+    return json.loads(package.joinpath(SCHEMA_FILE).read_text())
+
+
+_validator = Draft202012Validator(load_schema())
+
+
+def find_faults(content: object) -> tuple[Fault, ...]:
+    """Return every fault of a document given as plain values, without repeats."""
+    faults = [*find_shape_faults(content), *_find_cross_faults(content)]
+    return tuple(dict.fromkeys(faults))[:MAX_REPORTED_FAULTS]
+
+
+def find_shape_faults(content: object) -> tuple[Fault, ...]:
+    """Return the faults of single fields: unknown, missing or malformed."""
+    errors = sorted(_validator.iter_errors(content), key=_sort_key)
+    faults = [fault for error in errors for fault in _faults_of(error)]
+    faults += [
+        Fault(f"{entry.path}.warm_up_s", "must be finite")
+        for entry in _entries(content, "services")
+        if _is_not_finite(entry.fields.get("warm_up_s"))
+    ]
+    return tuple(faults)
+
+
+def _sort_key(error: object) -> tuple[str, str]:
+    return error.json_path, error.message
+
+
+def _faults_of(error: object) -> Iterator[Fault]:
+    path = error.json_path.removeprefix("$").removeprefix(".")
+    if error.validator == "additionalProperties":
+        known = error.schema["properties"]
+        for key in error.instance:
+            if key not in known:
+                yield Fault(_join(path, _shown(key)), "unknown field")
+    elif error.validator == "required":
+        for key in error.validator_value:
+            if key not in error.instance:
+                yield Fault(_join(path, key), "missing")
+    else:
+        yield Fault(path, _reason(error))
+
+
+def _reason(error: object) -> str:
+    value = _shown(error.instance)
+    limit = error.validator_value
+    match error.validator:
+        case "type":
+            return f"{value} must be of type {limit}"
+        case "enum":
+            return f"{value} must be one of {', '.join(limit)}"
+        case "minimum":
+            return f"{value} must be at least {limit}"
+        case "exclusiveMinimum":
+            return f"{value} must be more than {limit}"
+        case "maximum":
+            return f"{value} must be at most {limit}"
+        case "pattern" | "anyOf":
+            return f"{value} must be a name: {NAME_RULE}"
+    return f"{value} fails {error.validator} {limit}"
+
+
+def _shown(value: object) -> str:
+    if isinstance(value, str):
+        text = value if value.isprintable() else repr(value)
+    else:
+        try:
+            text = repr(value)
+        except ValueError:  # an int with more digits than Python converts
+            text = "a number"
+    if len(text) > _SHOWN_VALUE_CHARACTERS:
+        return text[:_SHOWN_VALUE_CHARACTERS] + "..."
+    return text or "''"
+
+
+def _join(path: str, key: str) -> str:
+    return f"{path}.{key}" if path else key
+
+
+def _is_not_finite(value: object) -> bool:
+    return isinstance(value, float) and not math.isfinite(value)
+
+
+def _entries(content: object, key: str) -> list[_Entry]:
+    rows = content.get(key) if isinstance(content, dict) else None
+    if not isinstance(rows, list):
+        return []
+    return [
+        _Entry(f"{key}[{index}]", row)
+        for index, row in enumerate(rows)
+        if isinstance(row, dict)
+    ]
+
+
+def _find_cross_faults(content: object) -> Iterator[Fault]:
+    services = _entries(content, "services")
+    data_centres = _entries(content, "data_centres")
+    yield from _repeats(services, "name")
+    yield from _repeats(services, "address")
+    for service in services:
+        yield from _address_faults(service)
+        yield from _udp_faults(service)
+    yield from _repeats(data_centres, "name")
+    yield from _instance_faults(data_centres)
+    yield from _service_capacity_faults(content, data_centres)
+
+
+def _repeats(entries: Iterable[_Entry], key: str) -> Iterator[Fault]:
+    """Report values that a second entry uses.
+
+    One address belongs to one service: an upstream discards a packet that was meant
+    for another service because it doesn't own that service's address.
+    """
+    first_paths: dict[str, str] = {}
+    for entry in entries:
+        value = entry.fields.get(key)
+        if not isinstance(value, str):
+            continue
+        first = first_paths.setdefault(value, entry.path)
+        if first != entry.path:
+            reason = f"{_shown(value)} is already used by {first}"
+            yield Fault(f"{entry.path}.{key}", reason)
+
+
+def _address_faults(service: _Entry) -> Iterator[Fault]:
+    value = service.fields.get("address")
+    if not isinstance(value, str):
+        return
+    path = f"{service.path}.address"
+    try:
+        address = ipaddress.IPv4Address(value)
+    except ValueError:
+        yield Fault(path, f"{_shown(value)} must be a dotted IPv4 address")
+        return
+    if address.is_multicast or address.is_unspecified or address.is_reserved:
+        yield Fault(path, f"{value} must be a unicast address")
+
+
+def _udp_faults(service: _Entry) -> Iterator[Fault]:
+    if service.fields.get("protocol") != "udp":
+        return
+    if service.fields.get("idempotent", False) is False:
+        reason = "must be true over udp, where a repeated datagram could run twice"
+        yield Fault(f"{service.path}.idempotent", reason)
+
+
+def _instance_faults(data_centres: Iterable[_Entry]) -> Iterator[Fault]:
+    first_paths: dict[str, str] = {}
+    for centre in data_centres:
+        names = centre.fields.get("instances")
+        for index, name in enumerate(names if isinstance(names, list) else []):
+            path = f"{centre.path}.instances[{index}]"
+            if not isinstance(name, str):
+                continue
+            first = first_paths.setdefault(name, path)
+            if first != path:
+                yield Fault(path, f"{_shown(name)} is already listed at {first}")
+
+
+def _service_capacity_faults(
+    content: object, data_centres: list[_Entry]
+) -> Iterator[Fault]:
+    if not isinstance(content, dict):
+        return
+    if not isinstance(content.get("data_centres"), list):
+        return
+    states = [centre.fields.get("in_service", True) for centre in data_centres]
+    if all(state is False for state in states):
+        yield Fault("data_centres", "at least one must be in service")
+    if not any(centre.fields.get("instances") for centre in data_centres):
+        reason = "at least one must list instances, which share the limits of upstreams"
+        yield Fault("data_centres", reason)
--- /dev/null
+++ b/arbutuslift/protocol/documentdiff.py
@@ -0,0 +1,261 @@
+"""Differences between two documents as typed changes."""
+
+from functools import singledispatch
+
+from attrs import evolve, fields, frozen
+
+from .document import DataCentre, Document, Service
+
+Value = str | int | float | bool | tuple[str, ...]
+
+
+@frozen(kw_only=True)
+class Change:
+    """Base of all changes."""
+
+
+@frozen(kw_only=True)
+class ServiceAdded(Change):
+    """A service that the old document doesn't have."""
+
+    service: Service
+
+
+@frozen(kw_only=True)
+class ServiceRemoved(Change):
+    """A service that the new document doesn't have."""
+
+    name: str
+
+
+@frozen(kw_only=True)
+class ServiceChanged(Change):
+    """A field of a service with another value."""
+
+    name: str
+    field: str
+    before: Value
+    after: Value
+
+
+@frozen(kw_only=True)
+class DataCentreAdded(Change):
+    """A data centre that the old document doesn't have."""
+
+    data_centre: DataCentre
+
+
+@frozen(kw_only=True)
+class DataCentreRemoved(Change):
+    """A data centre that the new document doesn't have."""
+
+    name: str
+
+
+@frozen(kw_only=True)
+class DataCentreChanged(Change):
+    """A field of a data centre with another value."""
+
+    name: str
+    field: str
+    before: Value
+    after: Value
+
+
+@frozen(kw_only=True)
+class ServicesReordered(Change):
+    """Services in another order; ``names`` is the new one."""
+
+    names: tuple[str, ...]
+
+
+@frozen(kw_only=True)
+class DataCentresReordered(Change):
+    """Data centres in another order; ``names`` is the new one."""
+
+    names: tuple[str, ...]
+
+
+def diff(old: Document, new: Document) -> list[Change]:
+    """Return the changes from one document to another.
+
+    Args:
+        old: Document with unique names.
+        new: Document with unique names.
+    """
+    changes = [*_service_changes(old, new), *_data_centre_changes(old, new)]
+    patched = patch(old, changes)
+    if patched.services != new.services:
+        changes.append(ServicesReordered(names=tuple(_by_name(new.services))))
+    if patched.data_centres != new.data_centres:
+        changes.append(DataCentresReordered(names=tuple(_by_name(new.data_centres))))
+    return changes
+
+
+def patch(document: Document, changes: list[Change]) -> Document:
+    """Apply changes to the document from which they were computed."""
+    for change in changes:
+        document = _apply(change, document)
+    return document
+
+
+def describe(change: Change) -> str:
+    """Return a change as one line of text."""
+    return _describe(change)
+
+
+def _service_changes(old: Document, new: Document) -> list[Change]:
+    before, after = _by_name(old.services), _by_name(new.services)
+    changes: list[Change] = [
+        ServiceRemoved(name=name) for name in before if name not in after
+    ]
+    for name, service in after.items():
+        if name not in before:
+            changes.append(ServiceAdded(service=service))
+            continue
+        changes += [
+            ServiceChanged(name=name, field=field, before=left, after=right)
+            for field, left, right in _field_changes(before[name], service)
+        ]
+    return changes
+
+
+def _data_centre_changes(old: Document, new: Document) -> list[Change]:
+    before, after = _by_name(old.data_centres), _by_name(new.data_centres)
+    changes: list[Change] = [
+        DataCentreRemoved(name=name) for name in before if name not in after
+    ]
+    for name, centre in after.items():
+        if name not in before:
+            changes.append(DataCentreAdded(data_centre=centre))
+            continue
+        changes += [
+            DataCentreChanged(name=name, field=field, before=left, after=right)
+            for field, left, right in _field_changes(before[name], centre)
+        ]
+    return changes
+
+
+def _field_changes(old: object, new: object) -> list[tuple[str, Value, Value]]:
+    names = [attribute.name for attribute in fields(type(old))]
+    pairs = [(name, getattr(old, name), getattr(new, name)) for name in names]
+    return [(name, left, right) for name, left, right in pairs if left != right]
+
+
+def _by_name(entries: tuple) -> dict:
+    return {entry.name: entry for entry in entries}
+
+
+def _replaced(entries: tuple, name: str, field: str, value: Value) -> tuple:
+    return tuple(
+        evolve(entry, **{field: value}) if entry.name == name else entry
+        for entry in entries
+    )
+
+
+def _without(entries: tuple, name: str) -> tuple:
+    return tuple(entry for entry in entries if entry.name != name)
+
+
+def _ordered(entries: tuple, names: tuple[str, ...]) -> tuple:
+    known = _by_name(entries)
+    return tuple(known[name] for name in names)
+
+
+@singledispatch
+def _apply(change: Change, document: Document) -> Document:
+    raise NotImplementedError(type(change).__name__)
+
+
+@_apply.register
+def _(change: ServiceAdded, document: Document) -> Document:
+    return evolve(document, services=(*document.services, change.service))
+
+
+@_apply.register
+def _(change: ServiceRemoved, document: Document) -> Document:
+    return evolve(document, services=_without(document.services, change.name))
+
+
+@_apply.register
+def _(change: ServiceChanged, document: Document) -> Document:
+    entries = _replaced(document.services, change.name, change.field, change.after)
+    return evolve(document, services=entries)
+
+
+@_apply.register
+def _(change: DataCentreAdded, document: Document) -> Document:
+    entries = (*document.data_centres, change.data_centre)
+    return evolve(document, data_centres=entries)
+
+
+@_apply.register
+def _(change: DataCentreRemoved, document: Document) -> Document:
+    return evolve(document, data_centres=_without(document.data_centres, change.name))
+
+
+@_apply.register
+def _(change: DataCentreChanged, document: Document) -> Document:
+    entries = _replaced(document.data_centres, change.name, change.field, change.after)
+    return evolve(document, data_centres=entries)
+
+
+@_apply.register
+def _(change: ServicesReordered, document: Document) -> Document:
+    return evolve(document, services=_ordered(document.services, change.names))
+
+
+@_apply.register
+def _(change: DataCentresReordered, document: Document) -> Document:
+    return evolve(document, data_centres=_ordered(document.data_centres, change.names))
+
+
+@singledispatch
+def _describe(change: Change) -> str:
+    raise NotImplementedError(type(change).__name__)
+
+
+@_describe.register
+def _(change: ServiceAdded) -> str:
+    service = change.service
+    return f"service {service.name} added at {service.address}:{service.port}"
+
+
+@_describe.register
+def _(change: ServiceRemoved) -> str:
+    return f"service {change.name} removed"
+
+
+@_describe.register
+def _(change: ServiceChanged) -> str:
+    return f"service {change.name} {change.field}: {change.before} -> {change.after}"
+
+
+@_describe.register
+def _(change: DataCentreAdded) -> str:
+    return f"data centre {change.data_centre.name} added"
+
+
+@_describe.register
+def _(change: DataCentreRemoved) -> str:
+    return f"data centre {change.name} removed"
+
+
+@_describe.register
+def _(change: DataCentreChanged) -> str:
+    before, after = _listed(change.before), _listed(change.after)
+    return f"data centre {change.name} {change.field}: {before} -> {after}"
+
+
+@_describe.register
+def _(change: ServicesReordered) -> str:
+    return f"services reordered: {_listed(change.names)}"
+
+
+@_describe.register
+def _(change: DataCentresReordered) -> str:
+    return f"data centres reordered: {_listed(change.names)}"
+
+
+def _listed(value: Value) -> str:
+    return ", ".join(value) if isinstance(value, tuple) else str(value)
--- /dev/null
+++ b/arbutuslift/protocol/documentfile.py
@@ -0,0 +1,120 @@
+"""Plain values from YAML and JSON input of operators."""
+
+import json
+from pathlib import Path
+
+import yaml
+
+from ..errors import DocumentError, Fault
+
+# 2,100 services and 1,500 instances take about 0.6 MB. An answer with a document
+# has to fit into a message of 4 MiB.
+MAX_DOCUMENT_BYTES = 2 * 1024 * 1024
+
+_STEP = "read document"
+_MERGE_TAG = "tag:yaml.org,2002:merge"
+
+
+class _Loader(yaml.SafeLoader):
+    """Safe loader that refuses duplicate keys, aliases and merge keys.
+
+    Aliases would let a small file describe a very large document.
+    """
+
+    def compose_node(self, parent: yaml.Node, index: object) -> yaml.Node:
+        """Refuse aliases."""
+        if self.check_event(yaml.AliasEvent):
+            mark = self.peek_event().start_mark
+            raise yaml.composer.ComposerError(
+                None, None, "aliases aren't allowed", mark
+            )
+        return super().compose_node(parent, index)
+
+    def construct_mapping(self, node: yaml.MappingNode, deep: bool = False) -> dict:
+        """Refuse duplicate keys and merge keys."""
+        seen = set()
+        for key_node, _ in node.value:
+            if key_node.tag == _MERGE_TAG:
+                _refuse("merge keys aren't allowed", key_node)
+            if not isinstance(key_node, yaml.ScalarNode):
+                _refuse("a key must be text", key_node)
+            if key_node.value in seen:
+                _refuse(f"duplicate key {key_node.value!r}", key_node)
+            seen.add(key_node.value)
+        return super().construct_mapping(node, deep)
+
+
+def read_plain(path: Path) -> object:
+    """Read plain values from a file: JSON if its name ends in .json, else YAML.
+
+    Raises:
+        DocumentError: The file can't be read or parsed.
+    """
+    try:
+        with path.open("rb") as file:
+            body = file.read(MAX_DOCUMENT_BYTES + 1)
+    except OSError as error:
+        raise _error(error.strerror or str(error), str(path)) from error
+    parse = parse_json if path.suffix == ".json" else parse_yaml
+    try:
+        return parse(body)
+    except DocumentError as error:
+        raise DocumentError(error.faults, step=error.step, peer=str(path)) from error
+
+
+def parse_yaml(body: bytes) -> object:
+    """Return the values of a YAML document.
+
+    Raises:
+        DocumentError: Too large, not YAML, or with duplicate keys or aliases.
+    """
+    text = _decode(body)
+    try:
+        return yaml.load(text, _Loader)  # noqa: S506 (derives from SafeLoader)
+    except (yaml.YAMLError, ValueError, ArithmeticError, RecursionError) as error:
+        raise _error(f"not YAML: {error}") from error
+
+
+def parse_json(body: bytes) -> object:
+    """Return the values of a JSON document.
+
+    Raises:
+        DocumentError: Too large, not JSON, or with duplicate keys.
+    """
+    text = _decode(body)
+    try:
+        return json.loads(
+            text, object_pairs_hook=_unique_keys, parse_constant=_refuse_constant
+        )
+    except (ValueError, RecursionError) as error:
+        raise _error(f"not JSON: {error}") from error
+
+
+def _decode(body: bytes) -> str:
+    if len(body) > MAX_DOCUMENT_BYTES:
+        raise _error(f"larger than {MAX_DOCUMENT_BYTES} bytes")
+    try:
+        return body.decode()
+    except UnicodeDecodeError as error:
+        raise _error(f"not UTF-8: {error}") from error
+
+
+def _refuse(reason: str, node: yaml.Node) -> None:
+    raise yaml.constructor.ConstructorError(None, None, reason, node.start_mark)
+
+
+def _unique_keys(pairs: list[tuple[str, object]]) -> dict[str, object]:
+    mapping = {}
+    for key, value in pairs:
+        if key in mapping:
+            raise ValueError(f"duplicate key {key!r}")
+        mapping[key] = value
+    return mapping
+
+
+def _refuse_constant(name: str) -> None:
+    raise ValueError(f"{name} isn't a JSON number")
+
+
+def _error(reason: str, peer: str | None = None) -> DocumentError:
+    return DocumentError((Fault("", reason),), step=_STEP, peer=peer)
--- a/arbutuslift/settings.py
+++ b/arbutuslift/settings.py
@@ -6,7 +6,7 @@
 from absl import flags
 from attrs import frozen
 
-from .errors import SettingsError
+from .errors import Fault, SettingsError
 from .transport.fabric import Address
 
 ENVIRONMENT_PREFIX = "ARBUTUSLIFT_"
@@ -56,7 +56,9 @@
         "document": Path(_text("document", faults)),
     }
     if faults:
-        raise SettingsError("; ".join(faults), step="read settings")
+        raise SettingsError(
+            tuple(Fault("", text) for text in faults), step="read settings"
+        )
     return Settings(**settings)
 
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,6 +2,9 @@
 
 import ipaddress
 
+from attrs import asdict, fields
+from hypothesis import strategies as st
+
 from arbutuslift.protocol.document import (
     Configuration,
     DataCentre,
@@ -69,3 +72,57 @@
 
 def returned(number: int = 1, *, flags: int, seq: int = 501, ack: int = 101) -> bytes:
     return encode_tcp(SERVICE, caller(number), flags=flags, seq=seq, ack=ack)
+
+
+SERVICE_FIELDS = [attribute.name for attribute in fields(Service)]
+
+
+def document(**changes) -> Document:
+    content = {
+        "services": (
+            service(),
+            service(name="claims", address="127.10.0.2", kind="claims"),
+        ),
+        "data_centres": (
+            DataCentre(name="dc-1", instances=("dc-1-1", "dc-1-2")),
+            DataCentre(name="dc-2", instances=("dc-2-1",)),
+            DataCentre(name="dc-3", instances=("dc-3-1",)),
+        ),
+    }
+    return Document(**(content | changes))
+
+
+def plain_document() -> dict:
+    content = asdict(document())
+    for centre in content["data_centres"]:
+        centre["instances"] = list(centre["instances"])
+    return {key: list(rows) for key, rows in content.items()}
+
+
+_names = st.sampled_from(["a", "b", "c", "d", "e"])
+_services = st.builds(
+    Service,
+    name=_names,
+    address=st.ip_addresses(v=4).map(str),
+    port=st.integers(1, 65535),
+    kind=_names,
+    priority=st.sampled_from(["urgent", "high", "ordinary"]),
+    idempotent=st.booleans(),
+    warm_up_s=st.floats(0.001, 86400),
+)
+_data_centres = st.builds(
+    DataCentre,
+    name=_names,
+    region=_names,
+    in_service=st.booleans(),
+    instances=st.lists(_names, max_size=3).map(tuple),
+)
+
+
+def documents() -> st.SearchStrategy[Document]:
+    """Documents with unique names; cross-field checks may fail."""
+    return st.builds(
+        Document,
+        services=st.lists(_services, unique_by=lambda row: row.name).map(tuple),
+        data_centres=st.lists(_data_centres, unique_by=lambda row: row.name).map(tuple),
+    )
--- /dev/null
+++ b/tests/protocol/test_document.py
@@ -0,0 +1,199 @@
+"""Document: faults, canonical form and input files."""
+
+import json
+from pathlib import Path
+
+import pytest
+import yaml
+from hypothesis import given, settings, strategies as st
+
+from arbutuslift.errors import DocumentError
+from arbutuslift.protocol import documentfile
+from arbutuslift.protocol.document import (
+    Document,
+    from_canonical_json,
+    load_document,
+    structure_document,
+    to_canonical_json,
+)
+
+from .. import builders
+
+EXAMPLES = Path(__file__).parents[2] / "docs" / "examples"
+
+
+def changed(path: list, value: object) -> dict:
+    content = builders.plain_document()
+    target = content
+    for key in path[:-1]:
+        target = target[key]
+    target[path[-1]] = value
+    return content
+
+
+def faults_of(content: object) -> dict[str, str]:
+    with pytest.raises(DocumentError) as caught:
+        structure_document(content)
+    return {fault.path: fault.reason for fault in caught.value.faults}
+
+
+SERVICE = ["services", 0]
+CENTRE = ["data_centres", 0]
+FAULTY = [
+    ([*SERVICE, "name"], "claims", "services[1].name", "already used by services[0]"),
+    ([*SERVICE, "name"], "a\n", "services[0].name", "must be a name"),
+    ([*SERVICE, "address"], "127.10.0.2", "services[1].address", "already used"),
+    ([*SERVICE, "address"], "127.10.0", "services[0].address", "dotted IPv4"),
+    ([*SERVICE, "address"], "224.0.0.1", "services[0].address", "unicast"),
+    ([*SERVICE, "address"], "0.0.0.0", "services[0].address", "unicast"),
+    ([*SERVICE, "port"], 0, "services[0].port", "at least 1"),
+    ([*SERVICE, "port"], 65536, "services[0].port", "at most 65535"),
+    ([*SERVICE, "port"], True, "services[0].port", "type integer"),
+    ([*SERVICE, "port"], "8443", "services[0].port", "type integer"),
+    ([*SERVICE, "protocol"], "sctp", "services[0].protocol", "one of tcp, udp"),
+    ([*SERVICE, "protocol"], "udp", "services[0].idempotent", "must be true over udp"),
+    ([*SERVICE, "priority"], "top", "services[0].priority", "one of urgent"),
+    ([*SERVICE, "kind"], "", "services[0].kind", "must be a name"),
+    ([*SERVICE, "idempotent"], "no", "services[0].idempotent", "type boolean"),
+    ([*SERVICE, "max_connections"], 0, "services[0].max_connections", "at least 1"),
+    ([*SERVICE, "slots"], 0, "services[0].slots", "at least 1"),
+    ([*SERVICE, "cold_new_flows_per_s"], -1, "services[0].cold_new_flows_per_s", "1"),
+    ([*SERVICE, "warm_up_s"], 0, "services[0].warm_up_s", "more than 0"),
+    ([*SERVICE, "warm_up_s"], float("nan"), "services[0].warm_up_s", "finite"),
+    ([*SERVICE, "warm_up_s"], 10**400, "services[0].warm_up_s", "at most"),
+    ([*SERVICE, "colour"], "red", "services[0].colour", "unknown field"),
+    (["extra"], 1, "extra", "unknown field"),
+    (["services"], None, "services", "type array"),
+    (["services", 0], 3, "services[0]", "type object"),
+    ([*CENTRE, "name"], "dc-2", "data_centres[1].name", "already used"),
+    ([*CENTRE, "region"], " ", "data_centres[0].region", "must be a name"),
+    ([*CENTRE, "instances"], ["i", "i"], "data_centres[0].instances[1]", "already"),
+    ([*CENTRE, "instances"], ["dc-2-1"], "data_centres[1].instances[0]", "already"),
+    ([*CENTRE, "instances"], [1], "data_centres[0].instances[0]", "type string"),
+    (["data_centres"], [], "data_centres", "at least one must"),
+]
+
+
+@pytest.mark.parametrize(("path", "value", "fault_path", "reason"), FAULTY)
+def test_a_fault_is_reported_at_its_field(path, value, fault_path, reason):
+    assert reason in faults_of(changed(path, value))[fault_path]
+
+
+def test_missing_fields_are_reported_at_their_path():
+    content = builders.plain_document()
+    del content["services"][1]["address"], content["data_centres"]
+    faults = faults_of(content)
+    assert faults["services[1].address"] == faults["data_centres"] == "missing"
+
+
+def test_a_document_without_a_data_centre_in_service_is_refused():
+    content = builders.plain_document()
+    for centre in content["data_centres"]:
+        centre["in_service"] = False
+    assert "in service" in faults_of(content)["data_centres"]
+
+
+@pytest.mark.parametrize("name", ["agencia.yaml", "cydweithfa.yaml"])
+def test_examples_are_valid(name):
+    document = load_document(EXAMPLES / name)
+    instances = [name for centre in document.data_centres for name in centre.instances]
+    assert len(document.data_centres) == 3
+    assert 7 <= len(instances) <= 9
+
+
+def shuffled(value: object, random) -> object:
+    if isinstance(value, dict):
+        keys = list(value)
+        random.shuffle(keys)
+        return {key: shuffled(value[key], random) for key in keys}
+    if isinstance(value, list):
+        return [shuffled(item, random) for item in value]
+    return value
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(builders.documents(), st.randoms(use_true_random=False))
+def test_canonical_json_depends_on_values_only(document, random):
+    body = to_canonical_json(document)
+    assert from_canonical_json(body) == document
+    reordered = json.dumps(shuffled(json.loads(body), random), indent=1).encode()
+    assert to_canonical_json(from_canonical_json(reordered)) == body
+    # YAML is a second, independent reader of the same bytes.
+    assert from_canonical_json(json.dumps(yaml.safe_load(body)).encode()) == document
+
+
+def test_canonical_json_with_an_unknown_field_names_its_path():
+    body = to_canonical_json(Document(services=(builders.service(),)))
+    with pytest.raises(DocumentError, match=r"services\[0\].hue: unknown field"):
+        from_canonical_json(body.replace(b'"kind"', b'"hue":1,"kind"'))
+
+
+REFUSED_INPUT = [
+    ("a.yaml", b"services: []\nservices: []\n", "duplicate key 'services'"),
+    ("a.yaml", b"x: &a [1]\ny: *a\n", "aliases"),
+    ("a.yaml", b"<<: {a: 1}\n", "merge keys"),
+    ("a.yaml", b"? [a]\n: 1\n", "must be text"),
+    ("a.yaml", b"\xff\xfe", "not UTF-8"),
+    ("a.yaml", b"[" * 5000, "not YAML"),
+    ("a.yaml", b"x: 2024-99-99\n", "not YAML"),
+    ("a.yaml", b"--- 1\n--- 2\n", "not YAML"),
+    ("a.yaml", b"!!python/object:os.system {}", "not YAML"),
+    ("a.json", b'{"services": [], "services": []}', "duplicate key"),
+    ("a.json", b"[" * 100_000, "not JSON"),
+    ("a.json", b"NaN", "NaN"),
+    ("a.json", b"9" * 5000, "not JSON"),
+    ("a.json", b" " * (documentfile.MAX_DOCUMENT_BYTES + 1), "larger than"),
+]
+
+
+@pytest.mark.parametrize(("name", "body", "reason"), REFUSED_INPUT)
+def test_refused_input_files(tmp_path, name, body, reason):
+    path = tmp_path / name
+    path.write_bytes(body)
+    with pytest.raises(DocumentError, match=reason) as caught:
+        load_document(path)
+    assert caught.value.peer == str(path)
+
+
+def test_a_missing_file_is_reported(tmp_path):
+    with pytest.raises(DocumentError, match="No such file"):
+        load_document(tmp_path / "none.yaml")
+
+
+PLAIN = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.sampled_from(["name", "port", "address", "x"]), inner)
+    ),
+    max_leaves=8,
+)
+ROWS = st.lists(
+    st.dictionaries(
+        st.sampled_from([*builders.SERVICE_FIELDS, "instances", "in_service"]), PLAIN
+    )
+    | PLAIN,
+    max_size=3,
+)
+
+
+@settings(derandomize=True, max_examples=150, deadline=None)
+@given(PLAIN | st.fixed_dictionaries({"services": ROWS, "data_centres": ROWS}))
+def test_any_plain_values_are_a_document_or_have_faults(content):
+    try:
+        document = structure_document(content)
+    except DocumentError as error:
+        assert error.faults
+    else:
+        assert from_canonical_json(to_canonical_json(document)) == document
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(st.binary(max_size=60) | st.text("{}[]:,-&*!? \n\t\"'a1<", max_size=40))
+def test_any_bytes_are_parsed_or_refused(body):
+    body = body if isinstance(body, bytes) else body.encode()
+    for parse in (documentfile.parse_yaml, documentfile.parse_json):
+        try:
+            structure_document(parse(body))
+        except DocumentError as error:
+            assert error.faults
