Add logs, metrics and traces

Cause: an instance reported nothing about what it does.

Change: structlog lines with a limit on repeated events, statsd counters that a task sends every 5 s from a Counter, and spans per hop of sampled flows and of configuration changes. Traces derive their identifier from the flow or from the request identifier, so hops at several instances join without a context in the messages. TracedForwarder replaces the plain forwarder only if traces are on; the SDK isn't loaded otherwise.

Ruled out: measuring all variants in one loop.

Tracing every packet is for tests only.

--- a/arbutuslift/coordination/operators.py
+++ b/arbutuslift/coordination/operators.py
@@ -50,6 +50,7 @@
     UpstreamStatus,
 )
 from ..state.configuration import StoredRevision, Submission
+from ..traces import SUBMIT, NoTraces, Traces
 from .store import ConfigurationStore
 
 # A revision is looked up among this many; the store keeps fewer documents.
@@ -78,6 +79,7 @@
         members: Returns the names of members, the likeliest to answer first.
         instances: Returns the known instances.
         upstreams: Returns the known upstreams.
+        traces: Records the hops of changes.
     """
 
     def __init__(
@@ -89,6 +91,7 @@
         members: Callable[[], Sequence[str]],
         instances: Callable[[], Iterable[InstanceStatus]] = tuple,
         upstreams: Callable[[], Iterable[UpstreamStatus]] = tuple,
+        traces: Traces | None = None,
     ) -> None:
         self._channel = channel
         self._clock = clock
@@ -96,6 +99,7 @@
         self._members = members
         self._instances = instances
         self._upstreams = upstreams
+        self._traces = traces or NoTraces()
         for message_class in _REQUESTS:
             channel.on(message_class, self._answer)
 
@@ -133,15 +137,16 @@
             is_canonical = _check(request.document)
         if not is_canonical:
             raise ChangeNotAccepted("the document isn't canonical", step="apply")
-        stored = await self._store.submit(
-            Submission(
-                document=request.document,
-                expected_revision=request.expected_revision,
-                request_id=request.request_id,
-                author=request.author,
-                submitted_at_s=request.submitted_at_s,
-            )
+        submission = Submission(
+            document=request.document,
+            expected_revision=request.expected_revision,
+            request_id=request.request_id,
+            author=request.author,
+            submitted_at_s=request.submitted_at_s,
         )
+        with self._traces.change_hop(SUBMIT, request.request_id) as hop:
+            stored = await self._store.submit(submission)
+            hop.note("revision", stored.revision)
         if stored.submission.document != request.document:
             reason = (
                 f"request identifier {request.request_id} was already used for "
--- /dev/null
+++ b/arbutuslift/logs.py
@@ -0,0 +1,160 @@
+"""Logs: one key=value line per event."""
+
+import datetime
+import logging
+import sys
+from typing import TextIO
+
+import structlog
+from attrs import define
+
+from .clock import Clock
+
+KEY_ORDER = ("timestamp", "level", "event", "instance")
+SUPPRESSED_EVENT = "events_suppressed"
+
+# An event that repeats for every packet would fill a disk and slow the packets down.
+REPEAT_BURST = 10
+REPEAT_INTERVAL_S = 10.0
+MAX_TRACKED_EVENTS = 1000
+
+
+@define
+class _Window:
+    """Events of one name since ``start_s``."""
+
+    start_s: float
+    passed: int = 0
+    suppressed: int = 0
+
+
+class RepeatLimiter:
+    """Structlog processor that drops events which repeat too often.
+
+    Args:
+        clock: Source of time.
+        burst: Events of one name that pass in an interval.
+        interval_s: Length of an interval.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        burst: int = REPEAT_BURST,
+        interval_s: float = REPEAT_INTERVAL_S,
+    ) -> None:
+        self._clock = clock
+        self._burst = burst
+        self._interval_s = interval_s
+        self._windows: dict[str, _Window] = {}
+
+    def __call__(
+        self, logger: object, method: str, event_dict: structlog.typing.EventDict
+    ) -> structlog.typing.EventDict:
+        """Pass an event on, or drop and count it."""
+        del logger, method
+        name = str(event_dict.get("event"))
+        now_s = self._clock.monotonic_s()
+        window = self._windows.get(name)
+        if window is None or now_s - window.start_s >= self._interval_s:
+            if window is not None and window.suppressed:
+                event_dict["suppressed"] = window.suppressed
+            window = self._start(name, now_s)
+        if window.passed >= self._burst:
+            window.suppressed += 1
+            raise structlog.DropEvent
+        window.passed += 1
+        return event_dict
+
+    def take_suppressed(self) -> dict[str, int]:
+        """Return and forget how many events of ended intervals were dropped."""
+        now_s = self._clock.monotonic_s()
+        ended = [
+            name
+            for name, window in self._windows.items()
+            if now_s - window.start_s >= self._interval_s
+        ]
+        windows = {name: self._windows.pop(name) for name in ended}
+        return {
+            name: window.suppressed
+            for name, window in windows.items()
+            if window.suppressed
+        }
+
+    def _start(self, name: str, now_s: float) -> _Window:
+        self._windows.pop(name, None)
+        if len(self._windows) >= MAX_TRACKED_EVENTS:
+            del self._windows[next(iter(self._windows))]
+        window = self._windows[name] = _Window(now_s)
+        return window
+
+
+class LibraryHandler(logging.Handler):
+    """Passes records of libraries that use :mod:`logging` on."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Log a record as one event."""
+        get_logger().log(
+            record.levelno,
+            f"library_{record.levelname.lower()}",
+            logger=record.name,
+            message=record.getMessage(),
+            exc_info=record.exc_info,
+        )
+
+
+def configure(
+    *, instance: str, level: str, clock: Clock, stream: TextIO | None = None
+) -> RepeatLimiter:
+    """Set up logging of the process.
+
+    Args:
+        instance: Name of this instance.
+        level: ``debug``, ``info``, ``warning`` or ``error``.
+        clock: Source of time.
+        stream: Takes the lines; standard error by default.
+
+    Returns:
+        The limiter, for :func:`report_suppressed`.
+    """
+    number = logging.getLevelNamesMapping()[level.upper()]
+    limiter = RepeatLimiter(clock)
+
+    def add_origin(
+        logger: object, method: str, event_dict: structlog.typing.EventDict
+    ) -> structlog.typing.EventDict:
+        del logger, method
+        now = datetime.datetime.fromtimestamp(clock.wall_s(), datetime.UTC)
+        event_dict["timestamp"] = now.isoformat(timespec="milliseconds")
+        event_dict["instance"] = instance
+        return event_dict
+
+    structlog.configure(
+        processors=[
+            limiter,
+            structlog.processors.add_log_level,
+            add_origin,
+            structlog.processors.format_exc_info,
+            structlog.processors.LogfmtRenderer(key_order=KEY_ORDER),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(number),
+        logger_factory=structlog.PrintLoggerFactory(stream or sys.stderr),
+        cache_logger_on_first_use=False,
+    )
+    logging.basicConfig(
+        handlers=[LibraryHandler()], level=max(number, logging.WARNING), force=True
+    )
+    return limiter
+
+
+def get_logger() -> structlog.typing.FilteringBoundLogger:
+    """Return a logger: ``get_logger().info("event_name", key=value)``."""
+    return structlog.get_logger()
+
+
+async def report_suppressed(limiter: RepeatLimiter, clock: Clock) -> None:
+    """Log how many events were dropped, until cancelled."""
+    while True:
+        await clock.sleep(REPEAT_INTERVAL_S)
+        for name, count in limiter.take_suppressed().items():
+            get_logger().warning(SUPPRESSED_EVENT, of=name, suppressed=count)
--- /dev/null
+++ b/arbutuslift/spans.py
@@ -0,0 +1,114 @@
+"""Traces as spans of OpenTelemetry."""
+
+import sys
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+from typing import TextIO
+
+import xxhash
+from opentelemetry import trace
+from opentelemetry.context import Context
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
+from opentelemetry.sdk.trace.export import BatchSpanProcessor, ConsoleSpanExporter
+
+from .errors import StorageError
+from .traces import Hop, Traces, flow_of, is_sampled
+
+
+class SpanHop(Hop):
+    """A hop that is recorded as a span."""
+
+    def __init__(self, span: trace.Span) -> None:
+        self._span = span
+
+    def note(self, key: str, value: str | int) -> None:
+        """Note an attribute."""
+        self._span.set_attribute(key, value)
+
+
+class SpanTraces(Traces):
+    """Writes spans to a file or to standard output, in another thread.
+
+    Args:
+        trace_file: Takes a JSON object a line; None for standard output.
+        ratio: Part of the flows to record.
+        instance: Name of this instance.
+
+    Raises:
+        StorageError: The file can't be opened.
+    """
+
+    def __init__(self, trace_file: Path | None, ratio: float, instance: str) -> None:
+        self._stack = ExitStack()
+        self._threshold = int(ratio * 2**64)
+        out = sys.stdout
+        if trace_file is not None:
+            out = self._stack.enter_context(_open(trace_file))
+        exporter = ConsoleSpanExporter(out=out, formatter=_as_line)
+        resource = Resource({"service.name": "arbutusliftd", "instance": instance})
+        provider = TracerProvider(resource=resource, shutdown_on_exit=False)
+        provider.add_span_processor(BatchSpanProcessor(exporter))
+        self._stack.callback(provider.shutdown)
+        self._tracer = provider.get_tracer("arbutuslift")
+
+    def samples(self, data: bytes) -> bool:
+        """Whether the flow of a packet is traced."""
+        return is_sampled(data, self._threshold)
+
+    @contextmanager
+    def packet_hop(self, name: str, data: bytes) -> Iterator[Hop]:
+        """Record the first hop of a packet at this instance."""
+        self.in_packet = True
+        try:
+            with self._start(name, _context_of(flow_of(data))) as hop:
+                yield hop
+        finally:
+            self.in_packet = False
+
+    @contextmanager
+    def hop(self, name: str) -> Iterator[Hop]:
+        """Record a hop inside of the current one."""
+        with self._start(name, None) as hop:
+            yield hop
+
+    @contextmanager
+    def change_hop(self, name: str, request_id: str) -> Iterator[Hop]:
+        """Record a hop of a configuration change."""
+        with self._start(name, _context_of(request_id.encode())) as hop:
+            hop.note("request_id", request_id)
+            yield hop
+
+    def close(self) -> None:
+        """Write what was recorded."""
+        self._stack.close()
+
+    @contextmanager
+    def _start(self, name: str, context: Context | None) -> Iterator[Hop]:
+        with self._tracer.start_as_current_span(name, context=context) as span:
+            yield SpanHop(span)
+
+
+def _open(path: Path) -> TextIO:
+    try:
+        return path.open("a")
+    except OSError as error:
+        raise StorageError(
+            error.strerror or str(error), step="open trace file", peer=str(path)
+        ) from error
+
+
+def _as_line(span: ReadableSpan) -> str:
+    return span.to_json(indent=None) + "\n"
+
+
+def _context_of(key: bytes) -> Context:
+    """Return the context whose trace all instances derive from the same key."""
+    parent = trace.SpanContext(
+        trace_id=xxhash.xxh3_128_intdigest(key) or 1,
+        span_id=xxhash.xxh3_64_intdigest(key) or 1,
+        is_remote=True,
+        trace_flags=trace.TraceFlags(trace.TraceFlags.SAMPLED),
+    )
+    return trace.set_span_in_context(trace.NonRecordingSpan(parent), Context())
--- /dev/null
+++ b/measure/telemetry.py
@@ -0,0 +1,187 @@
+"""Cost of logs, metrics and traces per packet, as ratios within one run."""
+
+import io
+import socket
+import statistics
+import tempfile
+import time
+from collections.abc import Callable
+from contextlib import ExitStack
+from pathlib import Path
+
+from arbutuslift import logs
+from arbutuslift.clock import SystemClock
+from arbutuslift.coordination.forwarding import Forwarder
+from arbutuslift.coordination.router import Router
+from arbutuslift.coordination.services import ServiceTable
+from arbutuslift.coordination.tracedforwarding import TracedForwarder
+from arbutuslift.metrics import NoMetrics, Reporter, StatsdMetrics
+from arbutuslift.protocol.packets import ACK
+from arbutuslift.spans import SpanTraces
+from arbutuslift.state.flows import FlowCache
+from arbutuslift.state.upstreams import UpstreamView
+from arbutuslift.transport.fabric import Address, Datagram, MemoryFabric
+from tests import builders
+
+from .result import Measure
+
+FABRIC = Address("127.0.0.1", 7400)
+FLOWS = 500
+ROUNDS = 40
+TRACED_ROUNDS = 4
+PACKETS_PER_ROUND = 2000
+TRACE_RATIO = 0.001
+
+# A packet that isn't traced should cost at most a tenth more with everything on.
+MAX_RATIO_ON = 1.1
+MAX_RATIO_OFF = 1.05
+
+
+class Variant:
+    """A forwarder with its telemetry, and the time that its rounds took.
+
+    Args:
+        make_forwarder: Returns a forwarder for a fabric and a router.
+        after_round: Called once a round, like the reporting task.
+    """
+
+    def __init__(
+        self,
+        make_forwarder: Callable[[MemoryFabric, Router], Forwarder],
+        after_round: Callable[[Forwarder], None],
+    ) -> None:
+        self._fabric = MemoryFabric()
+        self._forwarder = make_forwarder(self._fabric, Router(_services(), FlowCache()))
+        self._after_round = after_round
+        self._packets = [
+            Datagram(builders.segment(number % FLOWS, flags=ACK), FABRIC)
+            for number in range(PACKETS_PER_ROUND)
+        ]
+        self.round_s: list[float] = []
+        for number in range(FLOWS):
+            self._establish(number)
+
+    def _establish(self, number: int) -> None:
+        """Confirm a flow, so that its packets take the usual path."""
+        self._fabric.sent.clear()
+        self._forwarder.forward(Datagram(builders.syn(number), FABRIC))
+        _, upstream = self._fabric.sent[-1]
+        answer = builders.returned(number, flags=ACK)
+        self._forwarder.forward(Datagram(answer, upstream))
+
+    def run_round(self) -> None:
+        """Forward the packets of one round."""
+        self._fabric.sent.clear()
+        start_s = time.perf_counter()
+        for datagram in self._packets:
+            self._forwarder.forward(datagram)
+        self._after_round(self._forwarder)
+        self.round_s.append(time.perf_counter() - start_s)
+
+
+def _services() -> ServiceTable:
+    table = ServiceTable(SystemClock(), UpstreamView())
+    table.apply(builders.configuration())
+    for number in range(1, 8):
+        record = builders.upstream(number)
+        table.view.merge(record)
+        table.refresh_service(record.service)
+    return table
+
+
+def _plain(fabric: MemoryFabric, router: Router) -> Forwarder:
+    return Forwarder(fabric, router, FABRIC)
+
+
+def _traced(traces: SpanTraces) -> Callable[[MemoryFabric, Router], Forwarder]:
+    def make(fabric: MemoryFabric, router: Router) -> Forwarder:
+        return TracedForwarder(fabric, router, FABRIC, traces=traces)
+
+    return make
+
+
+def _reporting(metrics: object) -> Callable[[Forwarder], None]:
+    reporters: dict[int, Reporter] = {}
+
+    def report(forwarder: Forwarder) -> None:
+        reporter = reporters.get(id(forwarder))
+        if reporter is None:
+            reporter = reporters[id(forwarder)] = Reporter(metrics, SystemClock())
+            reporter.add_counter("packets", forwarder.counts)
+        reporter.report()
+        logs.get_logger().info("round_done", packets=PACKETS_PER_ROUND)
+
+    return report
+
+
+def measure() -> list[Measure]:
+    """Measure the cost of telemetry off, on, and with every packet traced."""
+    with ExitStack() as stack:
+        logs.configure(
+            instance="dc-1-1", level="info", clock=SystemClock(), stream=io.StringIO()
+        )
+        bare, off, on, every = _variants(stack)
+        for number in range(ROUNDS):
+            order = (bare, off, on) if number % 2 else (on, off, bare)
+            for variant in order:
+                variant.run_round()
+        # Last, since the thread that writes the spans slows other rounds down.
+        for _ in range(TRACED_ROUNDS):
+            every.run_round()
+    packet_s = statistics.median(bare.round_s) / PACKETS_PER_ROUND
+    return [
+        Measure(
+            name="telemetry: packet without telemetry",
+            figure=round(packet_s * 1e6, 2),
+            unit="us",
+            target=None,
+            passes=None,
+            note=f"median of {ROUNDS} rounds of {PACKETS_PER_ROUND} packets",
+        ),
+        _ratio("off", off, bare, MAX_RATIO_OFF),
+        _ratio(f"on, trace_ratio {TRACE_RATIO}", on, bare, MAX_RATIO_ON),
+        _traced_ratio(every, bare),
+    ]
+
+
+def _variants(stack: ExitStack) -> tuple[Variant, ...]:
+    folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+    server = stack.enter_context(socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
+    server.bind(("127.0.0.1", 0))
+    metrics = StatsdMetrics(Address(*server.getsockname()), "dc-1-1")
+    stack.callback(metrics.close)
+    few = SpanTraces(folder / "few", TRACE_RATIO, "dc-1-1")
+    stack.callback(few.close)
+    every = SpanTraces(folder / "every", 1.0, "dc-1-1")
+    stack.callback(every.close)
+    return (
+        Variant(_plain, lambda forwarder: None),
+        Variant(_plain, _reporting(NoMetrics())),
+        Variant(_traced(few), _reporting(metrics)),
+        Variant(_traced(every), _reporting(metrics)),
+    )
+
+
+def _ratio(name: str, variant: Variant, bare: Variant, target: float) -> Measure:
+    pairs = zip(variant.round_s, bare.round_s, strict=True)
+    ratio = statistics.median(own_s / bare_s for own_s, bare_s in pairs)
+    return Measure(
+        name=f"telemetry: cost of a packet, {name}",
+        figure=round(ratio, 3),
+        unit="ratio to no telemetry",
+        target=target,
+        passes=ratio <= target,
+        note="median of the ratios of interleaved rounds",
+    )
+
+
+def _traced_ratio(every: Variant, bare: Variant) -> Measure:
+    ratio = statistics.median(every.round_s) / statistics.median(bare.round_s)
+    return Measure(
+        name="telemetry: cost of a packet, on, every packet traced",
+        figure=round(ratio, 2),
+        unit="ratio to no telemetry",
+        target=None,
+        passes=None,
+        note=f"ratio of medians; {TRACED_ROUNDS} rounds after the others",
+    )
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,80 @@
+"""Logs: one line per event, levels and the limit on repeated events."""
+
+import asyncio
+import io
+import logging
+
+import pytest
+import structlog
+
+from arbutuslift import logs
+from arbutuslift.clock import ManualClock
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def stream():
+    return io.StringIO()
+
+
+@pytest.fixture
+def limiter(clock, stream):
+    root = logging.getLogger()
+    handlers, level = root.handlers[:], root.level
+    yield logs.configure(instance="dc-1-1", level="info", clock=clock, stream=stream)
+    structlog.reset_defaults()
+    root.handlers[:] = handlers
+    root.setLevel(level)
+
+
+@pytest.mark.usefixtures("limiter")
+def test_an_event_is_one_line_whatever_it_holds(stream):
+    logs.get_logger().info("packet_dropped", reason='a\nb "c"', count=2)
+    logs.get_logger().debug("hidden")
+    assert stream.getvalue() == (
+        "timestamp=1970-01-01T00:16:40.000+00:00 level=info event=packet_dropped "
+        'instance=dc-1-1 reason="a\\nb \\"c\\"" count=2\n'
+    )
+
+
+@pytest.mark.usefixtures("limiter")
+def test_a_traceback_of_a_library_is_one_line(stream):
+    try:
+        raise ValueError("bad\nvalue")
+    except ValueError:
+        logging.getLogger("library").exception("failed")
+    assert stream.getvalue().count("\n") == 1
+    assert "event=library_error" in stream.getvalue()
+
+
+async def test_repeated_events_are_dropped_and_counted(clock, stream, limiter):
+    def log(count):
+        for _ in range(count):
+            logs.get_logger().info("flood")
+        logs.get_logger().info("other")
+
+    log(logs.REPEAT_BURST + 5)
+    assert stream.getvalue().count("event=flood") == logs.REPEAT_BURST
+    assert stream.getvalue().count("event=other") == 1
+    await clock.advance(logs.REPEAT_INTERVAL_S)
+    log(1)
+    assert "event=flood instance=dc-1-1 suppressed=5" in stream.getvalue()
+    log(logs.REPEAT_BURST + 2)
+    task = asyncio.create_task(logs.report_suppressed(limiter, clock))
+    await clock.advance(logs.REPEAT_INTERVAL_S)
+    task.cancel()
+    assert "event=events_suppressed" in stream.getvalue()
+    assert "of=flood suppressed=3" in stream.getvalue()
+
+
+def test_the_limiter_forgets_old_events_at_its_bound(clock):
+    limiter = logs.RepeatLimiter(clock, burst=1)
+    for number in range(logs.MAX_TRACKED_EVENTS + 1):
+        limiter(None, "info", {"event": str(number)})
+    limiter(None, "info", {"event": "0"})
+    with pytest.raises(structlog.DropEvent):
+        limiter(None, "info", {"event": "0"})
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,61 @@
+"""Metrics: growth of counters, over statsd and without."""
+
+import asyncio
+import socket
+from collections import Counter
+
+import pytest
+
+from arbutuslift.clock import ManualClock
+from arbutuslift.metrics import FLUSH_INTERVAL_S, Reporter, open_metrics
+from arbutuslift.transport.fabric import Address
+
+
+@pytest.fixture
+def server():
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as server:
+        server.bind(("127.0.0.1", 0))
+        server.settimeout(10.0)
+        yield server
+
+
+async def test_the_growth_of_counters_is_sent_every_few_seconds(server):
+    clock = ManualClock()
+    counts = Counter(new_flow=3)
+    metrics = open_metrics(Address(*server.getsockname()), "dc.1")
+    reporter = Reporter(metrics, clock)
+    reporter.add_counter("packets", counts)
+    reporter.add_gauge("flows", lambda: 7)
+    task = asyncio.create_task(reporter.run())
+    await clock.advance(FLUSH_INTERVAL_S)
+    sent = set(server.recv(2000).decode().split("\n"))
+    assert sent == {
+        "arbutuslift.dc_1.packets.new_flow:3|c",
+        "arbutuslift.dc_1.flows:7|g",
+    }
+    counts["new_flow"] += 1
+    counts["refused"] += 2
+    await clock.advance(FLUSH_INTERVAL_S)
+    task.cancel()
+    assert "packets.new_flow:1|c" in (sent := server.recv(2000).decode())
+    assert "packets.refused:2|c" in sent
+    metrics.close()
+
+
+def test_without_a_server_nothing_happens():
+    metrics = open_metrics(None, "dc-1-1")
+    reporter = Reporter(metrics, ManualClock())
+    reporter.add_counter("packets", Counter(a=1))
+    reporter.add_gauge("flows", lambda: 7)
+    reporter.report()
+    metrics.close()
+
+
+def test_a_server_that_is_gone_does_no_harm(server):
+    address = Address(*server.getsockname())
+    server.close()
+    metrics = open_metrics(address, "dc-1-1")
+    for _ in range(3):
+        metrics.count("packets.new_flow", 1)
+        metrics.flush()
+    metrics.close()
--- /dev/null
+++ b/tests/test_traces.py
@@ -0,0 +1,100 @@
+"""Traces: hops of packets and changes, and nothing when off."""
+
+import json
+import subprocess
+import sys
+
+import pytest
+
+from arbutuslift.clock import ManualClock
+from arbutuslift.coordination.forwarding import Forwarder
+from arbutuslift.coordination.router import Router
+from arbutuslift.coordination.services import ServiceTable
+from arbutuslift.coordination.tracedforwarding import TracedForwarder
+from arbutuslift.errors import StorageError
+from arbutuslift.protocol.packets import ACK
+from arbutuslift.state.flows import FlowCache
+from arbutuslift.state.upstreams import UpstreamView
+from arbutuslift.traces import NoTraces, is_sampled, open_traces
+from arbutuslift.transport.fabric import Address, Datagram, MemoryFabric
+
+from . import builders
+
+FABRIC = Address("127.0.0.1", 7400)
+
+
+def router() -> Router:
+    table = ServiceTable(ManualClock(), UpstreamView())
+    table.apply(builders.configuration())
+    table.view.merge(builders.upstream(1))
+    table.refresh()
+    return Router(table, FlowCache())
+
+
+def forward_all(forwarder: Forwarder) -> None:
+    upstream = Address("127.20.0.1", 6081)
+    forwarder.forward(Datagram(builders.syn(), FABRIC))
+    forwarder.forward(Datagram(builders.returned(flags=ACK), upstream))
+    forwarder.forward(Datagram(b"bad", FABRIC))
+
+
+def spans_of(path) -> list[dict]:
+    return [json.loads(line) for line in path.read_text().splitlines()]
+
+
+def traced(path, instance, ratio=1.0):
+    fabric = MemoryFabric()
+    traces = open_traces(f"file:{path}", path, ratio, instance)
+    forward_all(TracedForwarder(fabric, router(), FABRIC, traces=traces))
+    traces.close()
+    return fabric.sent
+
+
+def test_both_directions_of_a_flow_share_a_trace_on_all_instances(tmp_path):
+    sent = [traced(tmp_path / name, name) for name in ("one", "two")]
+    plain = MemoryFabric()
+    forward_all(Forwarder(plain, router(), FABRIC))
+    assert sent == [plain.sent, plain.sent]
+    spans = spans_of(tmp_path / "one") + spans_of(tmp_path / "two")
+    names = [span["name"] for span in spans]
+    assert names == ["route", "send", "receive"] * 2 + ["receive"] + (
+        ["route", "send", "receive"] * 2 + ["receive"]
+    )
+    traces = [span["context"]["trace_id"] for span in spans]
+    assert len(set(traces[:6] + traces[7:13])) == 1
+    assert spans[0]["parent_id"] == spans[2]["context"]["span_id"]
+    assert spans[0]["attributes"] == {"verdict": "new_flow"}
+
+
+def test_flows_are_sampled_by_ratio_and_the_rest_leaves_no_span(tmp_path):
+    traced(tmp_path / "none", "one", ratio=0.0)
+    assert spans_of(tmp_path / "none") == []
+    flows = [builders.syn(number) for number in range(4000)]
+    sampled = sum(is_sampled(data, 2**64 // 10) for data in flows)
+    assert 300 < sampled < 500
+
+
+def test_hops_of_a_change_share_a_trace_on_all_instances(tmp_path):
+    for name in ("one", "two"):
+        traces = open_traces("file:", tmp_path / name, 0.0, name)
+        with traces.change_hop("apply", "request-1") as hop:
+            hop.note("revision", 2)
+        traces.close()
+    spans = spans_of(tmp_path / "one") + spans_of(tmp_path / "two")
+    assert len({span["context"]["trace_id"] for span in spans}) == 1
+    assert spans[1]["attributes"] == {"request_id": "request-1", "revision": 2}
+
+
+def test_a_file_that_can_not_be_opened_is_reported(tmp_path):
+    with pytest.raises(StorageError, match="open trace file"):
+        open_traces("file:", tmp_path / "none" / "file", 1.0, "one")
+
+
+def test_traces_that_are_off_load_no_sdk():
+    assert isinstance(open_traces("off", None, 1.0, "one"), NoTraces)
+    code = (
+        "import sys, arbutuslift.coordination.operators, arbutuslift.traces as traces\n"
+        "traces.open_traces('off', None, 1.0, 'one')\n"
+        "sys.exit('opentelemetry.sdk' in sys.modules)"
+    )
+    assert subprocess.run([sys.executable, "-c", code], check=False).returncode == 0
