Describe daily operation and correct faults found by its review

Cause: a review of the commands before describing them found that the JSON output of diff had empty details, that a document of up to 2 MB could grow by its defaults beyond what fits into a message and then seem lost, that a YAML number of thousands of hexadecimal digits raised an uncaught error, and that a file with a million faults took memory for all of them.

A replacement of a member is passed on with the whole time that is left, since the new member has to catch up.

--- a/arbutuslift/commands/documents.py
+++ b/arbutuslift/commands/documents.py
@@ -2,6 +2,7 @@
 
 import datetime
 from pathlib import Path
+from typing import Any
 
 import yaml
 from attrs import asdict, frozen
@@ -50,11 +51,17 @@
 
 @frozen(kw_only=True)
 class ShownChange:
-    """One difference between documents."""
+    """One difference between documents.
+
+    Attributes:
+        change: Name of the class of the change.
+        description: The change as text.
+        details: The change; its fields are found by the class of the value.
+    """
 
     change: str
     description: str
-    details: Change
+    details: Any
 
 
 @frozen(kw_only=True)
--- a/arbutuslift/commands/options.py
+++ b/arbutuslift/commands/options.py
@@ -109,7 +109,7 @@
     listed = fields.pop("servers") or environment.get(SERVERS_VARIABLE, "").split(",")
     servers = tuple(server for server in listed if server)
     _check(fields, servers)
-    fields["author"] = fields["author"] or getpass.getuser()
+    fields["author"] = fields["author"] or _account()
     return Options(
         command=words[0] if words else "",
         arguments=tuple(words[1:]),
@@ -118,6 +118,13 @@
     )
 
 
+def _account() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):  # the account has no entry in the user database
+        return str(os.getuid())
+
+
 def wants_json(argv: list[str]) -> bool:
     """Whether a command line that can't be parsed asks for JSON output."""
     return "--output=json" in argv or "-output=json" in argv or _follows(argv)
--- a/arbutuslift/coordination/operators.py
+++ b/arbutuslift/coordination/operators.py
@@ -60,6 +60,7 @@
 # An instance that passes a request on must answer before its client gives up.
 FORWARD_FRACTION = 0.8
 ATTEMPT_FRACTION = 0.4
+MAX_PING_TIMEOUT_S = 1.0
 PING_FRACTION = 0.1
 
 # The checks take 0.7 s for 2,100 services (0.4 MB), during which the event loop
@@ -245,7 +246,8 @@
     async def _answers_ping(
         self, member: str, request: OperatorRequest, deadline_s: float
     ) -> bool:
-        ping = Ping(timeout_s=request.timeout_s * PING_FRACTION)
+        timeout_s = min(MAX_PING_TIMEOUT_S, request.timeout_s * PING_FRACTION)
+        ping = Ping(timeout_s=timeout_s)
         return isinstance(await self._ask(member, ping, deadline_s), Pong)
 
     async def _ask(
@@ -254,7 +256,11 @@
         left_s = deadline_s - self._clock.monotonic_s()
         if left_s <= 0:
             return None
-        timeout_s = min(left_s, request.timeout_s * ATTEMPT_FRACTION)
+        timeout_s = left_s
+        if isinstance(request, Ping):
+            timeout_s = min(left_s, request.timeout_s)
+        elif not isinstance(request, ReplaceMember):
+            timeout_s = min(left_s, request.timeout_s * ATTEMPT_FRACTION)
         forwarded = evolve(request, forwarded=True, timeout_s=timeout_s)
         try:
             return await self._channel.request(member, forwarded, timeout_s)
--- a/arbutuslift/protocol/document.py
+++ b/arbutuslift/protocol/document.py
@@ -8,7 +8,7 @@
 
 from ..errors import DocumentError, Fault
 from .documentchecks import PRIORITIES, find_faults, find_shape_faults
-from .documentfile import parse_json, read_plain
+from .documentfile import MAX_DOCUMENT_BYTES, parse_json, read_plain
 
 __all__ = [
     "PRIORITIES",
@@ -123,7 +123,11 @@
     faults = find_faults(content)
     if faults:
         raise DocumentError(faults, step=_STEP)
-    return _structure(content)
+    document = _structure(content)
+    if len(to_canonical_json(document)) > MAX_DOCUMENT_BYTES:
+        reason = f"larger than {MAX_DOCUMENT_BYTES} bytes in canonical form"
+        raise DocumentError((Fault("", reason),), step=_STEP)
+    return document
 
 
 def to_canonical_json(document: Document) -> bytes:
--- a/arbutuslift/protocol/documentchecks.py
+++ b/arbutuslift/protocol/documentchecks.py
@@ -1,6 +1,7 @@
 """Checks of a configuration document: published JSON schema and cross-field checks."""
 
 import ipaddress
+import itertools
 import json
 import math
 from collections.abc import Iterable, Iterator
@@ -14,6 +15,9 @@
 PRIORITIES = ("urgent", "high", "ordinary")
 SCHEMA_FILE = "document-schema.json"
 NAME_RULE = "letters, digits, dot, hyphen and underscore, at most 64"
+
+# A file of 2 MB can hold a million faults; the errors of the schema check take 1 KB
+# each.
 MAX_REPORTED_FAULTS = 200
 
 _SHOWN_VALUE_CHARACTERS = 60
@@ -38,13 +42,15 @@
 
 def find_faults(content: object) -> tuple[Fault, ...]:
     """Return every fault of a document given as plain values, without repeats."""
-    faults = [*find_shape_faults(content), *_find_cross_faults(content)]
+    cross_faults = itertools.islice(_find_cross_faults(content), MAX_REPORTED_FAULTS)
+    faults = [*find_shape_faults(content), *cross_faults]
     return tuple(dict.fromkeys(faults))[:MAX_REPORTED_FAULTS]
 
 
 def find_shape_faults(content: object) -> tuple[Fault, ...]:
     """Return the faults of single fields: unknown, missing or malformed."""
-    errors = sorted(_validator.iter_errors(content), key=_sort_key)
+    errors = itertools.islice(_validator.iter_errors(content), MAX_REPORTED_FAULTS)
+    errors = sorted(errors, key=_sort_key)
     faults = [fault for error in errors for fault in _faults_of(error)]
     faults += [
         Fault(f"{entry.path}.warm_up_s", "must be finite")
--- a/arbutuslift/protocol/documentfile.py
+++ b/arbutuslift/protocol/documentfile.py
@@ -10,6 +10,7 @@
 # 2,100 services and 1,500 instances take about 0.6 MB. An answer with a document
 # has to fit into a message of 4 MiB.
 MAX_DOCUMENT_BYTES = 2 * 1024 * 1024
+MAX_INTEGER = 2**63
 
 _STEP = "read document"
 _MERGE_TAG = "tag:yaml.org,2002:merge"
@@ -43,6 +44,16 @@
             seen.add(key_node.value)
         return super().construct_mapping(node, deep)
 
+    def construct_yaml_int(self, node: yaml.ScalarNode) -> int:
+        """Refuse numbers that Python can't write in decimal digits."""
+        value = super().construct_yaml_int(node)
+        if abs(value) > MAX_INTEGER:
+            _refuse("number too large", node)
+        return value
+
+
+_Loader.add_constructor("tag:yaml.org,2002:int", _Loader.construct_yaml_int)
+
 
 def read_plain(path: Path) -> object:
     """Read plain values from a file: JSON if its name ends in .json, else YAML.
--- a/tests/protocol/test_document.py
+++ b/tests/protocol/test_document.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings, strategies as st
 
 from arbutuslift.errors import DocumentError
-from arbutuslift.protocol import documentfile
+from arbutuslift.protocol import document, documentchecks, documentfile
 from arbutuslift.protocol.document import (
     Document,
     from_canonical_json,
@@ -95,9 +95,9 @@
 
 @pytest.mark.parametrize("name", ["agencia.yaml", "cydweithfa.yaml"])
 def test_examples_are_valid(name):
-    document = load_document(EXAMPLES / name)
-    instances = [name for centre in document.data_centres for name in centre.instances]
-    assert len(document.data_centres) == 3
+    centres = load_document(EXAMPLES / name).data_centres
+    instances = [name for centre in centres for name in centre.instances]
+    assert len(centres) == 3
     assert 7 <= len(instances) <= 9
 
 
@@ -113,13 +113,13 @@
 
 @settings(derandomize=True, max_examples=60, deadline=None)
 @given(builders.documents(), st.randoms(use_true_random=False))
-def test_canonical_json_depends_on_values_only(document, random):
-    body = to_canonical_json(document)
-    assert from_canonical_json(body) == document
+def test_canonical_json_depends_on_values_only(content, random):
+    body = to_canonical_json(content)
+    assert from_canonical_json(body) == content
     reordered = json.dumps(shuffled(json.loads(body), random), indent=1).encode()
     assert to_canonical_json(from_canonical_json(reordered)) == body
     # YAML is a second, independent reader of the same bytes.
-    assert from_canonical_json(json.dumps(yaml.safe_load(body)).encode()) == document
+    assert from_canonical_json(json.dumps(yaml.safe_load(body)).encode()) == content
 
 
 def test_canonical_json_with_an_unknown_field_names_its_path():
@@ -137,6 +137,7 @@
     ("a.yaml", b"[" * 5000, "not YAML"),
     ("a.yaml", b"x: 2024-99-99\n", "not YAML"),
     ("a.yaml", b"--- 1\n--- 2\n", "not YAML"),
+    ("a.yaml", b"x: 0x" + b"f" * 5000, "too large"),
     ("a.yaml", b"!!python/object:os.system {}", "not YAML"),
     ("a.json", b'{"services": [], "services": []}', "duplicate key"),
     ("a.json", b"[" * 100_000, "not JSON"),
@@ -155,6 +156,18 @@
     assert caught.value.peer == str(path)
 
 
+def test_the_number_of_faults_is_bounded():
+    # A million errors of the schema check would take about 1 GB.
+    content = builders.plain_document() | {"services": [1] * 100_000}
+    assert len(faults_of(content)) <= documentchecks.MAX_REPORTED_FAULTS
+
+
+def test_a_document_that_grows_too_large_by_defaults_is_refused(monkeypatch):
+    # It would fit into no message, and its submission would seem to be lost.
+    monkeypatch.setattr(document, "MAX_DOCUMENT_BYTES", 500)
+    assert "canonical form" in faults_of(builders.plain_document())[""]
+
+
 def test_a_missing_file_is_reported(tmp_path):
     with pytest.raises(DocumentError, match="No such file"):
         load_document(tmp_path / "none.yaml")
@@ -181,11 +194,11 @@
 @given(PLAIN | st.fixed_dictionaries({"services": ROWS, "data_centres": ROWS}))
 def test_any_plain_values_are_a_document_or_have_faults(content):
     try:
-        document = structure_document(content)
+        structured = structure_document(content)
     except DocumentError as error:
         assert error.faults
     else:
-        assert from_canonical_json(to_canonical_json(document)) == document
+        assert from_canonical_json(to_canonical_json(structured)) == structured
 
 
 @settings(derandomize=True, max_examples=200, deadline=None)
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -124,6 +124,18 @@
     assert site.output[-1].startswith("invalid: 1 fault in")
 
 
+async def test_json_differences_carry_their_fields(site, path, tmp_path):
+    # They were empty while the field had the type of their base class.
+    await site.run("apply", path, "--expected_revision=0")
+    content = builders.plain_document()
+    content["services"][0]["slots"] = 5
+    (tmp_path / "next.json").write_text(json.dumps(content))
+    await site.run("diff", str(tmp_path / "next.json"), "--output=json")
+    (change,) = json.loads(site.output[-1])["result"]["changes"]
+    expected = {"name": "alerts", "field": "slots", "before": 2, "after": 5}
+    assert change["details"] == expected
+
+
 async def test_request_id_is_printed_before_the_request_is_sent(site, path):
     # An operator whose client is interrupted needs the identifier for the resend.
     no_quorum(site)
--- /dev/null
+++ b/tests/test_operations_page.py
@@ -0,0 +1,51 @@
+"""The page for operators: its commands run, its tables are complete."""
+
+import re
+import shlex
+import shutil
+from pathlib import Path
+
+from arbutuslift.commands.outcome import ExitCode
+from arbutuslift.coordination.forwarding import BAD_PACKET
+from arbutuslift.coordination.router import Verdict
+from arbutuslift.coordination.store import MemberStatus
+from arbutuslift.ctl import COMMANDS
+
+from .fakes import Site
+
+DOCS = Path(__file__).parents[1] / "docs"
+PAGE = (DOCS / "operations.md").read_text()
+PROGRAM = "    arbutusliftctl "
+LINES = [
+    line.removeprefix(PROGRAM) for line in PAGE.splitlines() if line.startswith(PROGRAM)
+]
+
+
+async def test_every_command_of_the_page_does_what_it_says(tmp_path, monkeypatch):
+    monkeypatch.chdir(tmp_path)
+    site = Site()
+    names = ("madrid-1-1", "madrid-2-1", "madrid-3-1")
+    site.store.member_list = [
+        MemberStatus(name=name, identity="0" * 32, role="voter", matched_index=1)
+        for name in names
+    ]
+    for line in LINES:
+        command, _, target = line.partition(" > ")
+        words = shlex.split(command)
+        if words[0] == "form":
+            shutil.copy(DOCS / "examples" / "agencia.yaml", words[1])
+            continue  # its questions are answered in test_ctl
+        assert await site.run(*words) == ExitCode.DONE, line
+        if target:
+            Path(target).write_text(site.output[-1])
+    assert {line.split()[0] for line in LINES} == set(COMMANDS)
+
+
+def first_cells() -> set[str]:
+    return set(re.findall(r"^\| `?(\w+)`? \|", PAGE, re.MULTILINE))
+
+
+def test_every_counter_and_exit_code_is_explained():
+    assert {*Verdict, BAD_PACKET} <= first_cells()
+    codes = dict(re.findall(r"^\| (\d) \| `(\w+)`", PAGE, re.MULTILINE))
+    assert codes == {str(int(code)): code.name.lower() for code in ExitCode}
