Give operators' messages names that no other part uses

Cause: the codec finds message classes by their bare name, and names such as Ping or Status are likely to be used by another part, which would replace a class without any error.

Ruled out here: refusing a second class of a name in messages.register, which belongs to another part.

--- a/arbutuslift/api.py
+++ b/arbutuslift/api.py
@@ -27,26 +27,26 @@
 )
 from .protocol.messages import Message
 from .protocol.operators import (
-    Applied,
-    Apply,
-    Conflict,
-    History,
+    ApplyDocument,
+    DocumentApplied,
+    DocumentConflict,
+    DocumentRejected,
     HistoryShown,
     MemberReplaced,
-    Members,
     MembersShown,
-    NotAccepted,
+    OperatorPing,
+    OperatorPong,
     OperatorRequest,
-    Ping,
-    Pong,
-    Rejected,
+    OutcomeUndecided,
     ReplaceMember,
+    RequestRefused,
     RevisionEntry,
-    Show,
-    Shown,
-    Status,
+    RevisionShown,
+    ShowHistory,
+    ShowMembers,
+    ShowRevision,
+    ShowStatus,
     StatusShown,
-    Unknown,
 )
 
 MAX_CONFLICT_RETRIES = 5
@@ -109,7 +109,7 @@
         OutcomeUnknown: Nothing tells whether it was accepted.
         ServersUnreachable: No server answered.
     """
-    request = Apply(
+    request = ApplyDocument(
         timeout_s=session.timeout_s,
         document=to_canonical_json(document),
         expected_revision=expected_revision,
@@ -117,7 +117,7 @@
         author=session.author,
         submitted_at_s=session.clock.wall_s(),
     )
-    return (await _ask(session, request, Applied)).revision
+    return (await _ask(session, request, DocumentApplied)).revision
 
 
 async def show(session: Session, revision: int = 0) -> Revision:
@@ -127,8 +127,8 @@
         ChangeNotAccepted: No quorum confirmed it, or there is no such revision.
         ServersUnreachable: No server answered.
     """
-    request = Show(timeout_s=session.timeout_s, revision=revision)
-    shown = await _ask(session, request, Shown)
+    request = ShowRevision(timeout_s=session.timeout_s, revision=revision)
+    shown = await _ask(session, request, RevisionShown)
     if shown.entry is not None:
         document = from_canonical_json(shown.document)
         number = shown.entry.revision
@@ -143,7 +143,7 @@
 
 async def history(session: Session, limit: int) -> tuple[RevisionEntry, ...]:
     """Return the newest revisions, newest first."""
-    request = History(timeout_s=session.timeout_s, limit=limit)
+    request = ShowHistory(timeout_s=session.timeout_s, limit=limit)
     return (await _ask(session, request, HistoryShown)).entries
 
 
@@ -151,7 +151,7 @@
     session: Session, *, service: str, data_centre: str, limit: int
 ) -> StatusShown:
     """Return the instances and upstreams that the asked server knows."""
-    request = Status(
+    request = ShowStatus(
         timeout_s=session.timeout_s,
         service=service,
         data_centre=data_centre,
@@ -162,7 +162,7 @@
 
 async def members(session: Session) -> MembersShown:
     """Return the control members."""
-    return await _ask(session, Members(timeout_s=session.timeout_s), MembersShown)
+    return await _ask(session, ShowMembers(timeout_s=session.timeout_s), MembersShown)
 
 
 async def replace_member(session: Session, old_name: str, new_name: str) -> None:
@@ -260,11 +260,11 @@
         if not await _answers_ping(session, server):
             continue
         answer = await _request(session, server, request, session.timeout_s)
-        if isinstance(answer, Unknown):
+        if isinstance(answer, OutcomeUndecided):
             lost.append(f"{server}: {answer.reason}")
         elif answer is None:
             lost.append(f"{server}: no answer")
-        elif isinstance(answer, NotAccepted) and (lost or _is_read(request)):
+        elif isinstance(answer, RequestRefused) and (lost or _is_read(request)):
             lost.append(f"{server}: {answer.reason}")
         else:
             return _accept(answer, wanted, server)
@@ -281,13 +281,13 @@
 
 
 def _is_read(request: OperatorRequest) -> bool:
-    return not isinstance(request, (Apply, ReplaceMember))
+    return not isinstance(request, (ApplyDocument, ReplaceMember))
 
 
 async def _answers_ping(session: Session, server: str) -> bool:
     timeout_s = min(MAX_PING_TIMEOUT_S, session.timeout_s)
-    ping = Ping(timeout_s=timeout_s)
-    return isinstance(await _request(session, server, ping, timeout_s), Pong)
+    ping = OperatorPing(timeout_s=timeout_s)
+    return isinstance(await _request(session, server, ping, timeout_s), OperatorPong)
 
 
 async def _request(
@@ -302,17 +302,17 @@
 def _accept(answer: Message, wanted: type[A], server: str) -> A:
     """Return the wanted answer or raise the error that another answer stands for."""
     match answer:
-        case Rejected():
+        case DocumentRejected():
             faults = tuple(Fault(fault.path, fault.reason) for fault in answer.faults)
             raise DocumentError(faults, step="apply", peer=server)
-        case Conflict():
+        case DocumentConflict():
             raise ConfigurationConflict(
                 f"revision {answer.revision} stands",
                 standing=_standing(answer),
                 step="apply",
                 peer=server,
             )
-        case NotAccepted():
+        case RequestRefused():
             raise ChangeNotAccepted(answer.reason, step="apply", peer=server)
     if not isinstance(answer, wanted):
         # The server may have acted on the request before it gave this answer.
@@ -321,7 +321,7 @@
     return answer
 
 
-def _standing(conflict: Conflict) -> Configuration:
+def _standing(conflict: DocumentConflict) -> Configuration:
     if not conflict.document:
         return Configuration()
     document = from_canonical_json(conflict.document)
--- a/arbutuslift/coordination/operators.py
+++ b/arbutuslift/coordination/operators.py
@@ -23,33 +23,34 @@
 from ..protocol.documentfile import parse_json
 from ..protocol.messages import Message
 from ..protocol.operators import (
-    Applied,
-    Apply,
-    Conflict,
+    ApplyDocument,
+    DocumentApplied,
+    DocumentConflict,
     DocumentFault,
-    History,
+    DocumentRejected,
     HistoryShown,
     InstanceStatus,
     MemberEntry,
     MemberReplaced,
-    Members,
     MembersShown,
-    NotAccepted,
-    NotMember,
+    NotControlMember,
+    OperatorPing,
+    OperatorPong,
     OperatorRequest,
-    Ping,
-    Pong,
-    Rejected,
+    OutcomeUndecided,
     ReplaceMember,
+    RequestRefused,
     RevisionEntry,
-    Show,
-    Shown,
-    Status,
+    RevisionShown,
+    ShowHistory,
+    ShowMembers,
+    ShowRevision,
+    ShowStatus,
     StatusShown,
-    Unknown,
     UpstreamStatus,
 )
 from ..state.configuration import StoredRevision, Submission
+from ..state.upstreams import UpstreamView
 from ..traces import SUBMIT, NoTraces, Traces
 from .store import ConfigurationStore
 
@@ -67,7 +68,15 @@
 # would forward no packet.
 CHECK_IN_THREAD_BYTES = 32 * 1024
 
-_REQUESTS = (Ping, Apply, Show, History, Status, Members, ReplaceMember)
+_REQUESTS = (
+    OperatorPing,
+    ApplyDocument,
+    ShowRevision,
+    ShowHistory,
+    ShowStatus,
+    ShowMembers,
+    ReplaceMember,
+)
 
 
 class OperatorsService:
@@ -106,7 +115,7 @@
 
     async def _answer(self, peer: str, request: OperatorRequest) -> Message:
         del peer
-        if self._store is None and not isinstance(request, (Ping, Status)):
+        if self._store is None and not isinstance(request, (OperatorPing, ShowStatus)):
             return await self._forward(request)
         try:
             return await self._run(request)
@@ -114,11 +123,11 @@
             faults = tuple(
                 DocumentFault(path=f.path, reason=f.reason) for f in error.faults
             )
-            return Rejected(faults=faults)
+            return DocumentRejected(faults=faults)
         except ConfigurationConflict as error:
             return _conflict_of(error.standing)
         except (ChangeNotAccepted, MembershipChangeError) as error:
-            return NotAccepted(reason=error.message)
+            return RequestRefused(reason=error.message)
         except (NoQuorum, OutcomeUnknown) as error:
             return _undecided(request, f"no quorum: {error.message}")
 
@@ -127,11 +136,11 @@
         raise ChangeNotAccepted(f"unknown {type(request).__name__}", step="answer")
 
     @_run.register
-    async def _(self, request: Ping) -> Message:
-        return Pong()
+    async def _(self, request: OperatorPing) -> Message:
+        return OperatorPong()
 
     @_run.register
-    async def _(self, request: Apply) -> Message:
+    async def _(self, request: ApplyDocument) -> Message:
         if len(request.document) > CHECK_IN_THREAD_BYTES:
             is_canonical = await asyncio.to_thread(_check, request.document)
         else:
@@ -154,10 +163,10 @@
                 f"another document, accepted as revision {stored.revision}"
             )
             raise ChangeNotAccepted(reason, step="apply")
-        return Applied(revision=stored.revision)
+        return DocumentApplied(revision=stored.revision)
 
     @_run.register
-    async def _(self, request: Show) -> Message:
+    async def _(self, request: ShowRevision) -> Message:
         standing = await self._store.current()
         if request.revision == 0:
             return _shown(standing)
@@ -169,13 +178,13 @@
         return _shown(None)
 
     @_run.register
-    async def _(self, request: History) -> Message:
+    async def _(self, request: ShowHistory) -> Message:
         limit = max(0, min(request.limit, MAX_HISTORY))
         revisions = await self._store.history(limit)
         return HistoryShown(entries=tuple(_entry_of(stored) for stored in revisions))
 
     @_run.register
-    async def _(self, request: Status) -> Message:
+    async def _(self, request: ShowStatus) -> Message:
         limit = max(0, min(request.limit, MAX_STATUS_ENTRIES))
         instances = [
             instance
@@ -196,7 +205,7 @@
         )
 
     @_run.register
-    async def _(self, request: Members) -> Message:
+    async def _(self, request: ShowMembers) -> Message:
         members = tuple(
             MemberEntry(
                 name=member.name,
@@ -220,7 +229,7 @@
         request identifier. A replacement of a member goes to one member only.
         """
         if request.forwarded:
-            return NotMember()
+            return NotControlMember()
         deadline_s = self._clock.monotonic_s() + request.timeout_s * FORWARD_FRACTION
         members = [name for name in self._members() if name != self._channel.name]
         undecided = ""
@@ -232,23 +241,23 @@
             answer = await self._ask(member, request, deadline_s)
             if answer is None:
                 undecided = f"no answer from {member}"
-            elif isinstance(answer, Unknown) or _may_retry(request, answer):
+            elif isinstance(answer, OutcomeUndecided) or _may_retry(request, answer):
                 undecided = answer.reason
-            elif undecided and isinstance(answer, NotAccepted):
+            elif undecided and isinstance(answer, RequestRefused):
                 continue
-            elif not isinstance(answer, NotMember):
+            elif not isinstance(answer, NotControlMember):
                 return answer
         if undecided:
             return _undecided(request, undecided)
         known = ", ".join(members) or "none known"
-        return NotAccepted(reason=f"no control member answers ({known})")
+        return RequestRefused(reason=f"no control member answers ({known})")
 
     async def _answers_ping(
         self, member: str, request: OperatorRequest, deadline_s: float
     ) -> bool:
         timeout_s = min(MAX_PING_TIMEOUT_S, request.timeout_s * PING_FRACTION)
-        ping = Ping(timeout_s=timeout_s)
-        return isinstance(await self._ask(member, ping, deadline_s), Pong)
+        ping = OperatorPing(timeout_s=timeout_s)
+        return isinstance(await self._ask(member, ping, deadline_s), OperatorPong)
 
     async def _ask(
         self, member: str, request: OperatorRequest, deadline_s: float
@@ -257,7 +266,7 @@
         if left_s <= 0:
             return None
         timeout_s = left_s
-        if isinstance(request, Ping):
+        if isinstance(request, OperatorPing):
             timeout_s = min(left_s, request.timeout_s)
         elif not isinstance(request, ReplaceMember):
             timeout_s = min(left_s, request.timeout_s * ATTEMPT_FRACTION)
@@ -268,6 +277,24 @@
             return None
 
 
+def upstream_statuses(view: UpstreamView) -> list[UpstreamStatus]:
+    """Return the upstreams of a view that are alive, for the operators' service."""
+    return [
+        UpstreamStatus(
+            name=record.name,
+            upstream_id=record.upstream_id,
+            data_centre=record.data_centre,
+            service=record.service,
+            address=f"{record.address}:{record.port}",
+            state=record.state.name.lower(),
+            open_connections=record.open_connections,
+            busy_slots=record.busy_slots,
+        )
+        for record in view
+        if record.is_alive
+    ]
+
+
 def _check(body: bytes) -> bool:
     """Check a document and return whether the bytes are its canonical form."""
     return to_canonical_json(structure_document(parse_json(body))) == body
@@ -275,26 +302,28 @@
 
 def _may_retry(request: OperatorRequest, answer: Message) -> bool:
     """Whether a refusal may only mean that this member reaches no quorum."""
-    is_change = isinstance(request, (Apply, ReplaceMember))
-    return isinstance(answer, NotAccepted) and not is_change
+    is_change = isinstance(request, (ApplyDocument, ReplaceMember))
+    return isinstance(answer, RequestRefused) and not is_change
 
 
 def _undecided(request: OperatorRequest, reason: str) -> Message:
-    if isinstance(request, (Apply, ReplaceMember)):
-        return Unknown(reason=reason)
-    return NotAccepted(reason=reason)
+    if isinstance(request, (ApplyDocument, ReplaceMember)):
+        return OutcomeUndecided(reason=reason)
+    return RequestRefused(reason=reason)
 
 
-def _conflict_of(standing: StoredRevision | None) -> Conflict:
+def _conflict_of(standing: StoredRevision | None) -> DocumentConflict:
     if standing is None:
-        return Conflict(revision=0, document=b"")
-    return Conflict(revision=standing.revision, document=standing.submission.document)
+        return DocumentConflict(revision=0, document=b"")
+    return DocumentConflict(
+        revision=standing.revision, document=standing.submission.document
+    )
 
 
-def _shown(stored: StoredRevision | None) -> Shown:
+def _shown(stored: StoredRevision | None) -> RevisionShown:
     if stored is None:
-        return Shown(entry=None, document=b"")
-    return Shown(entry=_entry_of(stored), document=stored.submission.document)
+        return RevisionShown(entry=None, document=b"")
+    return RevisionShown(entry=_entry_of(stored), document=stored.submission.document)
 
 
 def _entry_of(stored: StoredRevision) -> RevisionEntry:
--- a/arbutuslift/protocol/operators.py
+++ b/arbutuslift/protocol/operators.py
@@ -20,19 +20,19 @@
 
 @register
 @frozen(kw_only=True)
-class Ping(OperatorRequest):
+class OperatorPing(OperatorRequest):
     """Asks whether an instance answers at all."""
 
 
 @register
 @frozen(kw_only=True)
-class Pong(Message):
+class OperatorPong(Message):
     """Answer to a ping."""
 
 
 @register
 @frozen(kw_only=True)
-class Apply(OperatorRequest):
+class ApplyDocument(OperatorRequest):
     """Submits a document.
 
     Attributes:
@@ -52,7 +52,7 @@
 
 @register
 @frozen(kw_only=True)
-class Applied(Message):
+class DocumentApplied(Message):
     """The document was accepted under this revision."""
 
     revision: int
@@ -60,7 +60,7 @@
 
 @register
 @frozen(kw_only=True)
-class Conflict(Message):
+class DocumentConflict(Message):
     """Another revision than the expected one stands; nothing was changed.
 
     Attributes:
@@ -83,7 +83,7 @@
 
 @register
 @frozen(kw_only=True)
-class Rejected(Message):
+class DocumentRejected(Message):
     """The document has faults; nothing was changed."""
 
     faults: tuple[DocumentFault, ...]
@@ -91,7 +91,7 @@
 
 @register
 @frozen(kw_only=True)
-class NotAccepted(Message):
+class RequestRefused(Message):
     """The request was refused and changes nothing, now or later."""
 
     reason: str
@@ -99,13 +99,13 @@
 
 @register
 @frozen(kw_only=True)
-class NotMember(Message):
+class NotControlMember(Message):
     """A request was passed on to an instance that isn't a control member."""
 
 
 @register
 @frozen(kw_only=True)
-class Unknown(Message):
+class OutcomeUndecided(Message):
     """Nothing tells whether the change was or will be made."""
 
     reason: str
@@ -113,7 +113,7 @@
 
 @register
 @frozen(kw_only=True)
-class Show(OperatorRequest):
+class ShowRevision(OperatorRequest):
     """Asks for a revision with its document; 0 asks for the standing one."""
 
     revision: int = 0
@@ -132,7 +132,7 @@
 
 @register
 @frozen(kw_only=True)
-class Shown(Message):
+class RevisionShown(Message):
     """A revision and its document.
 
     Attributes:
@@ -146,7 +146,7 @@
 
 @register
 @frozen(kw_only=True)
-class History(OperatorRequest):
+class ShowHistory(OperatorRequest):
     """Asks for the newest revisions."""
 
     limit: int
@@ -162,7 +162,7 @@
 
 @register
 @frozen(kw_only=True)
-class Status(OperatorRequest):
+class ShowStatus(OperatorRequest):
     """Asks what the answering instance knows of instances and upstreams.
 
     Attributes:
@@ -235,7 +235,7 @@
 
 @register
 @frozen(kw_only=True)
-class Members(OperatorRequest):
+class ShowMembers(OperatorRequest):
     """Asks for the control members."""
 
 
--- a/tests/coordination/test_operators.py
+++ b/tests/coordination/test_operators.py
@@ -7,21 +7,21 @@
 from arbutuslift.protocol.channel import Channel
 from arbutuslift.protocol.document import Document, to_canonical_json
 from arbutuslift.protocol.operators import (
-    Applied,
-    Apply,
-    Conflict,
-    NotAccepted,
-    Rejected,
+    ApplyDocument,
+    DocumentApplied,
+    DocumentConflict,
+    DocumentRejected,
+    OutcomeUndecided,
     ReplaceMember,
-    Show,
-    Shown,
-    Unknown,
+    RequestRefused,
+    RevisionShown,
+    ShowRevision,
 )
 
 from .. import builders
 from ..fakes import Site, drive
 
-APPLY = Apply(
+APPLY = ApplyDocument(
     timeout_s=10.0,
     document=to_canonical_json(builders.document()),
     expected_revision=0,
@@ -49,10 +49,10 @@
 
 async def test_the_service_rejects_what_a_client_failed_to_check(site, ask):
     body = to_canonical_json(Document())
-    assert isinstance(await ask(evolve(APPLY, document=body)), Rejected)
-    assert isinstance(await ask(evolve(APPLY, document=b"{")), Rejected)
+    assert isinstance(await ask(evolve(APPLY, document=body)), DocumentRejected)
+    assert isinstance(await ask(evolve(APPLY, document=b"{")), DocumentRejected)
     spaced = APPLY.document.replace(b",", b", ")
-    assert isinstance(await ask(evolve(APPLY, document=spaced)), NotAccepted)
+    assert isinstance(await ask(evolve(APPLY, document=spaced)), RequestRefused)
     assert site.store.revisions == []
 
 
@@ -62,16 +62,16 @@
         for number in range(200)
     )
     body = to_canonical_json(builders.document(services=services))
-    assert await ask(evolve(APPLY, document=body), "m1") == Applied(revision=1)
+    assert await ask(evolve(APPLY, document=body), "m1") == DocumentApplied(revision=1)
 
 
 async def test_conflict_carries_the_standing_document(ask):
-    assert await ask(evolve(APPLY, expected_revision=4)) == Conflict(
+    assert await ask(evolve(APPLY, expected_revision=4)) == DocumentConflict(
         revision=0, document=b""
     )
-    assert await ask(APPLY) == Applied(revision=1)
+    assert await ask(APPLY) == DocumentApplied(revision=1)
     stale = evolve(APPLY, request_id="s", expected_revision=0)
-    assert await ask(stale) == Conflict(revision=1, document=APPLY.document)
+    assert await ask(stale) == DocumentConflict(revision=1, document=APPLY.document)
 
 
 async def test_a_request_id_can_not_be_used_for_another_document(site, ask):
@@ -80,39 +80,39 @@
     await ask(APPLY)
     other = to_canonical_json(builders.document(services=()))
     answer = await ask(evolve(APPLY, document=other, expected_revision=1))
-    assert isinstance(answer, NotAccepted)
+    assert isinstance(answer, RequestRefused)
     assert len(site.store.revisions) == 1
 
 
 async def test_a_member_that_is_gone_is_passed_over(site, ask):
     site.network.remove("m1")
-    assert await ask(APPLY) == Applied(revision=1)
+    assert await ask(APPLY) == DocumentApplied(revision=1)
 
 
 async def test_a_lost_answer_of_a_member_is_fetched_from_the_next(site, ask):
     site.store.on_accept = lambda: site.network.remove("m1")
-    assert await ask(APPLY) == Applied(revision=1)
+    assert await ask(APPLY) == DocumentApplied(revision=1)
 
 
 async def test_a_lost_answer_about_a_replacement_is_unknown(site, ask):
     site.store.on_accept = lambda: site.network.remove("m1")
     request = ReplaceMember(timeout_s=10.0, old_name="m2", new_name="m3")
-    assert isinstance(await ask(request), Unknown)
+    assert isinstance(await ask(request), OutcomeUndecided)
     assert site.store.replacements == 1
 
 
 async def test_without_members_nothing_is_accepted(site, ask):
     site.network.remove("m1")
     site.network.remove("m2")
-    assert isinstance(await ask(APPLY), NotAccepted)
+    assert isinstance(await ask(APPLY), RequestRefused)
 
 
 async def test_a_request_is_passed_on_once_only(site, ask):
     # Two instances that take each other for members would pass it on for ever.
     site.add_instance("m1", None)
-    assert await ask(APPLY) == Applied(revision=1)
+    assert await ask(APPLY) == DocumentApplied(revision=1)
     site.add_instance("m2", None)
-    assert isinstance(await ask(evolve(APPLY, request_id="s")), NotAccepted)
+    assert isinstance(await ask(evolve(APPLY, request_id="s")), RequestRefused)
 
 
 async def test_refusal_after_a_lost_answer_stays_unknown(site, ask):
@@ -128,16 +128,16 @@
 
     site.store.submit = lose_first
     reused = evolve(APPLY, document=other, expected_revision=1)
-    assert isinstance(await ask(reused), Unknown)
+    assert isinstance(await ask(reused), OutcomeUndecided)
 
 
 async def test_reads_look_for_a_member_with_a_quorum(site, ask):
     await ask(APPLY)
-    shown = await ask(Show(timeout_s=10.0))
-    assert isinstance(shown, Shown)
+    shown = await ask(ShowRevision(timeout_s=10.0))
+    assert isinstance(shown, RevisionShown)
     assert shown.document == APPLY.document
     site.store.has_quorum = False
-    assert isinstance(await ask(Show(timeout_s=10.0)), NotAccepted)
+    assert isinstance(await ask(ShowRevision(timeout_s=10.0)), RequestRefused)
 
 
 async def test_a_forwarded_request_ends_before_its_client_gives_up(site, ask):
@@ -145,7 +145,7 @@
         await site.clock.sleep(1000.0)
 
     site.store.submit = never
-    assert isinstance(await ask(APPLY), Unknown)
+    assert isinstance(await ask(APPLY), OutcomeUndecided)
 
 
 async def test_a_failing_store_is_not_an_acceptance(site, ask):
@@ -153,4 +153,4 @@
         raise PeerFailure("disk full", step="store")
 
     site.store.submit = fail
-    assert isinstance(await ask(APPLY), Unknown)
+    assert isinstance(await ask(APPLY), OutcomeUndecided)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -8,7 +8,7 @@
 
 from arbutuslift.clock import ManualClock
 from arbutuslift.commands.environment import Environment
-from arbutuslift.coordination.operators import OperatorsService
+from arbutuslift.coordination.operators import OperatorsService, upstream_statuses
 from arbutuslift.coordination.store import ConfigurationStore, MemberStatus
 from arbutuslift.ctl import execute
 from arbutuslift.errors import (
@@ -17,10 +17,13 @@
     NoQuorum,
 )
 from arbutuslift.protocol.channel import Channel
-from arbutuslift.protocol.operators import InstanceStatus, UpstreamStatus
+from arbutuslift.protocol.operators import InstanceStatus
 from arbutuslift.state.configuration import StoredRevision, Submission
+from arbutuslift.state.upstreams import UpstreamView
 from arbutuslift.transport.bus import MemoryNetwork
 
+from . import builders
+
 T = TypeVar("T")
 
 
@@ -90,6 +93,8 @@
         self.clock = ManualClock()
         self.network = MemoryNetwork(self.clock)
         self.store = FakeStore()
+        self.view = UpstreamView()
+        self.view.merge(builders.upstream(1))
         self.output: list[str] = []
         self.notes: list[str] = []
         self.answers: list[str] = []
@@ -113,19 +118,7 @@
                     revision=len(self.store.revisions),
                 )
             ],
-            upstreams=lambda: [
-                UpstreamStatus(
-                    name=f"alerts-{number}",
-                    upstream_id=f"{number:032x}",
-                    data_centre=f"dc-{number}",
-                    service="alerts",
-                    address=f"127.20.0.{number}:6081",
-                    state="ready",
-                    open_connections=5,
-                    busy_slots=1,
-                )
-                for number in (1, 2)
-            ],
+            upstreams=lambda: upstream_statuses(self.view),
         )
 
     def _open_bus(self, clock):
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -117,7 +117,7 @@
     await site.run("show")
     assert "name: alerts" in site.output[-1]
     await site.run("status")
-    assert "upstream alerts-2 dc-2 ready" in site.output[-1]
+    assert "upstream alerts-1 dc-2 ready" in site.output[-1]
     await site.run("members")
     assert "leader   m1" in site.output[-1]
     await site.run("check", path + ".none")
