Check that changes and reads find the member that reaches a quorum

Cause: the test of reads used one store for all members, so it couldn't tell whether a second member was asked.

--- a/tests/coordination/test_operators.py
+++ b/tests/coordination/test_operators.py
@@ -19,7 +19,7 @@
 )
 
 from .. import builders
-from ..fakes import Site, drive
+from ..fakes import FakeStore, Site, drive
 
 APPLY = ApplyDocument(
     timeout_s=10.0,
@@ -131,8 +131,18 @@
     assert isinstance(await ask(reused), OutcomeUndecided)
 
 
+async def test_a_change_finds_the_member_with_a_quorum(site, ask):
+    partitioned = FakeStore()
+    partitioned.has_quorum = False
+    site.add_instance("m1", partitioned)
+    assert await ask(APPLY) == DocumentApplied(revision=1)
+
+
 async def test_reads_look_for_a_member_with_a_quorum(site, ask):
     await ask(APPLY)
+    partitioned = FakeStore()
+    partitioned.has_quorum = False
+    site.add_instance("m1", partitioned)
     shown = await ask(ShowRevision(timeout_s=10.0))
     assert isinstance(shown, RevisionShown)
     assert shown.document == APPLY.document
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,6 +1,7 @@
 """Fakes at the interfaces that other parts implement."""
 
 import asyncio
+import itertools
 from collections.abc import Coroutine
 from typing import TypeVar
 
@@ -99,7 +100,7 @@
         self.notes: list[str] = []
         self.answers: list[str] = []
         self.clients: list[str] = []
-        self.request_count = 0
+        self._numbers = itertools.count(1)
         for name, store in (("m1", self.store), ("m2", self.store), ("e1", None)):
             self.add_instance(name, store)
 
@@ -126,10 +127,6 @@
         self.clients.append(f"operator-{len(self.clients)}")
         return self.network.bus(self.clients[-1])
 
-    def _request_id(self) -> str:
-        self.request_count += 1
-        return f"request-{self.request_count}"
-
     def _ask(self, question: str) -> str:
         del question
         if not self.answers:
@@ -144,7 +141,7 @@
             write=self.output.append,
             note=self.notes.append,
             ask=self._ask,
-            new_request_id=self._request_id,
+            new_request_id=lambda: f"request-{next(self._numbers)}",
         )
         servers = "--servers=e1=127.0.0.1:1,m1=127.0.0.1:2"
         words = words if "--servers" in " ".join(words) else (*words, servers)
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -36,6 +36,10 @@
     return str(path)
 
 
+def nothing(site):
+    """Leave everything as it is."""
+
+
 def no_quorum(site):
     site.store.has_quorum = False
 
@@ -45,14 +49,7 @@
         site.network.remove(name)
 
 
-def answer_gets_lost(site):
-    site.lose_next_answer()
-
-
-def nothing(site):
-    pass
-
-
+answer_gets_lost = Site.lose_next_answer
 APPLY = "apply {path} --expected_revision=1"
 CASES = [
     (nothing, "check {path}", ExitCode.DONE),
