Ask another member when a member reaches no quorum itself

Cause: a member without a quorum of its own answered its client "unknown" or "no quorum", although another member that it could reach might decide. Entry instances already asked the next member.

Change: a member passes reads and documents on as well, within the client's time. A replacement of a member is still never repeated.

--- a/arbutuslift/commands/options.py
+++ b/arbutuslift/commands/options.py
@@ -67,7 +67,9 @@
         f"Instances to ask in turn, as name=ip:port; else {SERVERS_VARIABLE}.",
         flag_values=values,
     )
-    flags.DEFINE_enum("output", "text", OUTPUTS, "Form.", flag_values=values)
+    flags.DEFINE_enum(
+        "output", "text", OUTPUTS, "Form of the outcome.", flag_values=values
+    )
     flags.DEFINE_float(
         "timeout_s",
         10.0,
--- a/arbutuslift/coordination/operators.py
+++ b/arbutuslift/coordination/operators.py
@@ -115,8 +115,16 @@
 
     async def _answer(self, peer: str, request: OperatorRequest) -> Message:
         del peer
+        deadline_s = self._clock.monotonic_s() + request.timeout_s * FORWARD_FRACTION
         if self._store is None and not isinstance(request, (OperatorPing, ShowStatus)):
-            return await self._forward(request)
+            return await self._forward(request, deadline_s)
+        answer = await self._run_safely(request)
+        if not _may_ask_another(request, answer):
+            return answer
+        return await self._forward(request, deadline_s, undecided=answer.reason)
+
+    async def _run_safely(self, request: OperatorRequest) -> Message:
+        """Return the answer of this instance, also if it's an error."""
         try:
             return await self._run(request)
         except DocumentError as error:
@@ -222,7 +230,9 @@
         await self._store.replace_member(request.old_name, request.new_name)
         return MemberReplaced()
 
-    async def _forward(self, request: OperatorRequest) -> Message:
+    async def _forward(
+        self, request: OperatorRequest, deadline_s: float, undecided: str = ""
+    ) -> Message:
         """Pass a request on to members in turn until one decides.
 
         Asking another member is safe for reads and for documents, which carry a
@@ -230,9 +240,7 @@
         """
         if request.forwarded:
             return NotControlMember()
-        deadline_s = self._clock.monotonic_s() + request.timeout_s * FORWARD_FRACTION
         members = [name for name in self._members() if name != self._channel.name]
-        undecided = ""
         for member in members:
             if undecided and isinstance(request, ReplaceMember):
                 break
@@ -241,7 +249,7 @@
             answer = await self._ask(member, request, deadline_s)
             if answer is None:
                 undecided = f"no answer from {member}"
-            elif isinstance(answer, OutcomeUndecided) or _may_retry(request, answer):
+            elif _is_undecided(request, answer):
                 undecided = answer.reason
             elif undecided and isinstance(answer, RequestRefused):
                 continue
@@ -300,10 +308,18 @@
     return to_canonical_json(structure_document(parse_json(body))) == body
 
 
-def _may_retry(request: OperatorRequest, answer: Message) -> bool:
-    """Whether a refusal may only mean that this member reaches no quorum."""
-    is_change = isinstance(request, (ApplyDocument, ReplaceMember))
-    return isinstance(answer, RequestRefused) and not is_change
+def _is_undecided(request: OperatorRequest, answer: Message) -> bool:
+    """Whether the answer may only mean that its member reaches no quorum."""
+    if isinstance(request, (ApplyDocument, ReplaceMember)):
+        return isinstance(answer, OutcomeUndecided)
+    return isinstance(answer, RequestRefused)
+
+
+def _may_ask_another(request: OperatorRequest, answer: Message) -> bool:
+    """Whether a member that can't decide may pass the request on."""
+    if request.forwarded or isinstance(request, ReplaceMember):
+        return False
+    return _is_undecided(request, answer)
 
 
 def _undecided(request: OperatorRequest, reason: str) -> Message:
--- a/tests/coordination/test_operators.py
+++ b/tests/coordination/test_operators.py
@@ -131,11 +131,12 @@
     assert isinstance(await ask(reused), OutcomeUndecided)
 
 
-async def test_a_change_finds_the_member_with_a_quorum(site, ask):
+@pytest.mark.parametrize("server", ["e1", "m1"])
+async def test_a_change_finds_the_member_with_a_quorum(site, ask, server):
     partitioned = FakeStore()
     partitioned.has_quorum = False
     site.add_instance("m1", partitioned)
-    assert await ask(APPLY) == DocumentApplied(revision=1)
+    assert await ask(APPLY, server) == DocumentApplied(revision=1)
 
 
 async def test_reads_look_for_a_member_with_a_quorum(site, ask):
@@ -146,6 +147,7 @@
     shown = await ask(ShowRevision(timeout_s=10.0))
     assert isinstance(shown, RevisionShown)
     assert shown.document == APPLY.document
+    assert await ask(ShowRevision(timeout_s=10.0), "m1") == shown
     site.store.has_quorum = False
     assert isinstance(await ask(ShowRevision(timeout_s=10.0)), RequestRefused)
 
