--- /dev/null
+++ b/arbutuslift/protocol/agreement.py
@@ -0,0 +1,219 @@
+"""Messages between the members of the replicated log.
+
+Requests name the identity that they address. A member with another identity, as
+after a wiped disk, refuses them.
+"""
+
+from attrs import frozen
+
+from ..state.configuration import Decision, Submission
+from ..state.logstore import LogEntry
+from .messages import Message, register
+
+
+@register
+@frozen(kw_only=True)
+class VoteRequest(Message):
+    """Asks for a vote.
+
+    Attributes:
+        target: Identity of the voter.
+        candidate: Identity of the candidate.
+        cluster: Cluster of the candidate.
+        term: Term of the election.
+        last_index: Last entry of the candidate.
+        last_term: Term of that entry.
+        pre_vote: Only asks whether the vote would be given.
+    """
+
+    target: bytes
+    candidate: bytes
+    cluster: bytes
+    term: int
+    last_index: int
+    last_term: int
+    pre_vote: bool
+
+
+@register
+@frozen(kw_only=True)
+class VoteAnswer(Message):
+    """Answers a VoteRequest with the voter's identity and term."""
+
+    voter: bytes
+    term: int
+    granted: bool
+
+
+@register
+@frozen(kw_only=True)
+class AppendRequest(Message):
+    """Carries entries; without any it is a heartbeat.
+
+    Attributes:
+        target: Identity of the receiver.
+        cluster: Cluster of the leader.
+        term: Term of the leader.
+        previous_index: Entry before the first one carried.
+        previous_term: Term of that entry.
+        commit_index: Last committed entry.
+        entries: Entries to append.
+    """
+
+    target: bytes
+    cluster: bytes
+    term: int
+    previous_index: int
+    previous_term: int
+    commit_index: int
+    entries: tuple[LogEntry, ...] = ()
+
+
+@register
+@frozen(kw_only=True)
+class AppendAnswer(Message):
+    """Answers an AppendRequest or the last SnapshotChunk.
+
+    Attributes:
+        member: Identity of the receiver.
+        term: Its term.
+        success: Whether its log equals the leader's up to ``matched_index``.
+        matched_index: Otherwise an index from which the leader may try again.
+    """
+
+    member: bytes
+    term: int
+    success: bool
+    matched_index: int
+
+
+@register
+@frozen(kw_only=True)
+class SnapshotChunk(Message):
+    """Carries a part of an encoded snapshot.
+
+    Attributes:
+        target: Identity of the receiver.
+        cluster: Cluster of the leader.
+        term: Term of the leader.
+        index: Last entry in the snapshot.
+        offset: Position of ``data`` in the snapshot.
+        data: The part.
+        done: Whether it is the last part.
+    """
+
+    target: bytes
+    cluster: bytes
+    term: int
+    index: int
+    offset: int
+    data: bytes
+    done: bool
+
+
+@register
+@frozen(kw_only=True)
+class BootstrapRequest(Message):
+    """Asks an initial member to join a cluster that is being formed."""
+
+    cluster: bytes
+
+
+@register
+@frozen(kw_only=True)
+class IdentityRequest(Message):
+    """Asks a process for its identity."""
+
+
+@register
+@frozen(kw_only=True)
+class IdentityAnswer(Message):
+    """Answers a BootstrapRequest or an IdentityRequest.
+
+    Attributes:
+        identity: Identity of the disk.
+        cluster: Cluster to which the process belongs; empty for none.
+        last_index: Last entry of its log.
+    """
+
+    identity: bytes
+    cluster: bytes
+    last_index: int
+
+
+@register
+@frozen(kw_only=True)
+class SubmitRequest(Message):
+    """Carries a submission to the leader."""
+
+    submission: Submission
+
+
+@register
+@frozen(kw_only=True)
+class SubmitAnswer(Message):
+    """Answers a SubmitRequest."""
+
+    decision: Decision
+
+
+@register
+@frozen(kw_only=True)
+class ReadRequest(Message):
+    """Asks the leader for an index that includes everything accepted so far."""
+
+
+@register
+@frozen(kw_only=True)
+class ReadAnswer(Message):
+    """Answers a ReadRequest."""
+
+    index: int
+
+
+@register
+@frozen(kw_only=True)
+class MembersRequest(Message):
+    """Asks the leader for its members."""
+
+
+@register
+@frozen(kw_only=True)
+class MemberReport(Message):
+    """A member as the leader sees it; see ``MemberStatus``."""
+
+    name: str
+    identity: bytes
+    role: str
+    matched_index: int
+
+
+@register
+@frozen(kw_only=True)
+class MembersAnswer(Message):
+    """Answers a MembersRequest."""
+
+    members: tuple[MemberReport, ...]
+
+
+@register
+@frozen(kw_only=True)
+class ReplaceRequest(Message):
+    """Asks the leader to replace a member."""
+
+    old_name: str
+    new_name: str
+
+
+@register
+@frozen(kw_only=True)
+class ReplaceAnswer(Message):
+    """Answers a ReplaceRequest; the reason is empty on success."""
+
+    reason: str = ""
+
+
+@register
+@frozen(kw_only=True)
+class NotLeader(Message):
+    """Answers a request that only a leader with a quorum can answer."""
--- a/arbutuslift/state/configuration.py
+++ b/arbutuslift/state/configuration.py
@@ -1,6 +1,18 @@
 """Configurations as the replicated state keeps them: documents are opaque bytes."""
 
-from attrs import frozen
+import hashlib
+import zlib
+from collections import OrderedDict, deque
+from enum import Enum
+
+from attrs import evolve, frozen
+
+from ..errors import StorageError
+from .codec import decode_value, encode_value
+
+HISTORY_LENGTH = 100
+ANSWERS_LENGTH = 10_000
+_DIGEST_BYTES = 16
 
 
 @frozen(kw_only=True)
@@ -33,3 +45,193 @@
 
     revision: int
     submission: Submission
+
+
+class Outcome(Enum):
+    """What became of a submission."""
+
+    ACCEPTED = "accepted"
+    CONFLICT = "conflict"
+    REUSED = "request_id reused"
+
+
+@frozen(kw_only=True)
+class Decision:
+    """Answer to a submission.
+
+    Attributes:
+        outcome: What became of it.
+        stored: The accepted revision, or the one that stands; None if none does.
+    """
+
+    outcome: Outcome
+    stored: StoredRevision | None
+
+
+@frozen(kw_only=True)
+class FirstAnswer:
+    """First answer to a request_id.
+
+    Attributes:
+        request_id: The request.
+        accepted: Whether it was accepted.
+        revision: The accepted revision, or the one that stood.
+        digest: Digest of document and expected revision.
+    """
+
+    request_id: str
+    accepted: bool
+    revision: int
+    digest: bytes
+
+
+@frozen(kw_only=True)
+class _Content:
+    """What a snapshot holds; documents are compressed."""
+
+    revision: int
+    history: tuple[StoredRevision, ...]
+    answers: tuple[FirstAnswer, ...]
+
+
+def encode_submission(submission: Submission) -> bytes:
+    """Return a submission as the body of a log entry, its document compressed."""
+    return encode_value(_compressed(submission))
+
+
+def decode_submission(body: bytes) -> Submission:
+    """Return the submission in the body of a log entry.
+
+    Raises:
+        StorageError: The body is malformed.
+    """
+    return _expanded(decode_value(body, Submission))
+
+
+class ConfigurationState:
+    """Deterministic result of applying submissions in log order.
+
+    A submission is accepted if its expected revision is the newest one. Because
+    the newest revision only grows, no submission is accepted twice, even when its
+    answer has left the table.
+
+    A resend gets the first answer: an accepted request gets its revision, and a
+    conflicted request gets the conflict again, even if its expected revision
+    would fit by now. The conflict carries the revision that stood at the first
+    answer while that is in the history, later the newest one. A request_id that
+    comes with another document or expected revision is refused.
+    """
+
+    def __init__(self) -> None:
+        self._revision = 0
+        self._history: deque[StoredRevision] = deque(maxlen=HISTORY_LENGTH)
+        self._answers: OrderedDict[str, FirstAnswer] = OrderedDict()
+
+    @property
+    def revision(self) -> int:
+        """Return the number of the newest revision, 0 if there is none."""
+        return self._revision
+
+    @property
+    def newest(self) -> StoredRevision | None:
+        """Return the newest revision."""
+        return self._history[-1] if self._history else None
+
+    def history(self, limit: int) -> list[StoredRevision]:
+        """Return the newest revisions, newest first."""
+        return list(reversed(self._history))[: max(0, limit)]
+
+    def since(self, revision: int) -> list[StoredRevision]:
+        """Return the revisions after ``revision`` that are held, in order."""
+        return [stored for stored in self._history if stored.revision > revision]
+
+    def first_decision(self, submission: Submission) -> Decision | None:
+        """Return the first answer to the request, None if there was none."""
+        answer = self._answers.get(submission.request_id)
+        if answer is None:
+            return None
+        if answer.digest != _digest(submission):
+            return Decision(outcome=Outcome.REUSED, stored=self.newest)
+        stored = self._find(answer.revision)
+        if not answer.accepted:
+            standing = stored or self.newest
+            return Decision(outcome=Outcome.CONFLICT, stored=standing)
+        # The resend carries the same document, so the history needn't hold it.
+        fallback = StoredRevision(revision=answer.revision, submission=submission)
+        return Decision(outcome=Outcome.ACCEPTED, stored=stored or fallback)
+
+    def apply(self, submission: Submission) -> Decision:
+        """Accept or reject a submission and remember the answer."""
+        first = self.first_decision(submission)
+        if first is not None:
+            return first
+        accepted = submission.expected_revision == self._revision
+        if accepted:
+            self._revision += 1
+            stored = StoredRevision(revision=self._revision, submission=submission)
+            self._history.append(stored)
+        self._remember(submission, accepted)
+        outcome = Outcome.ACCEPTED if accepted else Outcome.CONFLICT
+        return Decision(outcome=outcome, stored=self.newest)
+
+    def encode(self) -> bytes:
+        """Return the state for a snapshot."""
+        history = tuple(
+            evolve(stored, submission=_compressed(stored.submission))
+            for stored in self._history
+        )
+        answers = tuple(self._answers.values())
+        content = _Content(revision=self._revision, history=history, answers=answers)
+        return encode_value(content)
+
+    @staticmethod
+    def decode(body: bytes) -> "ConfigurationState":
+        """Return the state in a snapshot; empty bytes give an empty state.
+
+        Raises:
+            StorageError: The bytes are malformed.
+        """
+        state = ConfigurationState()
+        if not body:
+            return state
+        content = decode_value(body, _Content)
+        state._revision = content.revision
+        for stored in content.history:
+            submission = _expanded(stored.submission)
+            state._history.append(evolve(stored, submission=submission))
+        for answer in content.answers:
+            state._answers[answer.request_id] = answer
+        return state
+
+    def _find(self, revision: int) -> StoredRevision | None:
+        oldest = self._revision - len(self._history) + 1
+        if oldest <= revision <= self._revision:
+            return self._history[revision - oldest]
+        return None
+
+    def _remember(self, submission: Submission, accepted: bool) -> None:
+        self._answers[submission.request_id] = FirstAnswer(
+            request_id=submission.request_id,
+            accepted=accepted,
+            revision=self._revision,
+            digest=_digest(submission),
+        )
+        while len(self._answers) > ANSWERS_LENGTH:
+            self._answers.popitem(last=False)
+
+
+def _digest(submission: Submission) -> bytes:
+    hashed = hashlib.sha256(str(submission.expected_revision).encode() + b"\n")
+    hashed.update(submission.document)
+    return hashed.digest()[:_DIGEST_BYTES]
+
+
+def _compressed(submission: Submission) -> Submission:
+    return evolve(submission, document=zlib.compress(submission.document))
+
+
+def _expanded(submission: Submission) -> Submission:
+    try:
+        return evolve(submission, document=zlib.decompress(submission.document))
+    except zlib.error as error:
+        raise StorageError(str(error), step="decode Submission") from error
--- /dev/null
+++ b/arbutuslift/state/files.py
@@ -0,0 +1,83 @@
+"""Durable file operations: nothing counts as written before it is synced."""
+
+import os
+import struct
+import zlib
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+from ..errors import StorageError
+
+_HEADER = struct.Struct(">4sII")
+_MAGIC = b"\xa7ALr"
+HEADER_BYTES = _HEADER.size
+
+
+@contextmanager
+def storage_errors(step: str, path: Path) -> Iterator[None]:
+    """Turn an ``OSError`` into a StorageError that names the file."""
+    try:
+        yield
+    except OSError as error:
+        raise StorageError(str(error), step=step, peer=str(path)) from error
+
+
+def pack_record(payload: bytes) -> bytes:
+    """Return the payload behind a header with its length and CRC."""
+    length = len(payload)
+    crc = zlib.crc32(payload, zlib.crc32(length.to_bytes(4, "big")))
+    return _HEADER.pack(_MAGIC, length, crc) + payload
+
+
+def unpack_record(content: bytes, offset: int) -> bytes | None:
+    """Return the payload of the record at ``offset``, None if it isn't whole."""
+    if len(content) < offset + HEADER_BYTES:
+        return None
+    magic, length, crc = _HEADER.unpack_from(content, offset)
+    start = offset + HEADER_BYTES
+    payload = content[start : start + length]
+    if magic != _MAGIC or len(payload) != length:
+        return None
+    expected = zlib.crc32(payload, zlib.crc32(length.to_bytes(4, "big")))
+    return payload if crc == expected else None
+
+
+def find_record(content: bytes, offset: int) -> int | None:
+    """Return the offset of the first whole record at or after ``offset``."""
+    found = content.find(_MAGIC, offset)
+    while found >= 0:
+        if unpack_record(content, found) is not None:
+            return found
+        found = content.find(_MAGIC, found + 1)
+    return None
+
+
+def write_all(descriptor: int, content: bytes) -> None:
+    """Write everything; ``os.write`` may write less than it is given."""
+    view = memoryview(content)
+    while view:
+        view = view[os.write(descriptor, view) :]
+
+
+def sync_folder(folder: Path) -> None:
+    """Make created, renamed and removed names durable."""
+    descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def replace_file(path: Path, content: bytes) -> None:
+    """Write a file so that a crash leaves the old or the new content."""
+    temporary = path.with_name(path.name + ".tmp")
+    flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC
+    descriptor = os.open(temporary, flags, 0o600)
+    try:
+        write_all(descriptor, content)
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+    os.replace(temporary, path)
+    sync_folder(path.parent)
--- /dev/null
+++ b/arbutuslift/state/membership.py
@@ -0,0 +1,69 @@
+"""The members of the replicated log, as its entries record them."""
+
+from attrs import evolve, frozen
+
+
+@frozen(kw_only=True)
+class MemberRecord:
+    """A member of the replicated log.
+
+    Attributes:
+        name: Name of the instance, by which it is reached.
+        identity: Random identity on its disk; a wiped disk has another one.
+        voter: False for a learner, whose acknowledgements don't count.
+    """
+
+    name: str
+    identity: bytes
+    voter: bool = True
+
+
+@frozen(kw_only=True)
+class Membership:
+    """All members.
+
+    Attributes:
+        cluster: Random identity of the cluster, set when it was formed.
+        members: Members in the order in which they joined.
+    """
+
+    cluster: bytes = b""
+    members: tuple[MemberRecord, ...] = ()
+
+    @property
+    def voters(self) -> tuple[MemberRecord, ...]:
+        """Return the members whose votes and acknowledgements count."""
+        return tuple(member for member in self.members if member.voter)
+
+    @property
+    def quorum(self) -> int:
+        """Return how many voters form a majority."""
+        return len(self.voters) // 2 + 1
+
+    def find(self, identity: bytes) -> MemberRecord | None:
+        """Return the member with an identity."""
+        found = (member for member in self.members if member.identity == identity)
+        return next(found, None)
+
+    def is_voter(self, identity: bytes) -> bool:
+        """Return whether the identity belongs to a voter."""
+        member = self.find(identity)
+        return member is not None and member.voter
+
+    def with_learner(self, name: str, identity: bytes) -> "Membership":
+        """Return a copy with one more learner."""
+        learner = MemberRecord(name=name, identity=identity, voter=False)
+        return evolve(self, members=(*self.members, learner))
+
+    def with_voter(self, identity: bytes) -> "Membership":
+        """Return a copy in which a learner votes."""
+        members = tuple(
+            evolve(member, voter=True) if member.identity == identity else member
+            for member in self.members
+        )
+        return evolve(self, members=members)
+
+    def without(self, identity: bytes) -> "Membership":
+        """Return a copy without one member."""
+        kept = tuple(member for member in self.members if member.identity != identity)
+        return evolve(self, members=kept)
--- /dev/null
+++ b/arbutuslift/state/storage.py
@@ -0,0 +1,106 @@
+"""Everything that a member keeps between restarts, opened together."""
+
+from contextlib import ExitStack
+from pathlib import Path
+
+from attrs import define, field
+
+from ..errors import StorageError
+from .disklog import DiskLogStore
+from .identity import FolderLock, load_identity, new_identity
+from .logstore import LogStore, MemoryLogStore
+from .snapshots import (
+    DiskSnapshotStore,
+    MemorySnapshotStore,
+    Snapshot,
+    SnapshotStore,
+)
+from .termstore import DiskTermStore, MemoryTermStore, TermStore
+
+
+@define(kw_only=True)
+class MemberStorage:
+    """The stores of one member.
+
+    Attributes:
+        identity: Random identity of the disk.
+        terms: Term and vote.
+        log: Entries.
+        snapshots: Snapshots.
+        stack: Releases files and the folder lock.
+    """
+
+    identity: bytes
+    terms: TermStore
+    log: LogStore
+    snapshots: SnapshotStore
+    stack: ExitStack = field(factory=ExitStack)
+
+    @staticmethod
+    def memory(identity: bytes | None = None) -> "MemberStorage":
+        """Return stores for tests; pass them to a new member to restart it."""
+        return MemberStorage(
+            identity=identity or new_identity(),
+            terms=MemoryTermStore(),
+            log=MemoryLogStore(),
+            snapshots=MemorySnapshotStore(),
+        )
+
+    @staticmethod
+    def open(folder: Path) -> "MemberStorage":
+        """Open a data folder.
+
+        Raises:
+            StorageError: The folder is in use, or a file is damaged such that
+                accepted entries may be missing.
+        """
+        with ExitStack() as stack:
+            stack.callback(FolderLock(folder).close)
+            identity = load_identity(folder)
+            snapshots = DiskSnapshotStore(folder)
+            newest = snapshots.newest()
+            log = _open_log(folder, newest, snapshots.damaged)
+            stack.callback(log.close)
+            return MemberStorage(
+                identity=identity,
+                terms=DiskTermStore(folder),
+                log=log,
+                snapshots=snapshots,
+                stack=stack.pop_all(),
+            )
+
+    def close(self) -> None:
+        """Release files and the folder lock."""
+        self.stack.close()
+
+
+def _open_log(
+    folder: Path, newest: Snapshot, damaged: tuple[str, ...]
+) -> DiskLogStore:
+    try:
+        log = DiskLogStore(folder, newest.index)
+    except StorageError as error:
+        if not damaged:
+            raise
+        raise _uncovered(folder, damaged, str(error)) from error
+    _check_covered(folder, newest, damaged, log)
+    return log
+
+
+def _check_covered(
+    folder: Path, newest: Snapshot, damaged: tuple[str, ...], log: DiskLogStore
+) -> None:
+    """Refuse a fallback to an older snapshot that the log doesn't lead out of."""
+    if not damaged:
+        return
+    needed = int(Path(damaged[0]).name.rpartition("-")[2])
+    if log.last_index < needed:
+        log.close()
+        reason = f"log ends at entry {log.last_index}, {needed} is needed"
+        raise _uncovered(folder, damaged, reason)
+
+
+def _uncovered(folder: Path, damaged: tuple[str, ...], reason: str) -> StorageError:
+    names = ", ".join(damaged)
+    message = f"damaged snapshot {names}, and the log doesn't cover it: {reason}"
+    return StorageError(message, step="open data folder", peer=str(folder))
