Agree on configurations by a replicated log

Members elect a leader with pre-vote, replicate entries with one task per peer, confirm reads by a quorum round and replace members one at a time. The first of the initial members forms the cluster once every initial member has stored to which cluster it belongs, so one member that remembers a cluster prevents a second one.

--- /dev/null
+++ b/arbutuslift/coordination/election.py
@@ -0,0 +1,165 @@
+"""Elections: pre-vote, votes, and the end of a leadership without a quorum."""
+
+import asyncio
+import random
+
+from ..clock import Clock
+from ..errors import MessageError, PeerFailure, TransportError
+from ..protocol.agreement import VoteAnswer, VoteRequest
+from ..protocol.channel import Channel
+from ..state.membership import MemberRecord
+from .memberstate import AgreementTiming, MemberState, Role
+from .replication import Replicator
+
+
+class Elector:
+    """Campaigns after silence of the leader and answers requests for votes.
+
+    Args:
+        state: State of the member.
+        replicator: Takes over after a won election.
+        channel: Reaches the other members.
+        timing: Intervals.
+        rng: Chooses election timeouts.
+    """
+
+    def __init__(
+        self,
+        state: MemberState,
+        replicator: Replicator,
+        channel: Channel,
+        timing: AgreementTiming,
+        rng: random.Random,
+    ) -> None:
+        self._state = state
+        self._replicator = replicator
+        self._channel = channel
+        self._timing = timing
+        self._rng = rng
+        self._clock: Clock = state.clock
+        self._voted_s = float("-inf")
+        channel.on(VoteRequest, self._on_vote_request)
+
+    async def run(self) -> None:
+        """Watch the leader, or the quorum while leading, until cancelled."""
+        while True:
+            if self._state.role is Role.LEADER:
+                await self._watch_quorum()
+            elif await self._silence():
+                await self._campaign()
+
+    async def _watch_quorum(self) -> None:
+        await self._clock.sleep(self._timing.heartbeat_s)
+        if self._state.role is not Role.LEADER:
+            return
+        silence_s = self._clock.monotonic_s() - self._replicator.quorum_contact_s()
+        if silence_s > self._timing.election_timeout_s:
+            self._state.step_down()
+
+    async def _silence(self) -> bool:
+        """Wait a random timeout and return whether no leader was heard in it."""
+        base_s = self._timing.election_timeout_s
+        timeout_s = self._rng.uniform(base_s, 2 * base_s)
+        started_s = self._clock.monotonic_s()
+        while self._state.role is not Role.LEADER:
+            heard_s = max(started_s, self._state.heard_s, self._voted_s)
+            remaining_s = heard_s + timeout_s - self._clock.monotonic_s()
+            if remaining_s <= 0:
+                return True
+            await self._clock.sleep(remaining_s)
+        return False
+
+    async def _campaign(self) -> None:
+        state = self._state
+        if not state.membership.is_voter(state.identity):
+            return
+        term = state.term + 1
+        if not await self._poll(term, pre_vote=True):
+            return
+        if state.term != term - 1 or self._leader_heard():
+            return
+        state.stand(term)
+        won = await self._poll(term, pre_vote=False)
+        if won and state.term == term and state.role is Role.CANDIDATE:
+            self._replicator.lead()
+
+    async def _poll(self, term: int, *, pre_vote: bool) -> bool:
+        """Return whether a quorum grants its votes."""
+        state = self._state
+        membership = state.membership
+        others = [voter for voter in membership.voters if not self._is_self(voter)]
+        asked = {
+            asyncio.create_task(self._ask(voter, term, pre_vote)) for voter in others
+        }
+        granted = 1
+        try:
+            while asked and granted < membership.quorum:
+                done, asked = await asyncio.wait(
+                    asked, return_when=asyncio.FIRST_COMPLETED
+                )
+                granted += sum(task.result() for task in done)
+        finally:
+            for task in asked:
+                task.cancel()
+        return granted >= membership.quorum
+
+    async def _ask(self, voter: MemberRecord, term: int, pre_vote: bool) -> bool:
+        state = self._state
+        request = VoteRequest(
+            target=voter.identity,
+            candidate=state.identity,
+            cluster=state.cluster,
+            term=term,
+            last_index=state.last_index,
+            last_term=state.last_term,
+            pre_vote=pre_vote,
+        )
+        try:
+            answer = await self._channel.request(
+                voter.name, request, self._timing.request_timeout_s
+            )
+        except (TransportError, PeerFailure, MessageError):
+            return False
+        if not isinstance(answer, VoteAnswer) or answer.voter != voter.identity:
+            return False
+        state.observe_term(answer.term)
+        return answer.granted
+
+    async def _on_vote_request(self, peer: str, request: VoteRequest) -> VoteAnswer:
+        del peer
+        state = self._state
+        state.check_addressed(request.target, request.cluster)
+        if request.pre_vote:
+            granted = request.term > state.term and not self._leader_heard()
+            granted = granted and self._is_up_to_date(request)
+        else:
+            state.observe_term(request.term)
+            granted = self._give_vote(request)
+        return VoteAnswer(voter=state.identity, term=state.term, granted=granted)
+
+    def _give_vote(self, request: VoteRequest) -> bool:
+        state = self._state
+        if request.term != state.term or not self._is_up_to_date(request):
+            return False
+        if state.voted_for not in (b"", request.candidate):
+            return False
+        if not state.voted_for:
+            state.vote(request.candidate)
+        self._voted_s = self._clock.monotonic_s()
+        return True
+
+    def _is_up_to_date(self, request: VoteRequest) -> bool:
+        state = self._state
+        if request.last_term != state.last_term:
+            return request.last_term > state.last_term
+        return request.last_index >= state.last_index
+
+    def _leader_heard(self) -> bool:
+        """Return whether this term has a leader that isn't silent."""
+        if self._state.role is Role.LEADER:
+            return True
+        silence_s = self._clock.monotonic_s() - self._state.heard_s
+        return silence_s < self._timing.election_timeout_s
+
+    def _is_self(self, member: MemberRecord) -> bool:
+        return member.identity == self._state.identity
--- /dev/null
+++ b/arbutuslift/coordination/memberchange.py
@@ -0,0 +1,138 @@
+"""Replacement of a member: learner, voter, then removal of the old one."""
+
+from ..errors import (
+    ArbutusliftError,
+    MembershipChangeError,
+    NoQuorum,
+)
+from ..protocol.agreement import IdentityAnswer, IdentityRequest
+from ..protocol.channel import Channel
+from ..state.membership import MemberRecord, Membership
+from .memberstate import AgreementTiming, MemberState
+from .replication import Replicator
+
+STEP = "replace member"
+
+
+class MemberChanger:
+    """Runs replacements on the leader, one at a time.
+
+    Args:
+        state: State of the member.
+        replicator: Carries the entries.
+        channel: Reaches the new member.
+        timing: Intervals.
+    """
+
+    def __init__(
+        self,
+        state: MemberState,
+        replicator: Replicator,
+        channel: Channel,
+        timing: AgreementTiming,
+    ) -> None:
+        self._state = state
+        self._replicator = replicator
+        self._channel = channel
+        self._timing = timing
+        self._busy = False
+
+    async def replace(self, old_name: str, new_name: str) -> None:
+        """Replace a member; a resend continues an interrupted replacement.
+
+        Raises:
+            MembershipChangeError: Another change is under way, the old member is
+                unknown or the new one can't be reached or doesn't catch up.
+            NoQuorum: The leadership ended or no quorum confirmed a step.
+        """
+        if self._busy:
+            raise MembershipChangeError("another change is under way", step=STEP)
+        self._busy = True
+        try:
+            await self._replace(old_name, new_name, self._state.term)
+        finally:
+            self._busy = False
+
+    async def _replace(self, old_name: str, new_name: str, term: int) -> None:
+        state = self._state
+        await self._committed(term, self._replicator.settled_index)
+        await self._committed(term, state.membership_index)
+        identity = await self._identify(new_name)
+        old = self._find_old(old_name, identity)
+        for learner in self._stale_learners(identity):
+            await self._change(term, state.membership.without(learner.identity))
+        if state.membership.find(identity) is None:
+            joined = state.membership.with_learner(new_name, identity, old.identity)
+            await self._change(term, joined)
+        if not state.membership.is_voter(identity):
+            await self._catch_up(term, identity, new_name)
+            await self._change(term, state.membership.with_voter(identity))
+        # The old member stays a voter until the new one is: removing it first
+        # would leave a cluster that tolerates one loss less.
+        await self._change(term, state.membership.without(old.identity))
+        if old.identity == state.identity and state.leads(term):
+            state.step_down()
+
+    def _find_old(self, old_name: str, new_identity: bytes) -> MemberRecord:
+        membership = self._state.membership
+        new = membership.find(new_identity)
+        for member in membership.voters:
+            if member.name != old_name or member.identity == new_identity:
+                continue
+            if new is None or new.replaces == member.identity:
+                return member
+        message = f"{old_name} is no member that the new one can replace"
+        raise MembershipChangeError(message, step=STEP, peer=old_name)
+
+    def _stale_learners(self, identity: bytes) -> list[MemberRecord]:
+        """Return learners left by replacements that were given up."""
+        members = self._state.membership.members
+        return [m for m in members if not m.voter and m.identity != identity]
+
+    async def _identify(self, name: str) -> bytes:
+        timeout_s = self._timing.request_timeout_s
+        try:
+            answer = await self._channel.request(name, IdentityRequest(), timeout_s)
+        except ArbutusliftError as error:
+            raise MembershipChangeError(str(error), step=STEP, peer=name) from error
+        if not isinstance(answer, IdentityAnswer):
+            raise MembershipChangeError("not a member", step=STEP, peer=name)
+        if answer.cluster not in (b"", self._state.cluster):
+            message = "belongs to another cluster"
+            raise MembershipChangeError(message, step=STEP, peer=name)
+        return answer.identity
+
+    async def _change(self, term: int, membership: Membership) -> None:
+        if not self._state.leads(term):
+            raise NoQuorum("the leadership ended", step=STEP)
+        index = self._replicator.propose_membership(membership)
+        await self._committed(term, index)
+
+    async def _committed(self, term: int, index: int) -> None:
+        state = self._state
+
+        def decided() -> bool:
+            return state.commit_index >= index or not state.leads(term)
+
+        await state.changed.wait_for(decided, self._timing.submit_timeout_s)
+        if not state.leads(term) or state.commit_index < index:
+            raise NoQuorum("no quorum confirmed the change", step=STEP)
+
+    async def _catch_up(self, term: int, identity: bytes, name: str) -> None:
+        """Wait until a learner has every entry committed before this call."""
+        state = self._state
+        wanted = state.commit_index
+
+        def caught_up() -> bool:
+            peers = self._replicator.peers
+            matched = [p.matched_index for p in peers if p.member.identity == identity]
+            return bool(matched) and matched[0] >= wanted
+
+        def decided() -> bool:
+            return caught_up() or not state.leads(term)
+
+        await state.changed.wait_for(decided, self._timing.catch_up_timeout_s)
+        if not state.leads(term):
+            raise NoQuorum("the leadership ended", step=STEP)
+        if not caught_up():
+            raise MembershipChangeError("doesn't catch up", step=STEP, peer=name)
--- /dev/null
+++ b/arbutuslift/coordination/memberstate.py
@@ -0,0 +1,359 @@
+"""What the tasks of one member share: role, term, log, members, applied state."""
+
+import asyncio
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from enum import Enum
+
+from attrs import evolve, frozen
+
+from ..clock import Clock
+from ..errors import MessageError, StorageError
+from ..state.codec import decode_value, encode_value
+from ..state.configuration import (
+    ConfigurationState,
+    Decision,
+    StoredRevision,
+    decode_submission,
+)
+from ..state.logstore import EntryKind, LogEntry
+from ..state.membership import Membership
+from ..state.snapshots import Snapshot
+from ..state.storage import MemberStorage
+from ..state.termstore import TermRecord
+from .waiting import Signal
+
+SNAPSHOT_ENTRIES = 256
+APPLY_BATCH_BYTES = 1024 * 1024
+
+CommitCallback = Callable[[StoredRevision], None]
+
+
+class Role(Enum):
+    """Part of a member in its term."""
+
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@frozen(kw_only=True)
+class AgreementTiming:
+    """Intervals of the replicated log.
+
+    Attributes:
+        heartbeat_s: Longest silence of a leader towards a follower. At 13 members
+            0.5 s would use most of the 5 KB/s that control may use.
+        election_timeout_s: Shortest silence after which a follower campaigns; the
+            longest is twice that.
+        request_timeout_s: Bound of one request between members.
+        submit_timeout_s: Bound of a submission or read, over all attempts.
+        catch_up_timeout_s: Bound of the transfer to a new member.
+        retry_s: Pause between attempts to reach a leader.
+    """
+
+    heartbeat_s: float = 1.0
+    election_timeout_s: float = 3.0
+    request_timeout_s: float = 1.0
+    submit_timeout_s: float = 10.0
+    catch_up_timeout_s: float = 60.0
+    retry_s: float = 0.1
+
+
+@frozen(kw_only=True)
+class _Pending:
+    term: int
+    decided: "asyncio.Future[Decision | None]"
+
+
+@frozen(kw_only=True)
+class _MembershipAt:
+    index: int
+    membership: Membership
+
+
+class MemberState:
+    """State of one member; every change that must last is stored before it shows.
+
+    Args:
+        name: Name of the instance.
+        storage: What the member keeps between restarts.
+        clock: Source of time.
+
+    Attributes:
+        changed: Notified after every change.
+        role: Part of the member in its term.
+        leader_name: Leader of the term, if known.
+        heard_s: When the leader was last heard.
+        commit_index: Last entry known to be committed; all up to it are applied.
+        configuration: Result of the applied entries.
+        failure: Error of the storage after which the member takes no more part.
+        on_failure: Called once with that error.
+
+    Raises:
+        StorageError: The stored state can't be read.
+    """
+
+    def __init__(self, name: str, storage: MemberStorage, clock: Clock) -> None:
+        self.name = name
+        self.identity = storage.identity
+        self.log = storage.log
+        self.snapshots = storage.snapshots
+        self.clock = clock
+        self.changed = Signal(clock)
+        self.role = Role.FOLLOWER
+        self.leader_name: str | None = None
+        self.heard_s = float("-inf")
+        self.failure: StorageError | None = None
+        self.on_failure: Callable[[], None] = lambda: None
+        self._terms = storage.terms
+        self._record = storage.terms.load()
+        self._pending: dict[int, _Pending] = {}
+        self._callbacks: list[CommitCallback] = []
+        self._restore(storage.snapshots.newest())
+        self._align_log()
+        self._read_memberships()
+
+    @property
+    def term(self) -> int:
+        """Return the highest term seen."""
+        return self._record.term
+
+    @property
+    def voted_for(self) -> bytes:
+        """Return the identity that has the vote of this term."""
+        return self._record.voted_for
+
+    @property
+    def cluster(self) -> bytes:
+        """Return the cluster to which the member belongs, empty for none."""
+        return self._record.cluster
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry."""
+        return self.log.last_index
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry."""
+        return self.term_at(self.log.last_index)
+
+    @property
+    def snapshot_index(self) -> int:
+        """Return the last entry in the newest snapshot."""
+        return self._snapshot.index
+
+    @property
+    def membership(self) -> Membership:
+        """Return the members of the newest entry that changes them."""
+        return self._memberships[-1].membership
+
+    @property
+    def membership_index(self) -> int:
+        """Return the index of the newest entry that changes the members."""
+        return self._memberships[-1].index
+
+    def leads(self, term: int) -> bool:
+        """Return whether the member still leads a term."""
+        return self.role is Role.LEADER and self.term == term
+
+    def term_at(self, index: int) -> int:
+        """Return the term of an entry that the log or the snapshot holds."""
+        if index == self._snapshot.index:
+            return self._snapshot.term
+        return self.log.term_at(index)
+
+    def check_addressed(self, target: bytes, cluster: bytes) -> None:
+        """Refuse a request for another identity or from another cluster.
+
+        Raises:
+            MessageError: The request is for another member.
+        """
+        if self.failure is not None:
+            raise MessageError("storage failed", step="check target")
+        if target != self.identity:
+            raise MessageError("another identity", step="check target")
+        if self.cluster and cluster != self.cluster:
+            raise MessageError("another cluster", step="check target")
+
+    def join(self, cluster: bytes) -> None:
+        """Store to which cluster the member belongs, once."""
+        if not self.cluster:
+            self._save(evolve(self._record, cluster=cluster))
+
+    def observe_term(self, term: int) -> None:
+        """Move to a newer term as follower."""
+        if term > self.term:
+            self._save(evolve(self._record, term=term, voted_for=b""))
+            self.step_down()
+
+    def step_down(self) -> None:
+        """Become a follower without a known leader."""
+        self.role = Role.FOLLOWER
+        self.leader_name = None
+        self.changed.notify()
+
+    def follow(self, term: int, leader_name: str) -> None:
+        """Follow the leader of a term that is not older than the own one."""
+        self.observe_term(term)
+        if self.leader_name != leader_name:
+            self.role = Role.FOLLOWER
+            self.leader_name = leader_name
+            self.changed.notify()
+        self.heard_s = self.clock.monotonic_s()
+
+    def vote(self, identity: bytes) -> None:
+        """Store the vote of the current term."""
+        self._save(evolve(self._record, voted_for=identity))
+
+    def stand(self, term: int) -> None:
+        """Become a candidate of a new term with the own vote."""
+        self._save(evolve(self._record, term=term, voted_for=self.identity))
+        self.role = Role.CANDIDATE
+        self.leader_name = None
+
+    def append(self, entries: tuple[LogEntry, ...]) -> None:
+        """Store entries after the last one."""
+        with self._storing():
+            self.log.append(entries)
+        for entry in entries:
+            self._track_membership(entry)
+        self.changed.notify()
+
+    def truncate(self, first: int) -> None:
+        """Remove entries that a newer leader doesn't have."""
+        if first <= self.commit_index:
+            message = f"entry {first} is committed"
+            raise StorageError(message, step="truncate log")
+        with self._storing():
+            self.log.truncate(first)
+        while self._memberships[-1].index >= first:
+            self._memberships.pop()
+
+    def expect(self, index: int) -> "asyncio.Future[Decision | None]":
+        """Return a future for the decision of an entry just appended.
+
+        Its result is None if another entry takes the index.
+        """
+        decided = asyncio.get_running_loop().create_future()
+        self._pending[index] = _Pending(term=self.term, decided=decided)
+        return decided
+
+    def commit(self, index: int) -> None:
+        """Apply all entries up to ``index``; they are committed."""
+        with self._storing():
+            while self.commit_index < index:
+                batch = self.log.read(self.commit_index + 1, APPLY_BATCH_BYTES)
+                for entry in batch[: index - self.commit_index]:
+                    self._apply(entry)
+            if self.commit_index - self._snapshot.index >= SNAPSHOT_ENTRIES:
+                self._take_snapshot()
+        self.changed.notify()
+
+    def install(self, snapshot: Snapshot) -> None:
+        """Continue from a leader's snapshot that is ahead of the own state.
+
+        Entries after the snapshot may have been acknowledged, so they are kept if
+        the log holds the snapshot's last entry.
+        """
+        index = snapshot.index
+        held = self.log.first_index <= index <= self.log.last_index
+        matches = held and self.log.term_at(index) == snapshot.term
+        with self._storing():
+            self.snapshots.save(snapshot)
+            if matches:
+                self.log.compact(index, index)
+            else:
+                self.log.reset(index)
+        self._restore(snapshot)
+        self._read_memberships()
+        self._report()
+        self.changed.notify()
+
+    def on_commit(self, callback: CommitCallback) -> None:
+        """Call back with the newest revision, if any, and each one that follows."""
+        self._callbacks.append(callback)
+        if self.configuration.newest is not None:
+            callback(self.configuration.newest)
+
+    @contextmanager
+    def _storing(self) -> Iterator[None]:
+        """End the member's part in the log when its storage fails."""
+        try:
+            yield
+        except StorageError as error:
+            self.failure = error
+            self.step_down()
+            self.on_failure()
+            raise
+
+    def _save(self, record: TermRecord) -> None:
+        with self._storing():
+            self._terms.save(record)
+        self._record = record
+
+    def _restore(self, snapshot: Snapshot) -> None:
+        self._snapshot = evolve(snapshot, state=b"")
+        self.configuration = ConfigurationState.decode(snapshot.state)
+        self.commit_index = snapshot.index
+        if not hasattr(self, "_reported"):
+            self._reported = self.configuration.revision
+
+    def _align_log(self) -> None:
+        """Finish an installation of a snapshot that a crash cut short."""
+        index = self._snapshot.index
+        held = self.log.first_index <= index <= self.log.last_index
+        stale = held and self.log.term_at(index) != self._snapshot.term
+        if self.log.last_index < index or stale:
+            self.log.reset(index)
+
+    def _read_memberships(self) -> None:
+        start = self._snapshot.index
+        base = _MembershipAt(index=start, membership=self._snapshot.membership)
+        self._memberships = [base]
+        for index in range(start + 1, self.log.last_index + 1):
+            if self.log.kind_at(index) is EntryKind.MEMBERSHIP:
+                self._track_membership(self.log.read(index, 0)[0])
+
+    def _track_membership(self, entry: LogEntry) -> None:
+        if entry.kind is EntryKind.MEMBERSHIP:
+            membership = decode_value(entry.body, Membership)
+            at = _MembershipAt(index=entry.index, membership=membership)
+            self._memberships.append(at)
+
+    def _apply(self, entry: LogEntry) -> None:
+        decision = None
+        if entry.kind is EntryKind.SUBMISSION:
+            decision = self.configuration.apply(decode_submission(entry.body))
+        self.commit_index = entry.index
+        pending = self._pending.pop(entry.index, None)
+        if pending is not None and not pending.decided.done():
+            mine = pending.term == entry.term
+            pending.decided.set_result(decision if mine else None)
+        self._report()
+
+    def _report(self) -> None:
+        for stored in self.configuration.since(self._reported):
+            self._reported = stored.revision
+            for callback in self._callbacks:
+                callback(stored)
+
+    def _take_snapshot(self) -> None:
+        committed = [at for at in self._memberships if at.index <= self.commit_index]
+        snapshot = Snapshot(
+            index=self.commit_index,
+            term=self.log.term_at(self.commit_index),
+            membership=committed[-1].membership,
+            state=self.configuration.encode(),
+        )
+        previous = self._snapshot.index
+        self.snapshots.save(snapshot)
+        self._snapshot = evolve(snapshot, state=b"")
+        self.log.compact(snapshot.index, previous)
+        self._memberships = self._memberships[len(committed) - 1 :]
+
+
+def encode_membership(membership: Membership) -> bytes:
+    """Return the members as the body of a log entry."""
+    return encode_value(membership)
--- /dev/null
+++ b/arbutuslift/coordination/waiting.py
@@ -0,0 +1,80 @@
+"""Waiting for changes on an injected clock, and tasks that end together."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+
+from ..clock import Clock
+
+
+class Signal:
+    """Wakes the tasks that wait for a change of shared state.
+
+    Args:
+        clock: Measures timeouts.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._waiters: list[asyncio.Future[None]] = []
+
+    def notify(self) -> None:
+        """Wake all waiting tasks."""
+        waiters, self._waiters = self._waiters, []
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(None)
+
+    async def wait_for(self, condition: Callable[[], bool], timeout_s: float) -> bool:
+        """Wait until ``condition`` holds and return whether it does."""
+        if condition():
+            return True
+        if timeout_s <= 0:
+            return False
+        timer = asyncio.ensure_future(self._clock.sleep(timeout_s))
+        try:
+            while not condition() and not timer.done():
+                await self._wait_once(timer)
+        finally:
+            timer.cancel()
+        return condition()
+
+    async def _wait_once(self, timer: asyncio.Future[None]) -> None:
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters.append(waiter)
+        try:
+            await asyncio.wait((waiter, timer), return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            waiter.cancel()
+
+
+class TaskSet:
+    """Tasks of one owner.
+
+    Args:
+        on_failure: Called with the error of a task that failed.
+    """
+
+    def __init__(self, on_failure: Callable[[BaseException], None]) -> None:
+        self._on_failure = on_failure
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def spawn(self, work: Coroutine[object, object, None]) -> None:
+        """Run a coroutine until it ends or the set is closed."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._finished)
+
+    def cancel(self) -> None:
+        """Cancel all tasks."""
+        for task in list(self._tasks):
+            task.cancel()
+
+    async def close(self) -> None:
+        """Cancel all tasks and wait until they have ended."""
+        self.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _finished(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._on_failure(task.exception())
--- a/arbutuslift/errors.py
+++ b/arbutuslift/errors.py
@@ -79,6 +79,14 @@
         self.standing = standing
 
 
+class RequestReused(ArbutusliftError):
+    """A request_id came again with another document or expected revision."""
+
+
+class BootstrapError(ArbutusliftError):
+    """The initial members can't form a cluster; an operator must act."""
+
+
 class MembershipChangeError(ArbutusliftError):
     """A change of members can't be made."""
 
--- a/arbutuslift/state/disklog.py
+++ b/arbutuslift/state/disklog.py
@@ -17,7 +17,7 @@
     unpack_record,
     write_all,
 )
-from .logstore import LogEntry, LogStore
+from .logstore import EntryKind, LogEntry, LogStore
 
 PREFIX = "log-"
 
@@ -46,6 +46,7 @@
     length: int
     position: int
     term: int
+    kind: EntryKind
     body_bytes: int
 
 
@@ -78,6 +79,7 @@
         self._cached = _CachedRecord()
         self._failed = False
         self._descriptor = -1
+        self._path = folder
         self.bytes_read = 0
         with storage_errors("open log", folder):
             self._open(snapshot_index)
@@ -96,6 +98,10 @@
         """Return the term of an entry that is held."""
         return self._places[index - self._first].term
 
+    def kind_at(self, index: int) -> EntryKind:
+        """Return the kind of an entry that is held."""
+        return self._places[index - self._first].kind
+
     def read(self, first: int, limit_bytes: int) -> tuple[LogEntry, ...]:
         """Return entries from ``first`` on."""
         chosen: list[LogEntry] = []
@@ -120,13 +126,10 @@
 
     def compact(self, snapshot_index: int, keep_after: int) -> None:
         """Start a segment after the snapshot and remove segments before the kept."""
-        tail: tuple[LogEntry, ...] = ()
-        if snapshot_index < self.last_index:
-            tail = self.read(snapshot_index + 1, self._total_bytes())
-        with self._failing("compact log"):
-            self._start_segment(snapshot_index + 1)
-        if tail:
-            self._write(LogRecord(first=snapshot_index + 1, entries=tail))
+        # After a fallback to an older snapshot the current segment may begin later
+        # already; an earlier one after it would be replayed in the wrong order.
+        if _first_in(self._path) <= snapshot_index:
+            self._continue_in_segment(snapshot_index + 1)
         with self._failing("compact log"):
             self._remove_before(keep_after + 1)
         dropped = min(keep_after, self.last_index) + 1 - self._first
@@ -169,7 +172,8 @@
         for path in needed:
             self._replay(path, is_last=path == needed[-1])
         if needed:
-            self._descriptor = os.open(needed[-1], os.O_WRONLY | os.O_APPEND)
+            self._path = needed[-1]
+            self._descriptor = os.open(self._path, os.O_WRONLY | os.O_APPEND)
         else:
             self._start_segment(snapshot_index + 1)
 
@@ -215,6 +219,7 @@
                 length=length,
                 position=position,
                 term=entry.term,
+                kind=entry.kind,
                 body_bytes=len(entry.body),
             )
             self._places.append(place)
@@ -230,13 +235,12 @@
         with storage_errors("read log", place.path), place.path.open("rb") as file:
             file.seek(place.offset)
             content = file.read(place.length)
+        self.bytes_read += len(content)
         payload = unpack_record(content, 0)
         if payload is None:
             message = f"damaged record at offset {place.offset}"
             raise StorageError(message, step="read log", peer=str(place.path))
-        return _CachedRecord(
-            place.path, place.offset, decode_value(payload, LogRecord)
-        )
+        return _CachedRecord(place.path, place.offset, decode_value(payload, LogRecord))
 
     def _write(self, record: LogRecord) -> None:
         content = pack_record(encode_value(record))
@@ -254,10 +258,21 @@
         flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
         descriptor = os.open(path, flags, 0o600)
         self.close()
+        self._path = path
         self._descriptor = descriptor
         os.fsync(descriptor)
         sync_folder(self._folder)
 
+    def _continue_in_segment(self, first: int) -> None:
+        """Start a segment with copies of the entries from ``first`` on."""
+        tail: tuple[LogEntry, ...] = ()
+        if first <= self.last_index:
+            tail = self.read(first, self._total_bytes())
+        with self._failing("compact log"):
+            self._start_segment(first)
+        if tail:
+            self._write(LogRecord(first=first, entries=tail))
+
     def _remove_before(self, first: int) -> None:
         segments = self._segments()
         starts = [path for path in segments if _first_in(path) <= first]
@@ -268,10 +283,6 @@
     def _segments(self) -> list[Path]:
         return sorted(self._folder.glob(f"{PREFIX}*"))
 
-    @property
-    def _path(self) -> Path:
-        return self._segments()[-1]
-
     def _total_bytes(self) -> int:
         return sum(place.body_bytes for place in self._places)
 
--- a/arbutuslift/state/logstore.py
+++ b/arbutuslift/state/logstore.py
@@ -55,6 +55,10 @@
     def term_at(self, index: int) -> int:
         """Return the term of an entry that is held."""
 
+    @abstractmethod
+    def kind_at(self, index: int) -> EntryKind:
+        """Return the kind of an entry that is held."""
+
     @abstractmethod
     def read(self, first: int, limit_bytes: int) -> tuple[LogEntry, ...]:
         """Return entries from ``first`` on, at least one if it is held.
@@ -128,6 +132,10 @@
         """Return the term of an entry that is held."""
         return self._entries[index - self._first].term
 
+    def kind_at(self, index: int) -> EntryKind:
+        """Return the kind of an entry that is held."""
+        return self._entries[index - self._first].kind
+
     def read(self, first: int, limit_bytes: int) -> tuple[LogEntry, ...]:
         """Return entries from ``first`` on."""
         chosen: list[LogEntry] = []
--- a/arbutuslift/state/membership.py
+++ b/arbutuslift/state/membership.py
@@ -11,11 +11,14 @@
         name: Name of the instance, by which it is reached.
         identity: Random identity on its disk; a wiped disk has another one.
         voter: False for a learner, whose acknowledgements don't count.
+        replaces: Identity of the member that it replaces; empty for none. An
+            interrupted replacement is resumed by it.
     """
 
     name: str
     identity: bytes
     voter: bool = True
+    replaces: bytes = b""
 
 
 @frozen(kw_only=True)
@@ -50,9 +53,11 @@
         member = self.find(identity)
         return member is not None and member.voter
 
-    def with_learner(self, name: str, identity: bytes) -> "Membership":
+    def with_learner(self, name: str, identity: bytes, replaces: bytes) -> "Membership":
         """Return a copy with one more learner."""
-        learner = MemberRecord(name=name, identity=identity, voter=False)
+        learner = MemberRecord(
+            name=name, identity=identity, voter=False, replaces=replaces
+        )
         return evolve(self, members=(*self.members, learner))
 
     def with_voter(self, identity: bytes) -> "Membership":
--- a/arbutuslift/state/storage.py
+++ b/arbutuslift/state/storage.py
@@ -74,9 +74,7 @@
         self.stack.close()
 
 
-def _open_log(
-    folder: Path, newest: Snapshot, damaged: tuple[str, ...]
-) -> DiskLogStore:
+def _open_log(folder: Path, newest: Snapshot, damaged: tuple[str, ...]) -> DiskLogStore:
     try:
         log = DiskLogStore(folder, newest.index)
     except StorageError as error:
--- /dev/null
+++ b/tests/coordination/cluster.py
@@ -0,0 +1,147 @@
+"""Members of a replicated log on a manual clock, and faults to inject."""
+
+import asyncio
+import random
+
+from arbutuslift.clock import Clock, ManualClock
+from arbutuslift.coordination.member import Member
+from arbutuslift.protocol.channel import Channel
+from arbutuslift.state.configuration import Submission
+from arbutuslift.state.storage import MemberStorage
+from arbutuslift.transport.bus import MemoryNetwork
+
+STEP_S = 0.05
+LIMIT_S = 60.0
+
+
+def submission(request_id, expected_revision=0, document=None, author="ops"):
+    return Submission(
+        document=(document or f"document of {request_id}").encode(),
+        expected_revision=expected_revision,
+        request_id=request_id,
+        author=author,
+        submitted_at_s=0.0,
+    )
+
+
+class ProcessClock(Clock):
+    """Clock of one process; while it is frozen no sleep ends."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.running = asyncio.Event()
+        self.running.set()
+
+    def monotonic_s(self):
+        return self._clock.monotonic_s()
+
+    def wall_s(self):
+        return self._clock.wall_s()
+
+    async def sleep(self, duration_s):
+        await self._clock.sleep(duration_s)
+        await self.running.wait()
+
+
+class Cluster:
+    """Runs members; ``identities`` pins identities to names, as if a disk had none."""
+
+    def __init__(self, names=("a", "b", "c"), seed=1, identities=None):
+        self.clock = ManualClock()
+        self.network = MemoryNetwork(self.clock)
+        self.names = tuple(names)
+        self.rng = random.Random(seed)
+        self.members = {}
+        self.storages = {}
+        self.reported = {}
+        self._clocks = {}
+        self._identities = identities or {}
+
+    def start(self, *names, initial=None):
+        for name in names or self.names:
+            storage = self.storages.get(name)
+            if storage is None:
+                storage = MemberStorage.memory(self._identities.get(name))
+                self.storages[name] = storage
+            clock = self._clocks[name] = ProcessClock(self.clock)
+            channel = Channel(self.network.bus(name))
+            member = Member(
+                name=name,
+                storage=storage,
+                channel=channel,
+                clock=clock,
+                rng=random.Random(self.rng.random()),
+                initial_names=self.names if initial is None else initial,
+            )
+            self._freeze_handler(channel, clock)
+            self.reported[name] = []
+            member.on_commit(self.reported[name].append)
+            member.start()
+            self.members[name] = member
+
+    @staticmethod
+    def _freeze_handler(channel, clock):
+        handle = channel._bus.handler
+
+        async def handle_while_running(peer, body):
+            await clock.running.wait()
+            return await handle(peer, body)
+
+        channel._bus.handler = handle_while_running
+
+    async def kill(self, name):
+        self.network.remove(name)
+        await self.members.pop(name).close()
+
+    async def wipe(self, name):
+        if name in self.members:
+            await self.kill(name)
+        del self.storages[name]
+
+    def freeze(self, name):
+        self._clocks[name].running.clear()
+
+    def thaw(self, name):
+        self._clocks[name].running.set()
+
+    def isolate(self, *names):
+        others = [name for name in self.storages if name not in names]
+        self.network.cut(list(names), others)
+
+    async def run(self, duration_s):
+        await self.clock.advance(duration_s)
+
+    async def until(self, condition, limit_s=LIMIT_S):
+        end_s = self.clock.monotonic_s() + limit_s
+        while not condition():
+            assert self.clock.monotonic_s() < end_s, "condition didn't come true"
+            await self.clock.advance(STEP_S)
+
+    async def do(self, work, limit_s=LIMIT_S):
+        """Run a coroutine while time passes; return or raise what it does."""
+        task = asyncio.ensure_future(work)
+        await self.until(task.done, limit_s)
+        return task.result()
+
+    def leaders(self):
+        return [name for name, member in self.members.items() if member.is_leader]
+
+    async def leader(self):
+        """Return the name of the leader that all members not cut off follow."""
+        await self.until(lambda: len(self.leaders()) == 1)
+        return self.leaders()[0]
+
+    async def submit(self, name, request_id, expected_revision=0, document=None):
+        sent = submission(request_id, expected_revision, document)
+        return await self.do(self.members[name].submit(sent))
+
+    async def fill(self, name, count, start=0):
+        for number in range(start, start + count):
+            await self.submit(name, f"r{number}", number)
+
+    async def histories(self):
+        return [await member.history(1000) for member in self.members.values()]
+
+    async def close(self):
+        for name in list(self.members):
+            await self.kill(name)
