--- a/arbutuslift/state/codec.py
+++ b/arbutuslift/state/codec.py
@@ -29,6 +29,7 @@
     except (
         cattrs.BaseValidationError,
         msgpack.UnpackException,
+        AttributeError,
         KeyError,
         TypeError,
         ValueError,
--- /dev/null
+++ b/tests/state/test_configuration.py
@@ -0,0 +1,135 @@
+"""Replicated configuration state: compare, request answers, history."""
+
+import random
+
+import pytest
+from attrs import evolve
+
+from arbutuslift.errors import StorageError
+from arbutuslift.state import configuration
+from arbutuslift.state.configuration import (
+    ConfigurationState,
+    Outcome,
+    decode_submission,
+    encode_submission,
+)
+
+from ..coordination.cluster import submission
+
+
+def accept(state, count):
+    for _ in range(count):
+        revision = state.revision
+        state.apply(submission(f"r{revision}", revision))
+
+
+@pytest.fixture(params=["same state", "after a snapshot"])
+def resumed(request):
+    """Return a function that gives the state on which a resend arrives."""
+    if request.param == "same state":
+        return lambda state: state
+    return lambda state: ConfigurationState.decode(state.encode())
+
+
+def test_equal_numbers_let_one_win():
+    state = ConfigurationState()
+    won = state.apply(submission("first", 0))
+    lost = state.apply(submission("second", 0))
+    assert won.outcome is Outcome.ACCEPTED
+    assert lost.outcome is Outcome.CONFLICT
+    assert won.stored == lost.stored == state.newest
+    assert state.revision == 1
+
+
+def test_resend_gets_the_first_answer_after_later_changes(resumed):
+    state = ConfigurationState()
+    first = state.apply(submission("mine", 0))
+    accept(state, 3)
+    state = resumed(state)
+    before = state.encode()
+    assert state.apply(submission("mine", 0)) == first
+    assert state.encode() == before
+
+
+def test_resend_after_its_document_left_the_history(resumed):
+    state = ConfigurationState()
+    first = state.apply(submission("mine", 0))
+    accept(state, 150)
+    state = resumed(state)
+    assert first.stored not in state.history(1000)
+    assert state.apply(submission("mine", 0)) == first
+
+
+def test_resend_of_a_conflict_stays_a_conflict(resumed):
+    """Guards against a rejected submission that is accepted later by its resend."""
+    state = ConfigurationState()
+    accept(state, 1)
+    late = submission("early bird", 2)
+    first = state.apply(late)
+    accept(state, 1)
+    state = resumed(state)
+    assert state.revision == late.expected_revision
+    assert state.apply(late) == first
+    assert first.outcome is Outcome.CONFLICT
+    accept(state, 150)
+    assert state.apply(late).outcome is Outcome.CONFLICT
+    assert state.apply(late).stored == state.newest
+
+
+@pytest.mark.parametrize("change", [{"document": b"x"}, {"expected_revision": 1}])
+def test_reused_request_id_is_refused(resumed, change):
+    state = ConfigurationState()
+    sent = submission("mine", 0)
+    state.apply(sent)
+    state = resumed(state)
+    assert state.apply(evolve(sent, **change)).outcome is Outcome.REUSED
+    assert state.revision == 1
+
+
+def test_history_and_answers_are_bounded(monkeypatch):
+    monkeypatch.setattr(configuration, "ANSWERS_LENGTH", 120)
+    state = ConfigurationState()
+    accept(state, 130)
+    assert [s.revision for s in state.history(1000)] == list(range(130, 30, -1))
+    assert [s.revision for s in state.history(2)] == [130, 129]
+    assert state.history(-1) == []
+    assert [s.revision for s in state.since(128)] == [129, 130]
+    # Its answer has left the table; the expected revision still prevents a repeat.
+    assert state.apply(submission("r5", 5)).outcome is Outcome.CONFLICT
+    assert state.first_decision(submission("r11", 11)) is not None
+
+
+def test_random_submissions_equal_a_naive_list():
+    rng = random.Random(5)
+    state, accepted, answers = ConfigurationState(), [], {}
+    for _ in range(2000):
+        request_id = f"q{rng.randrange(400)}"
+        wanted = answers.get(request_id)
+        if wanted is None:
+            expected = max(0, len(accepted) + rng.choice((0, 0, -1, 1)))
+            sent = submission(request_id, expected)
+            fits = expected == len(accepted)
+            if fits:
+                accepted.append(sent)
+            wanted = answers[request_id] = (sent, fits, len(accepted))
+        sent, fits, revision = wanted
+        decision = state.apply(sent)
+        assert (decision.outcome is Outcome.ACCEPTED) == fits
+        assert not fits or decision.stored.revision == revision
+        if rng.random() < 0.01:
+            state = ConfigurationState.decode(state.encode())
+    newest = [s.submission for s in state.history(50)]
+    assert newest == accepted[::-1][:50]
+
+
+def test_submissions_are_stored_compressed():
+    sent = submission("mine", document="x" * 10000)
+    body = encode_submission(sent)
+    assert decode_submission(body) == sent
+    assert len(body) < 300
+
+
+@pytest.mark.parametrize("body", [b"", b"\xc1", b"\x80", b"\x91\x01"])
+def test_malformed_submission_is_an_error(body):
+    with pytest.raises(StorageError):
+        decode_submission(body)
--- /dev/null
+++ b/tests/state/test_logstore.py
@@ -0,0 +1,216 @@
+"""Contract of the log on disk and in memory; faults of the one on disk."""
+
+import os
+
+import pytest
+
+from arbutuslift.errors import StorageError
+from arbutuslift.state.disklog import DiskLogStore
+from arbutuslift.state.logstore import EntryKind, LogEntry, MemoryLogStore
+
+from .storage_faults import FileOperations
+
+EVERYTHING = 10**9
+
+
+def entry(index, term=1):
+    body = f"body {index} of {term}".encode()
+    return LogEntry(index=index, term=term, kind=EntryKind.SUBMISSION, body=body)
+
+
+def entries(first, last, term=1):
+    return [entry(index, term) for index in range(first, last + 1)]
+
+
+def content(store):
+    return list(store.read(store.first_index, EVERYTHING))
+
+
+@pytest.fixture(params=["disk", "memory"])
+def reopen(request, tmp_path):
+    """Return a function that opens the log, and opens it again after a restart."""
+    if request.param == "memory":
+        store = MemoryLogStore()
+        return lambda snapshot_index=0: store
+    return lambda snapshot_index=0: DiskLogStore(tmp_path, snapshot_index)
+
+
+def test_entries_are_there_after_a_restart(reopen):
+    store = reopen()
+    store.append(entries(1, 3))
+    store.append(entries(4, 4, term=2))
+    again = reopen()
+    assert content(again) == entries(1, 3) + entries(4, 4, term=2)
+    assert (again.first_index, again.last_index) == (1, 4)
+    assert (again.term_at(3), again.term_at(4)) == (1, 2)
+    assert again.kind_at(4) is EntryKind.SUBMISSION
+
+
+def test_truncated_entries_stay_away(reopen):
+    store = reopen()
+    store.append(entries(1, 5))
+    store.truncate(3)
+    assert content(reopen()) == entries(1, 2)
+    store = reopen()
+    store.append(entries(3, 4, term=2))
+    assert content(reopen()) == entries(1, 2) + entries(3, 4, term=2)
+
+
+def test_compaction_keeps_what_is_asked_for(reopen):
+    store = reopen()
+    store.append(entries(1, 4))
+    store.compact(4, 0)
+    store.append(entries(5, 9))
+    store.compact(7, 4)
+    assert content(store) == entries(5, 9)
+    store.append(entries(10, 10))
+    store.truncate(9)
+    again = reopen(7)
+    assert list(again.read(8, EVERYTHING)) == entries(8, 8)
+    again.append(entries(9, 9, term=2))
+    assert list(reopen(7).read(8, EVERYTHING))[-1] == entry(9, term=2)
+
+
+def test_reset_log_continues_after_the_snapshot(reopen):
+    store = reopen()
+    store.append(entries(1, 9))
+    store.reset(6)
+    assert (store.first_index, store.last_index) == (7, 6)
+    store.append(entries(7, 8, term=3))
+    assert content(reopen(6)) == entries(7, 8, term=3)
+
+
+def test_batches_end_at_the_limit_but_hold_one_entry(reopen):
+    store = reopen()
+    store.append(entries(1, 4))
+    size_bytes = len(entry(1).body)
+    assert list(store.read(1, 2 * size_bytes)) == entries(1, 2)
+    assert list(store.read(2, 0)) == entries(2, 2)
+    assert store.read(5, EVERYTHING) == ()
+
+
+def test_gaps_are_refused(reopen):
+    store = reopen()
+    store.append(entries(1, 2))
+    with pytest.raises(StorageError, match="where 3 is due"):
+        store.append(entries(4, 4))
+    with pytest.raises(StorageError, match="not in 1 to 2"):
+        store.truncate(3)
+
+
+def test_acknowledged_means_synced(tmp_path, monkeypatch):
+    """Guards against an answer before the data or its name is on disk."""
+    store = DiskLogStore(tmp_path)
+    operations = FileOperations(monkeypatch)
+    store.append(entries(1, 2))
+    assert operations.calls == ["write", "fsync"]
+    operations.calls.clear()
+    store.truncate(2)
+    assert operations.calls == ["write", "fsync"]
+    operations.calls.clear()
+    store.compact(1, 0)
+    assert operations.calls == ["fsync", "fsync", "fsync"]
+
+
+def _work(store, done):
+    """Run each kind of change, noting what the log holds after each."""
+    steps = [
+        lambda: store.append(entries(1, 3)),
+        lambda: store.truncate(3),
+        lambda: store.append(entries(3, 4, term=2)),
+        lambda: store.compact(3, 0),
+        lambda: store.append(entries(5, 5, term=2)),
+        lambda: store.compact(5, 3),
+    ]
+    for step in steps:
+        step()
+        held = {e.index: e for e in content(store)}
+        done.append(held)
+
+
+@pytest.mark.parametrize("fail_at", range(22))
+def test_failed_operation_loses_nothing_acknowledged(tmp_path, monkeypatch, fail_at):
+    store = DiskLogStore(tmp_path)
+    done = [{}]
+    with monkeypatch.context() as patch:
+        operations = FileOperations(patch, fail_at)
+        try:
+            _work(store, done)
+        except StorageError:
+            with pytest.raises(StorageError, match="earlier write failed"):
+                store.append(entries(store.last_index + 1, store.last_index + 1))
+    # The last row is past the last operation, so the table is complete.
+    assert (operations.failed is None) == (fail_at >= len(operations.calls))
+    assert fail_at < 21 or operations.failed is None
+    snapshot_index = [0, 0, 0, 0, 3, 3, 5][len(done) - 1]
+    again = {e.index: e for e in content(DiskLogStore(tmp_path, snapshot_index))}
+    wanted = {i: e for i, e in done[-1].items() if i > snapshot_index}
+    after = {i: again.get(i) for i in wanted}
+    assert after == wanted
+
+
+def _files(folder):
+    return {path.name: path.read_bytes() for path in folder.iterdir()}
+
+
+def test_log_cut_at_any_byte_keeps_the_whole_records_before(tmp_path):
+    for index in range(1, 4):
+        DiskLogStore(tmp_path).append([entry(index)])
+    (path,) = tmp_path.iterdir()
+    whole = path.read_bytes()
+    ends = [round(len(whole) * n / 3) for n in range(4)]
+    for size in range(len(whole)):
+        path.write_bytes(whole[:size])
+        kept = sum(end <= size for end in ends) - 1
+        store = DiskLogStore(tmp_path)
+        assert content(store) == entries(1, kept)
+        store.append([entry(kept + 1, term=2)])
+        assert content(DiskLogStore(tmp_path))[-1] == entry(kept + 1, term=2)
+
+
+def test_flipped_byte_stops_unless_it_is_in_the_last_record(tmp_path):
+    store = DiskLogStore(tmp_path)
+    for index in range(1, 4):
+        store.append([entry(index)])
+    (path,) = tmp_path.iterdir()
+    whole = path.read_bytes()
+    record_bytes = len(whole) // 3
+    for position in range(len(whole)):
+        damaged = bytearray(whole)
+        damaged[position] ^= 0xFF
+        path.write_bytes(damaged)
+        offset = position // record_bytes * record_bytes
+        if offset == 2 * record_bytes:
+            assert content(DiskLogStore(tmp_path)) == entries(1, 2)
+            continue
+        with pytest.raises(StorageError, match=f"offset {offset} ") as caught:
+            DiskLogStore(tmp_path)
+        assert caught.value.peer == str(path)
+
+
+def test_batch_is_dropped_as_a_whole(tmp_path):
+    """Guards against a torn batch that looks like damage before valid records."""
+    store = DiskLogStore(tmp_path)
+    store.append(entries(1, 1))
+    store.append(entries(2, 9))
+    (path,) = tmp_path.iterdir()
+    whole = bytearray(path.read_bytes())
+    whole[len(whole) // 2] ^= 0xFF
+    path.write_bytes(whole)
+    assert content(DiskLogStore(tmp_path)) == entries(1, 1)
+
+
+def test_log_that_begins_after_the_snapshot_is_refused(tmp_path):
+    store = DiskLogStore(tmp_path)
+    store.append(entries(1, 4))
+    store.compact(4, 4)
+    with pytest.raises(StorageError, match="begins at entry 5, snapshot ends at 2"):
+        DiskLogStore(tmp_path, 2)
+
+
+def test_restart_reads_only_the_segment_after_the_snapshot(tmp_path):
+    store = DiskLogStore(tmp_path)
+    store.append(entries(1, 100))
+    store.compact(98, 0)
+    assert DiskLogStore(tmp_path, 98).bytes_read < 200
+    assert len(os.listdir(tmp_path)) == 2
