--- a/arbutuslift/errors.py
+++ b/arbutuslift/errors.py
@@ -129,6 +129,14 @@
     """A command line that can't be understood."""
 
 
+class RequestReused(ArbutusliftError):
+    """A request_id came again with another document or expected revision."""
+
+
+class BootstrapError(ArbutusliftError):
+    """The initial members can't form a cluster; an operator must act."""
+
+
 class MembershipChangeError(ArbutusliftError):
     """A change of members can't be made."""
 
