Add the bus over ZeroMQ with CURVE keys

Processes had only the in-memory bus. ZmqBus listens on one ROUTER and opens one DEALER per peer on demand. The sender's name must belong to the key that authenticated the connection.

The authenticator of pyzmq closes its socket before its cancelled poll removes the file descriptor from the loop; a bus opened right after close then got no events and timed out (seen with the restart test under CURVE). close() now lets the loop run before it continues.

The contract tests pass for the memory bus, clear text and CURVE.

--- /dev/null
+++ b/arbutuslift/transport/keys.py
@@ -0,0 +1,99 @@
+"""CURVE key files: one secret file per process, one public file per allowed peer."""
+
+from pathlib import Path
+
+import zmq.auth
+from attrs import field, frozen
+
+from ..errors import TransportError
+
+PUBLIC_SUFFIX = ".key"
+SECRET_SUFFIX = ".key_secret"
+
+
+@frozen(kw_only=True)
+class KeyPair:
+    """Long-term CURVE keys of this process.
+
+    Attributes:
+        public: Public key, Z85 text.
+        secret: Secret key, Z85 text.
+    """
+
+    public: bytes
+    secret: bytes = field(repr=False)
+
+
+def create_key_files(folder: Path, name: str) -> None:
+    """Write ``NAME.key`` and ``NAME.key_secret``; the secret is for the owner only.
+
+    Raises:
+        TransportError: The files can't be written.
+    """
+    try:
+        _, secret = zmq.auth.create_certificates(folder, name)
+        Path(secret).chmod(0o600)
+    except OSError as error:
+        raise TransportError(
+            str(error), step="create key files", peer=str(folder)
+        ) from error
+
+
+def load_key_pair(path: Path) -> KeyPair:
+    """Read the keys of this process.
+
+    Raises:
+        TransportError: The file is missing, malformed or readable by others.
+    """
+    public, secret = _load(path)
+    if secret is None:
+        raise TransportError("no secret key", step="load key", peer=str(path))
+    if path.stat().st_mode & 0o077:
+        raise TransportError("readable by others", step="load key", peer=str(path))
+    return KeyPair(public=public, secret=secret)
+
+
+class AllowedKeys:
+    """Public keys of the peers that may connect, one ``NAME.key`` file each.
+
+    Args:
+        folder: Holds the files.
+
+    Raises:
+        TransportError: A file is malformed, or two names share a key.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._keys: dict[str, bytes] = {}
+        self._names: dict[bytes, str] = {}
+        self.reload()
+
+    def reload(self) -> None:
+        """Read the folder again; on an error the previous keys stay."""
+        keys = {
+            path.name.removesuffix(PUBLIC_SUFFIX): _load(path)[0]
+            for path in sorted(self._folder.glob(f"*{PUBLIC_SUFFIX}"))
+        }
+        names = {key: name for name, key in keys.items()}
+        if len(names) < len(keys):
+            raise TransportError(
+                "two names share a key", step="load keys", peer=str(self._folder)
+            )
+        self._keys = keys
+        self._names = names
+
+    def key_of(self, name: str) -> bytes | None:
+        """Return the public key of a peer."""
+        return self._keys.get(name)
+
+    def name_of(self, key: bytes) -> str | None:
+        """Return the peer that owns a public key."""
+        return self._names.get(key)
+
+
+def _load(path: Path) -> tuple[bytes, bytes | None]:
+    try:
+        return zmq.auth.load_certificate(path)
+    except (OSError, ValueError) as error:
+        raise TransportError(str(error), step="load key", peer=str(path)) from error
--- /dev/null
+++ b/arbutuslift/transport/zmqbus.py
@@ -0,0 +1,384 @@
+"""Bus over ZeroMQ: one listening ROUTER, one DEALER and task per peer."""
+
+import asyncio
+import ipaddress
+import itertools
+from collections.abc import Callable
+
+import structlog
+import zmq
+import zmq.asyncio
+from attrs import define, frozen
+from zmq.auth.asyncio import AsyncioAuthenticator
+
+from ..errors import ArbutusliftError, PeerTimeout, TransportError
+from .bus import Bus
+from .keys import AllowedKeys, KeyPair
+
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+QUEUE_MESSAGES = 1000
+MAX_HANDLERS = 1024
+# A full mesh of 1,500 instances needs one socket per peer; ZeroMQ allows 1,023.
+MAX_SOCKETS = 4096
+# A CURVE handshake costs about 1.5 KB. With six random peers a second among 1,500
+# a shorter time would spend the control budget on handshakes.
+IDLE_S = 600.0
+RECONNECT_MS = 100
+RECONNECT_MAX_MS = 2000
+
+_NO_ANSWER = b""
+_ID_BYTES = 8
+
+_log = structlog.get_logger()
+
+
+@frozen(kw_only=True)
+class Security:
+    """CURVE keys of a bus.
+
+    Attributes:
+        keys: Keys of this process.
+        allowed: Public keys of the peers.
+    """
+
+    keys: KeyPair
+    allowed: AllowedKeys
+
+
+@define
+class BusCounters:
+    """What a bus refused or dropped.
+
+    Attributes:
+        malformed: Messages with the wrong frames.
+        impostors: Messages whose sender name doesn't belong to the key.
+        overflows: Messages dropped at a full queue or at too many handlers.
+        failures: Handlers that raised an unexpected error.
+    """
+
+    malformed: int = 0
+    impostors: int = 0
+    overflows: int = 0
+    failures: int = 0
+
+
+class ZmqBus(Bus):
+    """Bus between processes over TCP; created by :meth:`open`.
+
+    Args:
+        name: Name of this process; with CURVE the name of its key file.
+        security: Keys; None sends in the clear.
+        allow_plain: Permit clear text on addresses other than loopback.
+        max_message_bytes: Larger messages close the connection of their sender.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        security: Security | None = None,
+        *,
+        allow_plain: bool = False,
+        max_message_bytes: int = MAX_MESSAGE_BYTES,
+    ) -> None:
+        super().__init__(name)
+        self.counters = BusCounters()
+        self.endpoint = ""
+        self._security = security
+        self._allow_plain = allow_plain
+        self._max_message_bytes = max_message_bytes
+        self._context = zmq.asyncio.Context()
+        self._context.set(zmq.MAX_SOCKETS, MAX_SOCKETS)
+        self._authenticator: AsyncioAuthenticator | None = None
+        self._router: zmq.asyncio.Socket | None = None
+        self._endpoints: dict[str, str] = {}
+        self._peers: dict[str, _Peer] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def open(self, endpoint: str) -> None:
+        """Listen; ``endpoint`` may end in ``:0`` for any free port.
+
+        Raises:
+            TransportError: The endpoint is malformed or in use, or clear text isn't
+                allowed on it.
+        """
+        self._check_plain(endpoint)
+        if self._security:
+            self._authenticator = AsyncioAuthenticator(self._context)
+            self._authenticator.start()
+            self._authenticator.configure_curve_callback("*", _Credentials(self))
+        router = self._new_socket(zmq.ROUTER)
+        if self._security:
+            router.curve_server = True
+            router.curve_secretkey = self._security.keys.secret
+            router.curve_publickey = self._security.keys.public
+        self._router = router
+        try:
+            router.bind(endpoint)
+        except zmq.ZMQError as error:
+            raise TransportError(str(error), step="open bus", peer=endpoint) from error
+        self.endpoint = router.last_endpoint.rstrip(b"\0").decode()
+        self._start(self._receive(router))
+
+    def connect(self, peer: str, endpoint: str) -> None:
+        """Set the endpoint of a peer; another one replaces its connection."""
+        if self._endpoints.get(peer) == endpoint:
+            return
+        self._check_plain(endpoint)
+        self._endpoints[peer] = endpoint
+        self._drop(peer)
+
+    async def request(self, peer: str, body: bytes, timeout_s: float) -> bytes:
+        """Send a request and wait for the answer."""
+        connection = self._connection(peer)
+        if connection is None or not connection.can_send(body):
+            raise PeerTimeout("not reachable", step="request", peer=peer)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await connection.request(body)
+        except TimeoutError:
+            connection.note_timeout()
+            raise PeerTimeout("no answer", step="request", peer=peer) from None
+
+    async def send(self, peer: str, body: bytes) -> None:
+        """Send a message that needs no answer."""
+        connection = self._connection(peer)
+        if connection and connection.can_send(body):
+            connection.enqueue(_NO_ANSWER, body)
+
+    async def close(self) -> None:
+        """Close all sockets and cancel all tasks."""
+        tasks = [*self._tasks, *(peer.task for peer in self._peers.values())]
+        for task in tasks:
+            task.cancel()
+        self._peers.clear()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        if self._router:
+            self._router.close(linger=0)
+        if self._authenticator:
+            self._authenticator.stop()
+            # The authenticator's cancelled poll still has to remove its file
+            # descriptor from the loop, before another socket gets the same number.
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+        self._context.destroy(linger=0)
+
+    def allowed_name(self, key: bytes) -> str | None:
+        """Return the peer that owns a public key."""
+        return self._security.allowed.name_of(key) if self._security else None
+
+    def _check_plain(self, endpoint: str) -> None:
+        host = endpoint.removeprefix("tcp://").rpartition(":")[0].strip("[]")
+        try:
+            is_loopback = ipaddress.ip_address(host).is_loopback
+        except ValueError as error:
+            raise TransportError(
+                "not tcp://ip:port", step="check endpoint", peer=endpoint
+            ) from error
+        if not (self._security or self._allow_plain or is_loopback):
+            raise TransportError(
+                "clear text is only allowed on loopback",
+                step="check endpoint",
+                peer=endpoint,
+            )
+
+    def _new_socket(self, kind: int) -> zmq.asyncio.Socket:
+        socket = self._context.socket(kind)
+        socket.setsockopt(zmq.LINGER, 0)
+        socket.setsockopt(zmq.SNDHWM, QUEUE_MESSAGES)
+        socket.setsockopt(zmq.RCVHWM, QUEUE_MESSAGES)
+        socket.setsockopt(zmq.MAXMSGSIZE, self._max_message_bytes)
+        return socket
+
+    def _connection(self, name: str) -> "_Peer | None":
+        peer = self._peers.get(name)
+        if peer and peer.is_usable:
+            return peer
+        self._drop(name)
+        endpoint = self._endpoints.get(name)
+        if endpoint is None:
+            return None
+        socket = self._new_socket(zmq.DEALER)
+        if self._security:
+            server_key = self._security.allowed.key_of(name)
+            if server_key is None:
+                socket.close()
+                return None
+            socket.curve_serverkey = server_key
+            socket.curve_publickey = self._security.keys.public
+            socket.curve_secretkey = self._security.keys.secret
+        # Without this option messages to an absent peer wait and arrive stale.
+        socket.setsockopt(zmq.IMMEDIATE, 1)
+        socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+        socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        socket.connect(endpoint)
+        peer = _Peer(self.name, socket, self.counters, self._max_message_bytes)
+        self._peers[name] = peer
+        return peer
+
+    def _drop(self, name: str) -> None:
+        peer = self._peers.pop(name, None)
+        if peer:
+            peer.close()
+
+    async def _receive(self, router: zmq.asyncio.Socket) -> None:
+        while True:
+            frames = await router.recv_multipart(copy=False)
+            if len(frames) != 4 or len(frames[1].bytes) not in (0, _ID_BYTES):
+                self.counters.malformed += 1
+                continue
+            sender = self._sender_of(frames)
+            if sender is None:
+                self.counters.impostors += 1
+            elif len(self._tasks) > MAX_HANDLERS:
+                self.counters.overflows += 1
+            else:
+                self._start(self._handle(router, sender, frames))
+
+    def _sender_of(self, frames: list[zmq.Frame]) -> str | None:
+        try:
+            claimed = frames[2].bytes.decode()
+        except UnicodeDecodeError:
+            return None
+        if self._security is None:
+            return claimed
+        key = frames[3].get("User-Id")
+        owner = self.allowed_name(key.encode() if isinstance(key, str) else key)
+        return claimed if claimed == owner else None
+
+    async def _handle(
+        self, router: zmq.asyncio.Socket, sender: str, frames: list[zmq.Frame]
+    ) -> None:
+        identity, request_id = frames[0].bytes, frames[1].bytes
+        if self.handler is None:
+            return
+        try:
+            answer = await self.handler(sender, frames[3].bytes)
+        except ArbutusliftError as error:
+            _log.warning("bus_handler_failed", peer=sender, error=str(error))
+            return
+        except Exception:
+            # One faulty message must not end the process.
+            self.counters.failures += 1
+            _log.exception("bus_handler_failed", peer=sender)
+            return
+        if request_id:
+            try:
+                await router.send_multipart(
+                    (identity, request_id, answer or b""), zmq.NOBLOCK
+                )
+            except zmq.ZMQError:
+                self.counters.overflows += 1
+
+    def _start(self, work) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+class _Peer:
+    """One DEALER with its queue and task.
+
+    Attributes:
+        task: Ends, and closes the socket, when cancelled or idle.
+    """
+
+    def __init__(
+        self,
+        sender: str,
+        socket: zmq.asyncio.Socket,
+        counters: BusCounters,
+        max_message_bytes: int,
+    ) -> None:
+        self._sender = sender.encode()
+        self._socket = socket
+        self._counters = counters
+        self._max_message_bytes = max_message_bytes
+        self._queue: asyncio.Queue[tuple[bytes, bytes]] = asyncio.Queue(QUEUE_MESSAGES)
+        self._ids = itertools.count(1)
+        self._waiting: dict[bytes, asyncio.Future[bytes]] = {}
+        self._is_silent = False
+        self._used_s = asyncio.get_running_loop().time()
+        self.task = asyncio.create_task(self._run())
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether to keep the connection.
+
+        TCP backs off for up to two minutes after a partition, so a connection on
+        which requests go unanswered is replaced.
+        """
+        return not self.task.done() and (not self._is_silent or bool(self._waiting))
+
+    def can_send(self, body: bytes) -> bool:
+        """Whether size and queue permit a message."""
+        if len(body) > self._max_message_bytes or self._queue.full():
+            self._counters.overflows += 1
+            return False
+        return True
+
+    def enqueue(self, request_id: bytes, body: bytes) -> None:
+        """Queue a message."""
+        self._used_s = asyncio.get_running_loop().time()
+        self._queue.put_nowait((request_id, body))
+
+    async def request(self, body: bytes) -> bytes:
+        """Queue a request and wait for its answer."""
+        request_id = next(self._ids).to_bytes(_ID_BYTES, "big")
+        answer = asyncio.get_running_loop().create_future()
+        self._waiting[request_id] = answer
+        try:
+            self.enqueue(request_id, body)
+            return await answer
+        finally:
+            del self._waiting[request_id]
+
+    def note_timeout(self) -> None:
+        """Record that a request went unanswered."""
+        self._is_silent = True
+
+    def close(self) -> None:
+        """End the task, which closes the socket."""
+        self.task.cancel()
+
+    async def _run(self) -> None:
+        try:
+            async with asyncio.TaskGroup() as group:
+                sending = group.create_task(self._send())
+                receiving = group.create_task(self._receive())
+                await self._wait_idle()
+                sending.cancel()
+                receiving.cancel()
+        finally:
+            self._socket.close(linger=0)
+
+    async def _wait_idle(self) -> None:
+        clock: Callable[[], float] = asyncio.get_running_loop().time
+        while (remaining_s := self._used_s + IDLE_S - clock()) > 0:
+            await asyncio.sleep(remaining_s)
+
+    async def _send(self) -> None:
+        while True:
+            request_id, body = await self._queue.get()
+            if request_id and request_id not in self._waiting:
+                continue
+            await self._socket.send_multipart((request_id, self._sender, body))
+
+    async def _receive(self) -> None:
+        while True:
+            frames = await self._socket.recv_multipart()
+            self._is_silent = False
+            answer = self._waiting.get(frames[0]) if len(frames) == 2 else None
+            if answer and not answer.done():
+                answer.set_result(frames[1])
+
+
+class _Credentials:
+    """Credentials provider of pyzmq's authenticator."""
+
+    def __init__(self, bus: ZmqBus) -> None:
+        self._bus = bus
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Whether a client key may connect."""
+        del domain
+        return self._bus.allowed_name(key) is not None
--- /dev/null
+++ b/tests/transport/test_bus.py
@@ -0,0 +1,216 @@
+"""Contract of Bus, on the memory and the ZeroMQ version."""
+
+import asyncio
+
+import pytest
+
+from arbutuslift.clock import SystemClock
+from arbutuslift.errors import PeerTimeout, TransportError
+from arbutuslift.transport.bus import MemoryNetwork
+from arbutuslift.transport.keys import AllowedKeys, create_key_files, load_key_pair
+from arbutuslift.transport.zmqbus import Security, ZmqBus
+
+LOOPBACK = "tcp://127.0.0.1:0"
+
+
+class Pair:
+    """Two connected buses, the right one echoing."""
+
+    def __init__(self, kind, folder):
+        self.kind = kind
+        self.folder = folder
+        self.network = MemoryNetwork(SystemClock(), delay_s=0.0)
+        self.buses = []
+        for name in ("left", "right", "other"):
+            create_key_files(folder, name)
+
+    def security(self, name):
+        keys = load_key_pair(self.folder / f"{name}.key_secret")
+        return Security(keys=keys, allowed=AllowedKeys(self.folder))
+
+    async def open(self, name, endpoint=LOOPBACK, **options):
+        if self.kind == "memory":
+            bus = self.network.bus(name)
+            bus.endpoint = name
+        else:
+            security = self.security(name) if self.kind == "curve" else None
+            bus = ZmqBus(name, security, **options)
+            await bus.open(endpoint)
+        self.buses.append(bus)
+        return bus
+
+    async def open_both(self):
+        left, right = await self.open("left"), await self.open("right")
+        left.connect("right", right.endpoint)
+
+        async def echo(sender, body):
+            return sender.encode() + b":" + body
+
+        right.handler = echo
+        return left, right
+
+
+async def _pair(kind, folder):
+    pair = Pair(kind, folder)
+    yield pair
+    for bus in pair.buses:
+        await bus.close()
+
+
+@pytest.fixture(params=["memory", "plain", "curve"])
+async def pair(request, tmp_path):
+    async for pair in _pair(request.param, tmp_path):
+        yield pair
+
+
+@pytest.fixture
+async def curve(tmp_path):
+    async for pair in _pair("curve", tmp_path):
+        yield pair
+
+
+async def test_concurrent_answers_reach_their_requests(pair):
+    left, _ = await pair.open_both()
+    bodies = [b"%d" % number for number in range(50)]
+    answers = await asyncio.gather(*(left.request("right", b, 10.0) for b in bodies))
+    assert answers == [b"left:" + body for body in bodies]
+
+
+async def test_one_way_message_arrives_with_sender(pair):
+    left, right = await pair.open_both()
+    got = asyncio.get_running_loop().create_future()
+
+    async def take(sender, body):
+        got.set_result((sender, body))
+
+    right.handler = take
+    await left.send("right", b"x")
+    assert await asyncio.wait_for(got, 10.0) == ("left", b"x")
+
+
+async def test_silent_or_unknown_peer_times_out(pair):
+    left, right = await pair.open_both()
+
+    async def never(sender, body):
+        await asyncio.Event().wait()
+
+    right.handler = never
+    for peer in ("right", "nobody"):
+        with pytest.raises(PeerTimeout):
+            await left.request(peer, b"x", 0.05)
+
+
+async def test_restarted_peer_is_reached_after_connect(pair):
+    """Guards against requests that keep going to the endpoint of the old process."""
+    left, right = await pair.open_both()
+    await left.request("right", b"x", 10.0)
+    await right.close()
+    pair.network.remove("right")
+    again = await pair.open("right")
+    left.connect("right", again.endpoint)
+
+    async def answer(sender, body):
+        return b"again"
+
+    again.handler = answer
+    assert await left.request("right", b"x", 10.0) == b"again"
+
+
+@pytest.mark.parametrize("kind", ["plain", "curve"])
+async def test_reconnects_to_a_peer_at_the_same_address(kind, tmp_path):
+    async for pair in _pair(kind, tmp_path):
+        left, right = await pair.open_both()
+        await left.request("right", b"x", 10.0)
+        await right.close()
+        with pytest.raises(PeerTimeout):
+            await left.request("right", b"lost", 0.05)
+        again = await pair.open("right", right.endpoint)
+        seen = []
+
+        async def answer(sender, body, seen=seen):
+            seen.append(body)
+            return b""
+
+        again.handler = answer
+        await left.request("right", b"new", 10.0)
+        assert seen == [b"new"], "an expired request must not arrive late"
+
+
+@pytest.mark.parametrize("fault", ["removed key", "wrong server key"])
+async def test_wrong_key_gets_nothing(curve, fault):
+    """Guards against a process without an allowed key being served."""
+    left, right = await curve.open_both()
+    seen = []
+
+    async def take(sender, body):
+        seen.append(sender)
+        return b""
+
+    right.handler = take
+    if fault == "removed key":
+        (curve.folder / "left.key").unlink()
+        right._security.allowed.reload()
+    else:
+        (curve.folder / "right.key").write_bytes(
+            (curve.folder / "other.key").read_bytes()
+        )
+        (curve.folder / "other.key").unlink()
+        left._security.allowed.reload()
+    with pytest.raises(PeerTimeout):
+        await left.request("right", b"x", 0.3)
+    assert seen == []
+
+
+async def test_plain_client_gets_nothing_from_curve(curve, tmp_path):
+    _, right = await curve.open_both()
+    plain = ZmqBus("left")
+    curve.buses.append(plain)
+    await plain.open(LOOPBACK)
+    plain.connect("right", right.endpoint)
+    with pytest.raises(PeerTimeout):
+        await plain.request("right", b"x", 0.3)
+
+
+async def test_sender_name_is_bound_to_its_key(curve):
+    """Guards against an allowed peer that speaks under another peer's name."""
+    _, right = await curve.open_both()
+    impostor = ZmqBus("left", curve.security("other"))
+    curve.buses.append(impostor)
+    await impostor.open(LOOPBACK)
+    impostor.connect("right", right.endpoint)
+    with pytest.raises(PeerTimeout):
+        await impostor.request("right", b"x", 0.5)
+    assert right.counters.impostors == 1
+
+
+async def test_clear_text_needs_loopback_or_permission(tmp_path):
+    bus = ZmqBus("left")
+    with pytest.raises(TransportError, match="loopback"):
+        bus.connect("right", "tcp://192.0.2.1:7300")
+    with pytest.raises(TransportError, match="loopback"):
+        await bus.open("tcp://0.0.0.0:0")
+    await bus.close()
+    permitted = ZmqBus("left", allow_plain=True)
+    permitted.connect("right", "tcp://192.0.2.1:7300")
+    await permitted.close()
+
+
+async def test_message_over_the_bound_is_not_sent(tmp_path):
+    async for pair in _pair("plain", tmp_path):
+        left = await pair.open("left", max_message_bytes=100)
+        right = await pair.open("right")
+        left.connect("right", right.endpoint)
+        with pytest.raises(PeerTimeout):
+            await left.request("right", bytes(101), 0.5)
+        assert left.counters.overflows == 1
+
+
+async def test_raw_garbage_is_counted(tmp_path):
+    """Guards against a malformed multipart message that ends the receive task."""
+    async for pair in _pair("plain", tmp_path):
+        left, right = await pair.open_both()
+        peer = left._connection("right")
+        for frames in ([b""], [b"123", b"left", b"x"], [b"", b"\xff", b"x"]):
+            await peer._socket.send_multipart(frames)
+        assert await left.request("right", b"x", 10.0) == b"left:x"
+        assert (right.counters.malformed, right.counters.impostors) == (2, 1)
