Add mergeable registers, gossip, probing, join and the revision in effect

Instances knew neither each other nor a configuration other than a local file.

The version of a record leaves out its sequence and load, so an announcement each second is no change that reaches other data centres. A new revision is pushed as a delta to four peers and fetched by whoever hears of it in a digest.

Ruled out: bumping the incarnation to refute a suspicion, since a higher incarnation of the own name must stop the process; the heartbeat is bumped instead. Also ruled out: pushing the revision that each instance reports, as 1,500 instances would send 1,500 records for every change.

--- /dev/null
+++ b/arbutuslift/coordination/budget.py
@@ -0,0 +1,54 @@
+"""Limit on the bytes of control traffic."""
+
+from ..clock import Clock
+
+RATE_BYTES_S = 4096.0
+BURST_BYTES = 4096.0
+
+
+class Budget:
+    """Token bucket of bytes.
+
+    Args:
+        clock: Source of time.
+        rate_bytes_s: Bytes per second.
+        burst_bytes: Bytes that may go out at once.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        rate_bytes_s: float = RATE_BYTES_S,
+        burst_bytes: float = BURST_BYTES,
+    ) -> None:
+        self._clock = clock
+        self._rate_bytes_s = rate_bytes_s
+        self._burst_bytes = burst_bytes
+        self._tokens = burst_bytes
+        self._updated_s = clock.monotonic_s()
+
+    def spend(self, size_bytes: int) -> None:
+        """Count bytes that go out in any case; others then wait longer."""
+        self._refill()
+        self._tokens = max(self._tokens - size_bytes, -self._burst_bytes)
+
+    def take(self, size_bytes: int) -> bool:
+        """Count bytes if there is room for them."""
+        self._refill()
+        if self._tokens < min(size_bytes, self._burst_bytes):
+            return False
+        self._tokens -= size_bytes
+        return True
+
+    async def wait(self, size_bytes: int) -> None:
+        """Count bytes as soon as there is room for them."""
+        while not self.take(size_bytes):
+            missing = min(size_bytes, self._burst_bytes) - self._tokens
+            # The added time keeps rounding from asking for one more short sleep.
+            await self._clock.sleep(missing / self._rate_bytes_s + 0.001)
+
+    def _refill(self) -> None:
+        now_s = self._clock.monotonic_s()
+        gained = (now_s - self._updated_s) * self._rate_bytes_s
+        self._tokens = min(self._burst_bytes, self._tokens + gained)
+        self._updated_s = now_s
--- /dev/null
+++ b/arbutuslift/coordination/freeze.py
@@ -0,0 +1,47 @@
+"""Detects that this process was frozen."""
+
+from collections.abc import Callable
+
+import structlog
+
+from ..clock import Clock
+
+TICK_S = 0.25
+# Longer than a pause of the garbage collector or a slow sync of a file.
+MAX_GAP_S = 1.0
+
+Listener = Callable[[float], None]
+
+_log = structlog.get_logger()
+
+
+class FreezeWatch:
+    """Calls listeners when the time between two ticks was too long.
+
+    Args:
+        clock: Source of time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._listeners: list[Listener] = []
+
+    def on_freeze(self, listener: Listener) -> None:
+        """Call ``listener`` with the length of the gap in seconds.
+
+        State that is limited in time has to be treated as expired.
+        """
+        self._listeners.append(listener)
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        last_s = self._clock.monotonic_s()
+        while True:
+            await self._clock.sleep(TICK_S)
+            now_s = self._clock.monotonic_s()
+            gap_s = now_s - last_s
+            last_s = now_s
+            if gap_s > MAX_GAP_S:
+                _log.warning("process_was_frozen", gap_s=round(gap_s, 3))
+                for listener in list(self._listeners):
+                    listener(gap_s)
--- /dev/null
+++ b/arbutuslift/coordination/peers.py
@@ -0,0 +1,81 @@
+"""Random choice of the instances to talk to."""
+
+import random
+
+from ..state.instances import InstanceRecord, InstanceView
+
+
+class PeerChoice:
+    """Chooses among the known instances other than this one.
+
+    Args:
+        name: Name of this instance.
+        data_centre: Its data centre.
+        instances: The known instances.
+        rng: Source of randomness.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        data_centre: str,
+        instances: InstanceView,
+        rng: random.Random,
+    ) -> None:
+        self.name = name
+        self.data_centre = data_centre
+        self.instances = instances
+        self.rng = rng
+        self._groups: dict[str, list[InstanceRecord]] | None = None
+        instances.on_change(self._forget)
+
+    def alive(self, count: int, *, is_local: bool = False) -> list[InstanceRecord]:
+        """Return up to ``count`` different instances that aren't dead."""
+        group = self._group("local" if is_local else "alive")
+        return self.rng.sample(group, min(count, len(group)))
+
+    def round_peers(self) -> list[InstanceRecord]:
+        """Return one instance of the data centre, one of all and one member."""
+        chosen = {
+            record.name: record
+            for group in ("local", "alive", "members")
+            for record in self._one(group)
+        }
+        return list(chosen.values())
+
+    def dead(self) -> list[InstanceRecord]:
+        """Return one dead instance, or none if all are alive."""
+        return self._one("dead")
+
+    def all_local(self) -> list[InstanceRecord]:
+        """Return every instance of the data centre that isn't dead."""
+        return list(self._group("local"))
+
+    def members(self) -> list[InstanceRecord]:
+        """Return every member that isn't dead."""
+        return list(self._group("members"))
+
+    def _one(self, group: str) -> list[InstanceRecord]:
+        records = self._group(group)
+        return [self.rng.choice(records)] if records else []
+
+    def _group(self, group: str) -> list[InstanceRecord]:
+        if self._groups is None:
+            self._groups = self._group_all()
+        return self._groups[group]
+
+    def _group_all(self) -> dict[str, list[InstanceRecord]]:
+        others = [
+            record for record in self.instances.records() if record.name != self.name
+        ]
+        alive = [record for record in others if record.is_alive]
+        return {
+            "alive": alive,
+            "local": [r for r in alive if r.data_centre == self.data_centre],
+            "members": [record for record in alive if record.is_member],
+            "dead": [record for record in others if not record.is_alive],
+        }
+
+    def _forget(self, record: InstanceRecord) -> None:
+        del record
+        self._groups = None
--- /dev/null
+++ b/arbutuslift/coordination/revisions.py
@@ -0,0 +1,222 @@
+"""Spread of the configuration in effect from instance to instance."""
+
+import asyncio
+
+import structlog
+
+from ..errors import (
+    ArbutusliftError,
+    DocumentError,
+    MessageError,
+    PeerFailure,
+    PeerTimeout,
+)
+from ..protocol.channel import Channel
+from ..protocol.delta import (
+    apply_delta,
+    document_from_bytes,
+    document_hash,
+    document_to_bytes,
+)
+from ..protocol.document import Configuration
+from ..protocol.gossip import (
+    DocumentPage,
+    DocumentPageWanted,
+    RevisionDelta,
+    RevisionNews,
+    RevisionWanted,
+)
+from ..protocol.messages import Message, encode
+from .budget import Budget
+from .inforce import InForce
+from .peers import PeerChoice
+
+# With four receivers each, chance alone misses about 2% of the instances; those
+# learn the revision from a digest within the next rounds.
+PUSH_PEERS = 4
+MAX_PUSH_BYTES = 1200
+PAGE_BYTES = 60 * 1024
+# Documents are bounded so that a faulty peer can't fill the memory.
+MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
+TIMEOUT_S = 1.0
+
+_log = structlog.get_logger()
+
+
+class RevisionSpread:
+    """Pushes a new revision to some peers and fetches one that a peer has.
+
+    Args:
+        channel: Reaches the peers.
+        peers: Chooses them.
+        in_force: The configuration in effect.
+        budget: Limit on control traffic; configuration may exceed it.
+    """
+
+    def __init__(
+        self, channel: Channel, peers: PeerChoice, in_force: InForce, budget: Budget
+    ) -> None:
+        self._channel = channel
+        self._peers = peers
+        self._in_force = in_force
+        self._budget = budget
+        self._pages: dict[int, tuple[bytes, int]] = {}
+        self._pull: asyncio.Task[None] | None = None
+        self._pushes: set[asyncio.Task[None]] = set()
+        self._is_open = False
+        channel.on(RevisionDelta, self._take_delta)
+        channel.on(RevisionNews, self._take_news)
+        channel.on(RevisionWanted, self._answer_wanted)
+        channel.on(DocumentPageWanted, self._answer_page)
+        in_force.on_change(self._start_push)
+
+    @property
+    def revision(self) -> int:
+        """Revision in effect."""
+        return self._in_force.revision
+
+    def open(self) -> None:
+        """Accept revisions from any peer from now on.
+
+        Before it has joined, an instance takes a revision only from
+        :class:`Join`, since a single peer may be behind.
+        """
+        self._is_open = True
+
+    def heard(self, peer: str, revision: int) -> None:
+        """Fetch a revision that a peer has, unless it is known already."""
+        is_busy = self._pull is not None and not self._pull.done()
+        if not self._is_open or is_busy or revision <= self.revision:
+            return
+        self._pull = asyncio.create_task(self._pull_from(peer))
+
+    async def fetch(self, peer: str) -> None:
+        """Bring this instance to the revision in effect at a peer.
+
+        Raises:
+            PeerTimeout: The peer, and those asked instead of it, didn't answer.
+            PeerFailure: The peer failed.
+            DocumentError: What the peer sent is malformed.
+            MessageError: What the peer sent is malformed.
+        """
+        wanted = RevisionWanted(have_revision=self.revision)
+        answer = await self._channel.request(peer, wanted, TIMEOUT_S)
+        if isinstance(answer, RevisionDelta):
+            try:
+                self._in_force.offer(apply_delta(self._in_force.configuration, answer))
+                return
+            except DocumentError as error:
+                _log.warning("delta_refused", peer=peer, error=str(error))
+                if answer.base_revision != wanted.have_revision:
+                    raise
+            await self._fetch_document(peer, answer.revision)
+        elif isinstance(answer, RevisionNews) and answer.revision > self.revision:
+            await self._fetch_document(peer, answer.revision)
+
+    async def close(self) -> None:
+        """Cancel what is under way."""
+        tasks = [*self._pushes, *([self._pull] if self._pull else [])]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _pull_from(self, peer: str) -> None:
+        try:
+            await self.fetch(peer)
+        except ArbutusliftError as error:
+            _log.info("revision_not_fetched", peer=peer, error=str(error))
+
+    async def _fetch_document(self, peer: str, revision: int) -> None:
+        body = b""
+        others = [record.name for record in self._peers.alive(2) if record.name != peer]
+        while True:
+            wanted = DocumentPageWanted(revision=revision, offset=len(body))
+            try:
+                page = await self._channel.request(peer, wanted, TIMEOUT_S)
+            except (PeerTimeout, PeerFailure):
+                if not others:
+                    raise
+                peer = others.pop()
+                continue
+            if not isinstance(page, DocumentPage):
+                raise MessageError("not a page", step="fetch document", peer=peer)
+            if page.revision != revision or not page.data:
+                if not others:
+                    raise DocumentError(
+                        f"revision {revision} is no longer kept",
+                        step="fetch document",
+                        peer=peer,
+                    )
+                peer = others.pop()
+                continue
+            body += page.data
+            if len(body) > min(page.size_bytes, MAX_DOCUMENT_BYTES):
+                raise DocumentError("too large", step="fetch document", peer=peer)
+            if len(body) == page.size_bytes:
+                break
+        document = document_from_bytes(body)
+        if document_hash(document) != page.result_hash:
+            raise DocumentError("wrong hash", step="fetch document", peer=peer)
+        self._in_force.offer(Configuration(revision=revision, document=document))
+
+    def _start_push(self, configuration: Configuration) -> None:
+        try:
+            task = asyncio.get_running_loop().create_task(self._push(configuration))
+        except RuntimeError:
+            # Set up before the event loop runs; the first rounds spread it.
+            return
+        self._pushes.add(task)
+        task.add_done_callback(self._pushes.discard)
+
+    async def _push(self, configuration: Configuration) -> None:
+        message: Message = RevisionNews(revision=configuration.revision)
+        delta = self._in_force.delta_from(configuration.revision - 1)
+        if delta and len(encode(delta)) <= MAX_PUSH_BYTES:
+            message = delta
+        for peer in self._peers.alive(PUSH_PEERS):
+            self._budget.spend(len(encode(message)))
+            await self._channel.send(peer.name, message)
+
+    async def _take_delta(self, peer: str, delta: RevisionDelta) -> None:
+        if not self._is_open or delta.base_revision != self.revision:
+            self.heard(peer, delta.revision)
+            return
+        try:
+            self._in_force.offer(apply_delta(self._in_force.configuration, delta))
+        except DocumentError as error:
+            _log.warning("delta_refused", peer=peer, error=str(error))
+            self.heard(peer, delta.revision)
+
+    async def _take_news(self, peer: str, news: RevisionNews) -> None:
+        self.heard(peer, news.revision)
+
+    async def _answer_wanted(self, peer: str, wanted: RevisionWanted) -> Message:
+        if wanted.have_revision < self.revision:
+            delta = self._in_force.delta_from(wanted.have_revision)
+            if delta and len(encode(delta)) <= PAGE_BYTES:
+                self._budget.spend(len(encode(delta)))
+                return delta
+        return RevisionNews(revision=self.revision)
+
+    async def _answer_page(self, peer: str, wanted: DocumentPageWanted) -> DocumentPage:
+        body, result_hash = self._pages_of(wanted.revision)
+        offset = max(0, wanted.offset)
+        data = body[offset : offset + PAGE_BYTES]
+        self._budget.spend(len(data))
+        return DocumentPage(
+            revision=wanted.revision if body else 0,
+            size_bytes=len(body),
+            result_hash=result_hash,
+            data=data,
+        )
+
+    def _pages_of(self, revision: int) -> tuple[bytes, int]:
+        if revision not in self._pages:
+            configuration = self._in_force.at(revision)
+            if configuration is None:
+                return b"", 0
+            document = configuration.document
+            self._pages = {
+                revision: (document_to_bytes(document), document_hash(document))
+            }
+        return self._pages[revision]
--- /dev/null
+++ b/arbutuslift/protocol/delta.py
@@ -0,0 +1,147 @@
+"""Differences between documents, and the byte form in which documents travel."""
+
+import json
+from collections.abc import Callable, Sequence
+from functools import lru_cache
+from typing import Any
+
+import cattrs
+from attrs import evolve
+
+from ..errors import DocumentError
+from ..state.hashing import hash_64
+from .document import Configuration, DataCentre, Document, Service, structure_document
+from .gossip import DataCentreChange, RevisionDelta, ServiceChange
+
+# Holds every entry of the largest expected document (2,100 services) twice.
+ENTRY_CACHE_SIZE = 8192
+
+_converter = cattrs.Converter()
+
+
+def document_to_bytes(document: Document) -> bytes:
+    """Return the document as JSON; equal documents give equal bytes."""
+    return _to_json(document)
+
+
+def document_from_bytes(body: bytes) -> Document:
+    """Return the document in ``body``.
+
+    Raises:
+        DocumentError: Malformed.
+    """
+    try:
+        content = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise DocumentError(str(error), step="decode document") from error
+    return structure_document(content)
+
+
+def document_hash(document: Document) -> int:
+    """Return a 64-bit hash of the whole document."""
+    entries = (*document.services, *document.data_centres)
+    rest = evolve(document, services=(), data_centres=())
+    return hash_64(_to_json(rest), *map(_entry_hash, entries))
+
+
+def compute_delta(base: Configuration, target: Configuration) -> RevisionDelta | None:
+    """Return the changes that turn one configuration into another.
+
+    Returns:
+        The changes, or None if they can't be expressed, for example if entries
+        changed their order; then the whole document has to be sent.
+    """
+    old, new = base.document, target.document
+    delta = RevisionDelta(
+        base_revision=base.revision,
+        revision=target.revision,
+        result_hash=document_hash(new),
+        services_removed=_removed(old.services, new.services),
+        services=_changes(old.services, new.services, ServiceChange),
+        data_centres_removed=_removed(old.data_centres, new.data_centres),
+        data_centres=_changes(old.data_centres, new.data_centres, DataCentreChange),
+    )
+    return delta if _apply(old, delta) == new else None
+
+
+def apply_delta(base: Configuration, delta: RevisionDelta) -> Configuration:
+    """Return the configuration that results from the changes.
+
+    Raises:
+        DocumentError: The changes are for another base, or the result doesn't have
+            the hash that they state.
+    """
+    if base.revision != delta.base_revision:
+        raise DocumentError(
+            f"changes apply to revision {delta.base_revision}, not {base.revision}",
+            step="apply delta",
+        )
+    document = _apply(base.document, delta)
+    if document_hash(document) != delta.result_hash:
+        raise DocumentError("result has another hash", step="apply delta")
+    return Configuration(revision=delta.revision, document=document)
+
+
+def _apply(document: Document, delta: RevisionDelta) -> Document:
+    return evolve(
+        document,
+        services=_merged(document.services, delta.services_removed, delta.services),
+        data_centres=_merged(
+            document.data_centres, delta.data_centres_removed, delta.data_centres
+        ),
+    )
+
+
+def _removed(old: Sequence[Any], new: Sequence[Any]) -> tuple[str, ...]:
+    kept = {entry.name for entry in new}
+    return tuple(entry.name for entry in old if entry.name not in kept)
+
+
+def _changes(
+    old: Sequence[Any], new: Sequence[Any], change: Callable[..., Any]
+) -> tuple[Any, ...]:
+    known = {entry.name: entry for entry in old}
+    before = ("", *(entry.name for entry in new))
+    return tuple(
+        change(after=after, entry=entry)
+        for after, entry in zip(before, new, strict=False)
+        if known.get(entry.name) != entry
+    )
+
+
+def _merged(
+    entries: Sequence[Any], removed: Sequence[str], changes: Sequence[Any]
+) -> tuple[Any, ...]:
+    result = {entry.name: entry for entry in entries if entry.name not in removed}
+    added: dict[str, list[Any]] = {}
+    for change in changes:
+        if change.entry.name in result:
+            result[change.entry.name] = change.entry
+        else:
+            added.setdefault(change.after, []).append(change.entry)
+    ordered = _following("", added)
+    for entry in result.values():
+        ordered.append(entry)
+        ordered.extend(_following(entry.name, added))
+    return tuple(ordered)
+
+
+def _following(name: str, added: dict[str, list[Any]]) -> list[Any]:
+    following = []
+    waiting = added.pop(name, [])[::-1]
+    while waiting:
+        entry = waiting.pop()
+        following.append(entry)
+        waiting.extend(added.pop(entry.name, [])[::-1])
+    return following
+
+
+@lru_cache(ENTRY_CACHE_SIZE)
+def _entry_hash(entry: Service | DataCentre) -> bytes:
+    name = type(entry).__name__.encode()
+    return hash_64(name, _to_json(entry)).to_bytes(8, "big")
+
+
+def _to_json(value: Any) -> bytes:
+    plain = _converter.unstructure(value)
+    return json.dumps(plain, sort_keys=True, separators=(",", ":")).encode()
--- /dev/null
+++ b/arbutuslift/state/registers.py
@@ -0,0 +1,131 @@
+"""Mergeable sets of records that gossip keeps alike on all instances."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Iterable
+from enum import IntEnum
+from functools import singledispatch
+from typing import Any
+
+from attrs import evolve
+
+from .hashing import hash_64
+from .upstreams import UpstreamRecord, UpstreamState, UpstreamView
+
+
+class Priority(IntEnum):
+    """Order in which changes are sent; the lowest number goes first."""
+
+    CONFIGURATION = 0
+    WITHDRAWAL = 1
+    STATE = 2
+    REST = 3
+
+
+class Register(ABC):
+    """One kind of records.
+
+    Attributes:
+        kind: Name of the kind in messages.
+        record_class: Class of its records.
+        is_local: Whether records stay inside the data centre.
+        is_pushed: Whether a change is sent at once instead of at the next rounds.
+    """
+
+    kind: str
+    record_class: type
+    is_local: bool = False
+    is_pushed: bool = True
+
+    @abstractmethod
+    def records(self) -> Iterable[Any]:
+        """Return all records."""
+
+    @abstractmethod
+    def get(self, key: str) -> Any | None:
+        """Return the record of a key."""
+
+    @abstractmethod
+    def merge(self, record: Any) -> bool:
+        """Take a record if it is newer than the known one.
+
+        The result must not depend on the order of merges.
+
+        Returns:
+            Whether the set changed.
+        """
+
+
+@singledispatch
+def record_key(record: object) -> str:
+    """Return what identifies a record within its kind."""
+    raise NotImplementedError(type(record).__name__)
+
+
+@singledispatch
+def record_version(record: object) -> int:
+    """Return a 64-bit hash of the fields whose change has to reach the others.
+
+    Fields that grow all the time, such as a sequence, are left out: a change of
+    this number is sent to every instance.
+    """
+    raise NotImplementedError(type(record).__name__)
+
+
+@singledispatch
+def record_priority(record: object) -> Priority:
+    """Return how urgent a change to a record is."""
+    del record
+    return Priority.REST
+
+
+class UpstreamRegister(Register):
+    """Upstream records; load and sequence alone are no change.
+
+    Args:
+        view: Holds the records.
+    """
+
+    kind = "upstream"
+    record_class = UpstreamRecord
+
+    def __init__(self, view: UpstreamView) -> None:
+        self._view = view
+
+    def records(self) -> Iterable[UpstreamRecord]:
+        """Return all records."""
+        return list(self._view)
+
+    def get(self, key: str) -> UpstreamRecord | None:
+        """Return the record of an identity."""
+        return self._view.get(key)
+
+    def merge(self, record: UpstreamRecord) -> bool:
+        """Take a record; a later state wins even with a lower sequence.
+
+        An instance marks a silent upstream gone under the last sequence that it
+        has seen, which may be lower than the sequence known elsewhere.
+        """
+        known = self._view.get(record.upstream_id)
+        if known and record.state > known.state and record.sequence <= known.sequence:
+            record = evolve(record, sequence=known.sequence + 1)
+        if known and record_version(record) == record_version(known):
+            return False
+        return self._view.merge(record)
+
+
+@record_key.register
+def _(record: UpstreamRecord) -> str:
+    return record.upstream_id
+
+
+@record_version.register
+def _(record: UpstreamRecord) -> int:
+    fields = (record.state, record.weight, record.address, record.port, record.service)
+    return hash_64(repr((*map(str, fields), record.work_kinds)).encode())
+
+
+@record_priority.register
+def _(record: UpstreamRecord) -> Priority:
+    if record.state >= UpstreamState.DRAINING:
+        return Priority.WITHDRAWAL
+    return Priority.STATE
--- /dev/null
+++ b/arbutuslift/state/revisionfile.py
@@ -0,0 +1,131 @@
+"""The revision in effect on an instance, kept over restarts."""
+
+import os
+import struct
+import zlib
+from abc import ABC, abstractmethod
+from pathlib import Path
+
+from attrs import frozen
+
+from ..errors import StorageError
+
+FILE_NAME = "revision-in-effect"
+
+# Magic number, revision, size of the document, CRC of revision and document.
+_HEADER = struct.Struct(">8sQII")
+_MAGIC = b"ALREV001"
+
+
+@frozen(kw_only=True)
+class SavedRevision:
+    """A document that was in effect.
+
+    Attributes:
+        revision: Its revision.
+        document: The encoded document.
+    """
+
+    revision: int
+    document: bytes
+
+
+class RevisionStore(ABC):
+    """Keeps the revision in effect."""
+
+    @abstractmethod
+    def save(self, saved: SavedRevision) -> None:
+        """Replace what is kept; durable on return.
+
+        Raises:
+            StorageError: It can't be written.
+        """
+
+    @abstractmethod
+    def load(self) -> SavedRevision | None:
+        """Return what is kept.
+
+        Raises:
+            StorageError: It can't be read or is corrupt.
+        """
+
+
+class MemoryRevisionStore(RevisionStore):
+    """For instances without a data folder."""
+
+    def __init__(self) -> None:
+        self._saved: SavedRevision | None = None
+
+    def save(self, saved: SavedRevision) -> None:
+        """Replace what is kept."""
+        self._saved = saved
+
+    def load(self) -> SavedRevision | None:
+        """Return what is kept."""
+        return self._saved
+
+
+class DiskRevisionStore(RevisionStore):
+    """One file in the data folder, replaced atomically.
+
+    Args:
+        folder: The data folder.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._path = folder / FILE_NAME
+
+    def save(self, saved: SavedRevision) -> None:
+        """Write and sync a temporary file, rename it and sync the folder."""
+        temporary = self._path.with_suffix(".new")
+        try:
+            with temporary.open("wb") as file:
+                file.write(_encode(saved))
+                file.flush()
+                os.fsync(file.fileno())
+            temporary.replace(self._path)
+            _sync_folder(self._folder)
+        except OSError as error:
+            raise StorageError(
+                str(error), step="save revision", peer=str(self._path)
+            ) from error
+
+    def load(self) -> SavedRevision | None:
+        """Read the file."""
+        try:
+            content = self._path.read_bytes()
+        except FileNotFoundError:
+            return None
+        except OSError as error:
+            raise self._error(str(error)) from error
+        if len(content) < _HEADER.size:
+            raise self._error("shorter than its header")
+        magic, revision, size_bytes, crc = _HEADER.unpack_from(content)
+        document = content[_HEADER.size :]
+        if magic != _MAGIC or len(document) != size_bytes:
+            raise self._error("not a revision file, or cut short")
+        if crc != _crc(revision, document):
+            raise self._error("wrong checksum")
+        return SavedRevision(revision=revision, document=document)
+
+    def _error(self, reason: str) -> StorageError:
+        return StorageError(reason, step="load revision", peer=str(self._path))
+
+
+def _encode(saved: SavedRevision) -> bytes:
+    crc = _crc(saved.revision, saved.document)
+    header = _HEADER.pack(_MAGIC, saved.revision, len(saved.document), crc)
+    return header + saved.document
+
+
+def _crc(revision: int, document: bytes) -> int:
+    return zlib.crc32(document, zlib.crc32(revision.to_bytes(8, "big")))
+
+
+def _sync_folder(folder: Path) -> None:
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
