Refuse values of the wrong type in messages; test membership under faults

The fuzz test found that a float or a bytes field given as number was turned into the declared type: a float of 2**64 became an integer that can't be encoded again and ended the sending task, and bytes(10**9) would allocate 1 GB. Messages and records now refuse values of another type.

The convergence test found that a register that dropped a record with equal contents but newer sequence let an older record override it afterwards. Such records are merged now; they still aren't sent on.

Two instances that mark an upstream gone under different sequences kept exchanging their records; all gone records now count as the same version.

--- a/arbutuslift/protocol/delta.py
+++ b/arbutuslift/protocol/delta.py
@@ -34,6 +34,8 @@
         content = json.loads(body)
     except (ValueError, RecursionError) as error:
         raise DocumentError(str(error), step="decode document") from error
+    if not isinstance(content, dict):
+        raise DocumentError("not an object", step="decode document")
     return structure_document(content)
 
 
--- a/arbutuslift/protocol/messages.py
+++ b/arbutuslift/protocol/messages.py
@@ -5,13 +5,13 @@
 import cattrs
 import msgpack
 from attrs import frozen
-from cattrs.preconf.msgpack import make_converter
 
 from ..errors import MessageError
+from .strict import make_strict_converter
 
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 
-_converter = make_converter(forbid_extra_keys=True)
+_converter = make_strict_converter(forbid_extra_keys=True)
 _classes: dict[str, type["Message"]] = {}
 
 M = TypeVar("M", bound=type)
--- a/arbutuslift/protocol/records.py
+++ b/arbutuslift/protocol/records.py
@@ -5,13 +5,13 @@
 import attrs
 import cattrs
 import msgpack
-from cattrs.preconf.msgpack import make_converter
 
 from ..errors import MessageError
+from .strict import make_strict_converter
 
 # Fields are sent in order and without names. A newer version may append fields;
 # those are ignored here.
-_converter = make_converter()
+_converter = make_strict_converter(forbid_extra_keys=False)
 
 
 def encode_record(record: Any) -> bytes:
--- a/arbutuslift/state/registers.py
+++ b/arbutuslift/state/registers.py
@@ -108,8 +108,6 @@
         known = self._view.get(record.upstream_id)
         if known and record.state > known.state and record.sequence <= known.sequence:
             record = evolve(record, sequence=known.sequence + 1)
-        if known and record_version(record) == record_version(known):
-            return False
         return self._view.merge(record)
 
 
@@ -120,6 +118,10 @@
 
 @record_version.register
 def _(record: UpstreamRecord) -> int:
+    # Instances may mark an upstream gone under different sequences; the rest of
+    # such a record no longer matters and needn't become alike.
+    if not record.is_alive:
+        return 0
     fields = (record.state, record.weight, record.address, record.port, record.service)
     return hash_64(repr((*map(str, fields), record.work_kinds)).encode())
 
--- /dev/null
+++ b/tests/coordination/test_gossip.py
@@ -0,0 +1,164 @@
+"""Gossip: convergence under faults, sizes, unknown kinds."""
+
+import pytest
+from attrs import evolve
+
+from arbutuslift.protocol.gossip import GossipRecords, RecordItem
+from arbutuslift.protocol.messages import encode
+from arbutuslift.protocol.records import encode_record
+from arbutuslift.state.upstreams import UpstreamState
+
+from ..builders import upstream
+from ..cluster import Cluster, Faults
+
+FAULTS = {
+    "none": Faults(),
+    "lost": Faults(loss=0.3),
+    "late and reordered": Faults(delay_s=0.4),
+    "repeated": Faults(repeat=0.5),
+    "all": Faults(loss=0.2, repeat=0.3, delay_s=0.3),
+}
+
+
+def _contents(records):
+    return frozenset(
+        (r.upstream_id, r.state, r.weight if r.is_alive else 0) for r in records
+    )
+
+
+def _agree(cluster):
+    return len({_contents(node.upstreams) for node in cluster}) == 1
+
+
+def _random_changes(cluster, rounds):
+    """Change random upstreams at random instances; yields the newest records."""
+    rng = cluster.rng
+    newest = {}
+    for _ in range(rounds):
+        number = rng.randrange(1, 20)
+        known = newest.get(number, upstream(number, state=UpstreamState.COLD))
+        state = min(UpstreamState.GONE, known.state + rng.randrange(2))
+        newest[number] = evolve(
+            known,
+            sequence=known.sequence + 1,
+            state=UpstreamState(state),
+            weight=rng.choice((50, 100)),
+        )
+        node = rng.choice(list(cluster))
+        node.membership.gossip.publish("upstream", newest[number])
+        yield newest[number]
+
+
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("fault", FAULTS)
+async def test_random_changes_converge(clock, fault, seed):
+    cluster = await Cluster(clock, seed=seed).start()
+    cluster.network.faults = FAULTS[fault]
+    newest = {}
+    for changed in _random_changes(cluster, 60):
+        newest[changed.upstream_id] = changed
+        await clock.advance(0.05)
+    expected = _contents(newest.values())
+    await cluster.until(
+        lambda: all(_contents(node.upstreams) == expected for node in cluster), 30.0
+    )
+    await cluster.close()
+
+
+async def test_change_is_pushed_at_once(cluster, clock):
+    cluster[0].membership.gossip.publish("upstream", upstream(1))
+    await clock.advance(0.1)
+    assert sum(node.upstreams.get(f"{1:032x}") is not None for node in cluster) > 3
+
+
+async def test_partition_heals_to_the_same_state(cluster, clock):
+    left = cluster.of("dc-1")
+    right = [node.name for node in cluster if node.name not in left]
+    cluster.network.cut(left, right)
+    cluster[0].membership.gossip.publish("upstream", upstream(1, weight=50))
+    cluster[1].membership.gossip.publish("upstream", upstream(2))
+    await clock.advance(30.0)
+    assert not _agree(cluster)
+    assert cluster[0].alive == set(left)
+    cluster.network.heal()
+    await cluster.until(lambda: _agree(cluster), 15.0)
+    await cluster.until(
+        lambda: all(node.alive == set(cluster.names) for node in cluster), 15.0
+    )
+
+
+async def test_late_news_never_overrides(cluster, clock):
+    """Guards against a replayed announcement that revives an upstream."""
+    gone = upstream(1, sequence=9, state=UpstreamState.GONE)
+    cluster[0].membership.gossip.publish("upstream", gone)
+    await cluster.until(lambda: _agree(cluster), 10.0)
+    old = RecordItem(kind="upstream", body=encode_record(upstream(1, sequence=10)))
+    for node in cluster:
+        node.membership.gossip.take(old)
+    await clock.advance(5.0)
+    assert {r.state for node in cluster for r in node.upstreams} == {UpstreamState.GONE}
+
+
+async def test_gone_with_a_lower_sequence_still_spreads(cluster):
+    """Guards against a lapse that other instances refuse for its sequence."""
+    cluster[0].membership.gossip.publish("upstream", upstream(1, sequence=50))
+    gone = upstream(1, sequence=40, state=UpstreamState.GONE)
+    cluster[4].membership.gossip.publish("upstream", gone)
+    await cluster.until(
+        lambda: (
+            all(not record.is_alive for node in cluster for record in node.upstreams)
+            and all(list(node.upstreams) for node in cluster)
+        ),
+        10.0,
+    )
+
+
+async def test_change_that_nobody_published_is_found(cluster):
+    """Guards against a register that changes a second record during a merge."""
+    cluster[0].upstreams.merge(upstream(1))
+    await cluster.until(lambda: all(list(node.upstreams) for node in cluster), 70.0)
+
+
+async def test_heartbeats_are_not_sent_to_others(cluster, clock):
+    """Guards against announcements that cost control traffic every second."""
+    gossip = cluster[0].membership.gossip
+    gossip.publish("upstream", upstream(1))
+    await clock.advance(10.0)
+    for sequence in range(2, 12):
+        record = upstream(1, sequence=sequence, open_connections=sequence)
+        gossip.publish("upstream", record)
+        await clock.advance(1.0)
+    assert {node.upstreams.get(f"{1:032x}").sequence for node in list(cluster)[1:]} == {
+        1
+    }
+
+
+async def test_messages_stay_small(cluster, clock):
+    gossip = cluster[0].membership.gossip
+    for number in range(1, 200):
+        gossip.publish("upstream", upstream(number, address=f"127.0.0.{number}"))
+    await cluster.until(lambda: _agree(cluster), 200.0)
+    assert max(cluster.network.sizes) <= 1200
+
+
+async def test_unknown_kind_and_malformed_records_are_counted(cluster):
+    gossip = cluster[0].membership.gossip
+    gossip.take(RecordItem(kind="of a newer version", body=b""))
+    gossip.take(RecordItem(kind="upstream", body=b"\x91\xc0"))
+    assert gossip.counters.unknown_kinds == 1
+    assert gossip.counters.malformed == 1
+
+
+async def test_withdrawals_are_sent_before_other_changes(cluster, clock):
+    gossip = cluster[0].membership.gossip
+    await clock.advance(2.0)
+    cluster.network.sizes.clear()
+    for number in range(1, 150):
+        gossip.publish("upstream", upstream(number))
+    gone = upstream(150, state=UpstreamState.LEAVING)
+    gossip.publish("upstream", gone)
+    await cluster.until(
+        lambda: all(node.upstreams.get(gone.upstream_id) for node in cluster), 4.0
+    )
+    assert not _agree(cluster)
+    assert len(encode(GossipRecords(items=()))) < 40
--- /dev/null
+++ b/tests/coordination/test_probing.py
@@ -0,0 +1,96 @@
+"""Probing: death, refutation, superseded and frozen processes."""
+
+from attrs import evolve
+
+from arbutuslift.state.instances import InstanceStatus
+
+from ..cluster import Faults
+
+
+def _all_see(cluster, names):
+    return all(node.alive == set(names) for node in cluster)
+
+
+def _status(node, name):
+    return node.membership.instances.get(name).status
+
+
+async def test_dead_instance_is_detected(cluster):
+    await cluster.kill(5)
+    left = [name for name in cluster.names if name != "entry-5"]
+    await cluster.until(lambda: _all_see(cluster, left), 12.0)
+
+
+async def test_two_at_once_are_detected(cluster):
+    await cluster.kill(4)
+    await cluster.kill(0)
+    left = [name for name in cluster.names if name not in ("entry-0", "entry-4")]
+    await cluster.until(lambda: _all_see(cluster, left), 15.0)
+
+
+async def test_cut_between_two_instances_kills_neither(cluster, clock):
+    """Guards against a missing indirect probe."""
+    cluster.network.cut(["entry-3"], ["entry-4"])
+    await clock.advance(20.0)
+    assert _all_see(cluster, cluster.names)
+
+
+async def test_message_loss_kills_nobody_for_good(cluster, clock):
+    cluster.network.faults = Faults(loss=0.2, delay_s=0.1)
+    await clock.advance(30.0)
+    cluster.network.faults = Faults()
+    await cluster.until(lambda: _all_see(cluster, cluster.names), 15.0)
+
+
+async def test_false_accusation_is_refuted(cluster, clock):
+    accused = cluster[1].membership.instances.get("entry-7")
+    for status in (InstanceStatus.SUSPECT, InstanceStatus.DEAD):
+        record = evolve(accused, status=status)
+        cluster[1].membership.gossip.publish("instance", record)
+        await clock.advance(3.0)
+        assert _status(cluster[1], "entry-7") == InstanceStatus.ALIVE
+        accused = cluster[1].membership.instances.get("entry-7")
+    assert cluster[7].superseded == []
+
+
+async def test_superseded_process_stops(cluster, clock):
+    """Guards against two processes that share a name and its shares of limits."""
+    old = cluster[5]
+    new = cluster.add("entry-5")
+    await cluster.until(lambda: old.superseded == ["entry-5"], 8.0)
+    await clock.advance(8.0)
+    assert new.superseded == []
+    assert old.superseded == ["entry-5"], "the callback runs once"
+
+
+async def test_restart_with_a_clock_that_went_back(cluster, clock):
+    """Guards against a replacement that stops itself for its predecessor's record."""
+    await cluster.kill(5)
+    cluster.incarnation = 0
+    new = cluster.add("entry-5")
+    await clock.advance(8.0)
+    assert new.superseded == []
+    assert _all_see(cluster, cluster.names)
+
+
+async def test_frozen_process_refutes(cluster, clock):
+    """Guards against a process that stays dead for others after a freeze."""
+    frozen = cluster[5]
+    gaps = []
+    frozen.membership.freeze.on_freeze(gaps.append)
+    others = [name for name in cluster.names if name != "entry-5"]
+    cluster.network.cut(["entry-5"], others)
+    await clock.advance(12.0)
+    assert _status(cluster[1], "entry-5") == InstanceStatus.DEAD
+    cluster.network.heal()
+    clock.jump(2.0)
+    await clock.advance(1.0)
+    assert len(gaps) == 1
+    await cluster.until(lambda: _all_see(cluster, cluster.names), 12.0)
+
+
+async def test_leaving_instance_is_dead_at_once(cluster, clock):
+    cluster[5].membership.probing.leave()
+    others = [name for name in cluster.names if name != "entry-5"]
+    nodes = [node for node in cluster if node.name != "entry-5"]
+    await cluster.until(lambda: all(n.alive == set(others) for n in nodes), 3.0)
--- /dev/null
+++ b/tests/protocol/test_gossip.py
@@ -0,0 +1,85 @@
+"""Decoders of gossip take any bytes and either return a message or MessageError."""
+
+import attrs
+import cattrs
+import msgpack
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from arbutuslift.errors import MessageError
+from arbutuslift.protocol import gossip
+from arbutuslift.protocol.messages import Message, decode, encode
+from arbutuslift.protocol.records import decode_record, encode_record
+from arbutuslift.state.instances import InstanceRecord, RevisionMark
+from arbutuslift.state.upstreams import UpstreamRecord
+
+from ..builders import upstream
+
+MESSAGES = [
+    value
+    for value in vars(gossip).values()
+    if isinstance(value, type) and issubclass(value, Message) and value is not Message
+]
+RECORDS = [InstanceRecord, RevisionMark, UpstreamRecord]
+
+plain = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**63), 2**64 - 1)
+    | st.floats()
+    | st.text(max_size=5)
+    | st.binary(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(max_size=5), inner, max_size=4)
+    ),
+    max_leaves=10,
+)
+
+
+def _accepts_or_refuses(decoder, body):
+    try:
+        return decoder(body)
+    except MessageError:
+        return None
+
+
+@pytest.mark.parametrize("message_class", MESSAGES)
+def test_any_field_values_are_handled(message_class):
+    names = [field.name for field in attrs.fields(message_class)]
+
+    @settings(derandomize=True, max_examples=60, deadline=None)
+    @given(st.fixed_dictionaries(dict.fromkeys(names, plain)))
+    def check(fields):
+        body = msgpack.packb([message_class.__name__, fields])
+        message = _accepts_or_refuses(decode, body)
+        if message is not None:
+            _accepts_or_refuses(decode, encode(message))
+
+    check()
+
+
+@pytest.mark.parametrize("record_class", RECORDS)
+def test_any_record_values_are_handled(record_class):
+    @settings(derandomize=True, max_examples=100, deadline=None)
+    @given(st.lists(plain, max_size=16))
+    def check(values):
+        body = msgpack.packb(values)
+        _accepts_or_refuses(lambda each: decode_record(each, record_class), body)
+
+    check()
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.binary(max_size=60))
+def test_any_bytes_are_handled(body):
+    _accepts_or_refuses(decode, body)
+    for record_class in RECORDS:
+        _accepts_or_refuses(lambda each, c=record_class: decode_record(each, c), body)
+
+
+def test_record_of_a_newer_version_is_read():
+    """Guards against a rolling upgrade in which old instances refuse new records."""
+    values = [*cattrs.unstructure(upstream(1)).values(), "a new field"]
+    assert decode_record(msgpack.packb(values), UpstreamRecord) == upstream(1)
+    assert decode_record(encode_record(upstream(2)), UpstreamRecord) == upstream(2)
