--- /dev/null
+++ b/measure/control.py
@@ -0,0 +1,175 @@
+"""Control traffic, processor time and memory of one instance."""
+
+import asyncio
+import random
+import time
+
+import numpy as np
+from attrs import evolve, frozen
+
+from arbutuslift.transport.zmqbus import ZmqBus
+
+from .population import Population, make_upstream, resident_bytes
+from .result import Measure
+
+INSTANCES = (9, 36, 150, 500)
+UPSTREAMS = (10, 100, 1000, 16000)
+CHANGES_PER_S = (0, 1, 4)
+BASE_INSTANCES = 36
+BASE_UPSTREAMS = 100
+BASE_CHANGES_PER_S = 1
+DURATION_S = 10
+BUS_REQUESTS = 3000
+# Holds 16,000 records 9 times instead of 36 times.
+SMALL_POPULATION = 9
+
+TARGET_BYTES_S = 5 * 1024
+TARGET_CORE = 0.012
+TARGET_MEMORY_MB = 256
+
+
+@frozen(kw_only=True)
+class Cost:
+    """Cost of one instance.
+
+    Attributes:
+        sent_bytes_s: Bytes sent per second.
+        messages_s: Messages sent per second.
+        core: Part of a processor core, without sockets.
+        memory_mb: Resident memory of its state.
+    """
+
+    sent_bytes_s: float
+    messages_s: float
+    core: float
+    memory_mb: float
+
+
+def measure() -> list[Measure]:
+    """Measure against instances, upstreams and changes."""
+    request_s = asyncio.run(_bus_request_s())
+    measures = [
+        Measure(
+            name="processor time of one request on ZmqBus, both ends",
+            figure=round(request_s * 1e6),
+            unit="us",
+            note="clear text on loopback, one process",
+        )
+    ]
+    measures += _sweep(
+        "instances",
+        [(n, (n, BASE_UPSTREAMS, BASE_CHANGES_PER_S)) for n in INSTANCES],
+        request_s,
+    )
+    measures += _sweep(
+        "upstreams",
+        [(n, (SMALL_POPULATION, n, BASE_CHANGES_PER_S)) for n in UPSTREAMS],
+        request_s,
+    )
+    measures += _sweep(
+        "changes/s",
+        [(n, (BASE_INSTANCES, BASE_UPSTREAMS, n)) for n in CHANGES_PER_S],
+        request_s,
+    )
+    return measures
+
+
+def _sweep(
+    variable: str, settings: list[tuple[int, tuple[int, int, int]]], request_s: float
+) -> list[Measure]:
+    values = [value for value, _ in settings]
+    costs = [asyncio.run(_cost(*setting)) for _, setting in settings]
+    measures = []
+    for value, cost in zip(values, costs, strict=True):
+        # A request has two messages, each handled once at this instance.
+        core = cost.core + cost.messages_s / 2 * request_s
+        figures = (
+            ("bytes sent", cost.sent_bytes_s, "B/s", TARGET_BYTES_S, 0),
+            ("processor time", core, "core", TARGET_CORE, 5),
+            ("memory of state", cost.memory_mb, "MB", TARGET_MEMORY_MB, 2),
+        )
+        for name, figure, unit, target, digits in figures:
+            measures.append(
+                Measure(
+                    name=f"{name}, {value} {variable}",
+                    figure=round(figure, digits),
+                    unit=unit,
+                    target=target,
+                    passes=figure <= target,
+                    note="per instance; simulation plus ZmqBus time per message",
+                )
+            )
+    return measures + _slopes(variable, values, costs)
+
+
+def _slopes(variable: str, values: list[int], costs: list[Cost]) -> list[Measure]:
+    series = (
+        ("bytes sent", [cost.sent_bytes_s for cost in costs], "B/s"),
+        ("processor time", [cost.core for cost in costs], "core"),
+        ("memory of state", [cost.memory_mb for cost in costs], "MB"),
+    )
+    return [
+        Measure(
+            name=f"slope of {name} over {variable}",
+            figure=float(f"{np.polyfit(values, figures, 1)[0]:.3g}"),
+            unit=f"{unit} for each",
+        )
+        for name, figures, unit in series
+    ]
+
+
+async def _cost(instances: int, upstreams: int, changes_per_s: int) -> Cost:
+    before_bytes = resident_bytes()
+    population = Population(instances, upstreams=upstreams)
+    memory_mb = (resident_bytes() - before_bytes) / instances / 2**20
+    await population.start()
+    network = population.network
+    network.messages = network.size_bytes = 0
+    rng = random.Random(1)
+    weights = {}
+    started_s = time.process_time()
+    for _ in range(DURATION_S):
+        for _ in range(changes_per_s):
+            number = rng.randrange(upstreams)
+            weights[number] = weights.get(number, 100) + 1
+            record = evolve(
+                make_upstream(number),
+                weight=weights[number],
+                sequence=weights[number],
+            )
+            node = rng.choice(population.nodes)
+            node.membership.gossip.publish("upstream", record)
+        await population.clock.advance(1.0)
+    core = (time.process_time() - started_s) / DURATION_S / instances
+    await population.stop()
+    return Cost(
+        sent_bytes_s=network.size_bytes / DURATION_S / instances,
+        messages_s=network.messages / DURATION_S / instances,
+        core=core,
+        memory_mb=memory_mb,
+    )
+
+
+async def _bus_request_s() -> float:
+    left, right = ZmqBus("left"), ZmqBus("right")
+    await left.open("tcp://127.0.0.1:0")
+    await right.open("tcp://127.0.0.1:0")
+    left.connect("right", right.endpoint)
+
+    async def answer(sender: str, body: bytes) -> bytes:
+        return body
+
+    right.handler = answer
+    await left.request("right", bytes(150), 10.0)
+    started_s = time.process_time()
+    for _ in range(BUS_REQUESTS):
+        await left.request("right", bytes(150), 10.0)
+    elapsed_s = time.process_time() - started_s
+    await left.close()
+    await right.close()
+    return elapsed_s / BUS_REQUESTS
+
+
+if __name__ == "__main__":
+    for result in measure():
+        print(result)
--- /dev/null
+++ b/measure/population.py
@@ -0,0 +1,156 @@
+"""Many instances in one process, already joined, on virtual time."""
+
+import asyncio
+import gc
+import logging
+import os
+import random
+
+import structlog
+
+from arbutuslift.clock import ManualClock
+from arbutuslift.coordination.membership import Membership
+from arbutuslift.protocol.channel import Channel
+from arbutuslift.state.instances import InstanceRecord
+from arbutuslift.state.registers import UpstreamRegister
+from arbutuslift.state.upstreams import UpstreamRecord, UpstreamState, UpstreamView
+from arbutuslift.transport.bus import MemoryNetwork
+
+MEMBERS = 5
+# Headers of TCP, IP and ZeroMQ, and the name of the sender.
+MESSAGE_OVERHEAD_BYTES = 80
+_PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+
+class CountingNetwork(MemoryNetwork):
+    """Counts messages and bytes in both directions."""
+
+    def __init__(self, clock: ManualClock, delay_s: float) -> None:
+        super().__init__(clock, delay_s)
+        self.messages = 0
+        self.size_bytes = 0
+
+    async def deliver(self, sender: str, peer: str, body: bytes) -> bytes | None:
+        """Count a message and its answer."""
+        self._count(body)
+        answer = await super().deliver(sender, peer, body)
+        if answer is not None:
+            self._count(answer)
+        return answer
+
+    def _count(self, body: bytes) -> None:
+        self.messages += 1
+        self.size_bytes += len(body) + MESSAGE_OVERHEAD_BYTES
+
+
+class Node:
+    """One instance."""
+
+    def __init__(self, network: CountingNetwork, own: InstanceRecord) -> None:
+        self.name = own.name
+        self.data_centre = own.data_centre
+        self.upstreams = UpstreamView()
+        self.membership = Membership(
+            network.clock,
+            Channel(network.bus(own.name)),
+            own,
+            lambda: None,
+            registers=[UpstreamRegister(self.upstreams)],
+            rng=random.Random(own.name),
+        )
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Take part without the exchange at a join."""
+        self.membership.join.is_joined = True
+        self.membership.spread.open()
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stop at once."""
+        if self._task:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        await self.membership.spread.close()
+
+    async def _run(self) -> None:
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.membership.gossip.run())
+            group.create_task(self.membership.probing.run())
+
+
+class Population:
+    """Instances that know each other.
+
+    Args:
+        count: Number of instances.
+        data_centres: Number of data centres.
+        upstreams: Records that every instance holds.
+        delay_s: One-way delay of every message.
+    """
+
+    def __init__(
+        self,
+        count: int,
+        data_centres: int = 3,
+        upstreams: int = 0,
+        delay_s: float = 0.05,
+    ) -> None:
+        structlog.configure(
+            wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
+        )
+        self.clock = ManualClock()
+        self.network = CountingNetwork(self.clock, delay_s)
+        records = [
+            InstanceRecord(
+                name=f"entry-{number}",
+                incarnation=1,
+                data_centre=f"dc-{number % data_centres}",
+                endpoint=f"tcp://127.0.{number // 250}.{1 + number % 250}:7300",
+                is_member=number < MEMBERS,
+            )
+            for number in range(count)
+        ]
+        self.nodes = [Node(self.network, record) for record in records]
+        self.upstreams = [make_upstream(number) for number in range(upstreams)]
+        for node in self.nodes:
+            gossip = node.membership.gossip
+            for record in records:
+                node.membership.instances.merge(record)
+                gossip.changed("instance", record.name, is_news=False)
+            for upstream in self.upstreams:
+                node.upstreams.merge(upstream)
+                gossip.changed("upstream", upstream.upstream_id, is_news=False)
+
+    async def start(self) -> None:
+        """Start all and let them run for three virtual seconds."""
+        for node in self.nodes:
+            node.start()
+        await self.clock.advance(3.0)
+
+    async def stop(self) -> None:
+        """Stop all."""
+        for node in self.nodes:
+            await node.stop()
+
+
+def make_upstream(number: int) -> UpstreamRecord:
+    """Return the record of an upstream."""
+    return UpstreamRecord(
+        upstream_id=f"{number:032x}",
+        name=f"upstream-{number}",
+        data_centre=f"dc-{number % 12}",
+        address=f"127.20.{number // 250}.{1 + number % 250}",
+        port=6081,
+        service=f"service-{number // 8}",
+        work_kinds=("any",),
+        state=UpstreamState.READY,
+        sequence=1,
+    )
+
+
+def resident_bytes() -> int:
+    """Return the resident size of this process."""
+    gc.collect()
+    with open("/proc/self/statm") as file:
+        return int(file.read().split()[1]) * _PAGE_BYTES
