--- a/tests/transport/test_bus.py
+++ b/tests/transport/test_bus.py
@@ -147,8 +147,9 @@
         with pytest.raises(PeerTimeout):
             await left.request("right", b"lost", 0.1)
         await left.send("right", b"stale")
-        while not left.counters.expired:
-            await asyncio.sleep(0.01)
+        async with asyncio.timeout(10.0):
+            while not left.counters.expired:
+                await asyncio.sleep(0.01)
         again = await pair.open("right", right.endpoint)
         seen = []
 
