Spread load inside the data centre; measure spread from a delta

Load changes in steps of 125 connections and never leaves its data centre, as a report each second from 16,000 upstreams would exceed the control budget.

--- /dev/null
+++ b/arbutuslift/state/loads.py
@@ -0,0 +1,85 @@
+"""Load that upstreams report, as far as it spreads inside a data centre."""
+
+from collections.abc import Iterable
+
+from attrs import frozen
+
+from .hashing import hash_64
+from .registers import Register, record_key, record_version
+from .upstreams import UpstreamRecord
+
+# A sixteenth of the 2,000 connections that one upstream bears.
+CONNECTIONS_STEP = 125
+
+
+@frozen(kw_only=True)
+class UpstreamLoad:
+    """Load that an upstream reported.
+
+    Attributes:
+        upstream_id: The upstream.
+        sequence: Sequence of the announcement.
+        open_connections: Its open connections.
+        busy_slots: Its slots in use.
+    """
+
+    upstream_id: str
+    sequence: int
+    open_connections: int
+    busy_slots: int
+
+    @classmethod
+    def of(cls, record: UpstreamRecord) -> "UpstreamLoad":
+        """Return the load in an upstream's record."""
+        return cls(
+            upstream_id=record.upstream_id,
+            sequence=record.sequence,
+            open_connections=record.open_connections,
+            busy_slots=record.busy_slots,
+        )
+
+
+@record_key.register
+def _(record: UpstreamLoad) -> str:
+    return record.upstream_id
+
+
+@record_version.register
+def _(record: UpstreamLoad) -> int:
+    step = record.open_connections // CONNECTIONS_STEP
+    return hash_64(f"{step} {record.busy_slots}".encode())
+
+
+class LoadRegister(Register):
+    """Newest known load of the upstreams of this data centre.
+
+    Load isn't pushed: it changes all the time, and only the newest report counts.
+    """
+
+    kind = "load"
+    record_class = UpstreamLoad
+    is_local = True
+    is_pushed = False
+
+    def __init__(self) -> None:
+        self._loads: dict[str, UpstreamLoad] = {}
+
+    def records(self) -> Iterable[UpstreamLoad]:
+        """Return all loads."""
+        return list(self._loads.values())
+
+    def get(self, key: str) -> UpstreamLoad | None:
+        """Return the load of an upstream."""
+        return self._loads.get(key)
+
+    def merge(self, record: UpstreamLoad) -> bool:
+        """Take a load with a higher sequence."""
+        known = self._loads.get(record.upstream_id)
+        if known and record.sequence <= known.sequence:
+            return False
+        self._loads[record.upstream_id] = record
+        return True
+
+    def remove(self, upstream_id: str) -> None:
+        """Forget an upstream that is gone."""
+        self._loads.pop(upstream_id, None)
--- a/arbutuslift/transport/zmqbus.py
+++ b/arbutuslift/transport/zmqbus.py
@@ -2,35 +2,31 @@
 
 import asyncio
 import ipaddress
-import itertools
-from collections.abc import Callable
 
 import structlog
 import zmq
 import zmq.asyncio
-from attrs import define, frozen
+from attrs import frozen
 from zmq.auth.asyncio import AsyncioAuthenticator
 
 from ..errors import ArbutusliftError, PeerTimeout, TransportError
 from .bus import Bus
 from .keys import AllowedKeys, KeyPair
+from .zmqpeer import (
+    NO_ANSWER,
+    QUEUE_MESSAGES,
+    REQUEST_ID_BYTES,
+    BusCounters,
+    ZmqPeer,
+)
 
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
-QUEUE_MESSAGES = 1000
 MAX_HANDLERS = 1024
 # A full mesh of 1,500 instances needs one socket per peer; ZeroMQ allows 1,023.
 MAX_SOCKETS = 4096
-# A CURVE handshake costs about 1.5 KB. With six random peers a second among 1,500
-# a shorter time would spend the control budget on handshakes.
-IDLE_S = 600.0
-# What an absent peer missed is repeated by the protocols in newer form.
-MAX_QUEUED_S = 2.0
 RECONNECT_MS = 100
 RECONNECT_MAX_MS = 2000
 
-_NO_ANSWER = b""
-_ID_BYTES = 8
-
 _log = structlog.get_logger()
 
 
@@ -47,25 +43,6 @@
     allowed: AllowedKeys
 
 
-@define
-class BusCounters:
-    """What a bus refused or dropped.
-
-    Attributes:
-        malformed: Messages with the wrong frames.
-        impostors: Messages whose sender name doesn't belong to the key.
-        overflows: Messages dropped at a full queue or at too many handlers.
-        failures: Handlers that raised an unexpected error.
-        expired: Messages dropped because their peer was absent for too long.
-    """
-
-    malformed: int = 0
-    impostors: int = 0
-    overflows: int = 0
-    failures: int = 0
-    expired: int = 0
-
-
 class ZmqBus(Bus):
     """Bus between processes over TCP; created by :meth:`open`.
 
@@ -95,7 +72,7 @@
         self._authenticator: AsyncioAuthenticator | None = None
         self._router: zmq.asyncio.Socket | None = None
         self._endpoints: dict[str, str] = {}
-        self._peers: dict[str, _Peer] = {}
+        self._peers: dict[str, ZmqPeer] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def open(self, endpoint: str) -> None:
@@ -147,7 +124,7 @@
         """Send a message that needs no answer."""
         connection = self._connection(peer)
         if connection and connection.can_send(body):
-            connection.enqueue(_NO_ANSWER, body)
+            connection.enqueue(NO_ANSWER, body)
 
     async def close(self) -> None:
         """Close all sockets and cancel all tasks."""
@@ -193,7 +170,7 @@
         socket.setsockopt(zmq.MAXMSGSIZE, self._max_message_bytes)
         return socket
 
-    def _connection(self, name: str) -> "_Peer | None":
+    def _connection(self, name: str) -> "ZmqPeer | None":
         peer = self._peers.get(name)
         if peer and peer.is_usable:
             return peer
@@ -215,7 +192,7 @@
         socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
         socket.connect(endpoint)
-        peer = _Peer(self.name, socket, self.counters, self._max_message_bytes)
+        peer = ZmqPeer(self.name, socket, self.counters, self._max_message_bytes)
         self._peers[name] = peer
         return peer
 
@@ -227,7 +204,7 @@
     async def _receive(self, router: zmq.asyncio.Socket) -> None:
         while True:
             frames = await router.recv_multipart(copy=False)
-            if len(frames) != 4 or len(frames[1].bytes) not in (0, _ID_BYTES):
+            if len(frames) != 4 or len(frames[1].bytes) not in (0, REQUEST_ID_BYTES):
                 self.counters.malformed += 1
                 continue
             sender = self._sender_of(frames)
@@ -279,125 +256,6 @@
         task.add_done_callback(self._tasks.discard)
 
 
-@frozen
-class _Queued:
-    """A message that waits for the connection of its peer.
-
-    Attributes:
-        request_id: Empty if it needs no answer.
-        body: The message.
-        expires_s: Time on the event loop's clock at which it is dropped.
-    """
-
-    request_id: bytes
-    body: bytes
-    expires_s: float
-
-
-class _Peer:
-    """One DEALER with its queue and task.
-
-    Attributes:
-        task: Ends, and closes the socket, when cancelled or idle.
-    """
-
-    def __init__(
-        self,
-        sender: str,
-        socket: zmq.asyncio.Socket,
-        counters: BusCounters,
-        max_message_bytes: int,
-    ) -> None:
-        self._sender = sender.encode()
-        self._socket = socket
-        self._counters = counters
-        self._max_message_bytes = max_message_bytes
-        self._queue: asyncio.Queue[_Queued] = asyncio.Queue(QUEUE_MESSAGES)
-        self._ids = itertools.count(1)
-        self._waiting: dict[bytes, asyncio.Future[bytes]] = {}
-        self._is_silent = False
-        self._used_s = asyncio.get_running_loop().time()
-        self.task = asyncio.create_task(self._run())
-
-    @property
-    def is_usable(self) -> bool:
-        """Whether to keep the connection.
-
-        TCP backs off for up to two minutes after a partition, so a connection on
-        which requests go unanswered is replaced.
-        """
-        return not self.task.done() and (not self._is_silent or bool(self._waiting))
-
-    def can_send(self, body: bytes) -> bool:
-        """Whether size and queue permit a message."""
-        if len(body) > self._max_message_bytes or self._queue.full():
-            self._counters.overflows += 1
-            return False
-        return True
-
-    def enqueue(self, request_id: bytes, body: bytes) -> None:
-        """Queue a message."""
-        self._used_s = asyncio.get_running_loop().time()
-        self._queue.put_nowait(_Queued(request_id, body, self._used_s + MAX_QUEUED_S))
-
-    async def request(self, body: bytes) -> bytes:
-        """Queue a request and wait for its answer."""
-        request_id = next(self._ids).to_bytes(_ID_BYTES, "big")
-        answer = asyncio.get_running_loop().create_future()
-        self._waiting[request_id] = answer
-        try:
-            self.enqueue(request_id, body)
-            return await answer
-        finally:
-            del self._waiting[request_id]
-
-    def note_timeout(self) -> None:
-        """Record that a request went unanswered."""
-        self._is_silent = True
-
-    def close(self) -> None:
-        """End the task, which closes the socket."""
-        self.task.cancel()
-
-    async def _run(self) -> None:
-        try:
-            async with asyncio.TaskGroup() as group:
-                sending = group.create_task(self._send())
-                receiving = group.create_task(self._receive())
-                await self._wait_idle()
-                sending.cancel()
-                receiving.cancel()
-        finally:
-            self._socket.close(linger=0)
-
-    async def _wait_idle(self) -> None:
-        clock: Callable[[], float] = asyncio.get_running_loop().time
-        while (remaining_s := self._used_s + IDLE_S - clock()) > 0:
-            await asyncio.sleep(remaining_s)
-
-    async def _send(self) -> None:
-        while True:
-            message = await self._queue.get()
-            request_id = message.request_id
-            if request_id and request_id not in self._waiting:
-                continue
-            try:
-                async with asyncio.timeout_at(message.expires_s):
-                    await self._socket.send_multipart(
-                        (request_id, self._sender, message.body)
-                    )
-            except TimeoutError:
-                self._counters.expired += 1
-
-    async def _receive(self) -> None:
-        while True:
-            frames = await self._socket.recv_multipart()
-            self._is_silent = False
-            answer = self._waiting.get(frames[0]) if len(frames) == 2 else None
-            if answer and not answer.done():
-                answer.set_result(frames[1])
-
-
 class _Credentials:
     """Credentials provider of pyzmq's authenticator."""
 
--- a/measure/population.py
+++ b/measure/population.py
@@ -10,12 +10,17 @@
 from arbutuslift.clock import ManualClock
 from arbutuslift.coordination.membership import Membership
 from arbutuslift.protocol.channel import Channel
+from arbutuslift.protocol.delta import document_to_bytes
+from arbutuslift.protocol.document import Document
 from arbutuslift.state.instances import InstanceRecord
 from arbutuslift.state.registers import UpstreamRegister
+from arbutuslift.state.revisionfile import MemoryRevisionStore, SavedRevision
 from arbutuslift.state.upstreams import UpstreamRecord, UpstreamState, UpstreamView
 from arbutuslift.transport.bus import MemoryNetwork
 
 MEMBERS = 5
+# In effect everywhere at the start.
+FIRST_REVISION = 1
 # Headers of TCP, IP and ZeroMQ, and the name of the sender.
 MESSAGE_OVERHEAD_BYTES = 80
 STEP_S = 0.005
@@ -73,6 +78,7 @@
             own,
             lambda: None,
             registers=[UpstreamRegister(self.upstreams)],
+            store=_store_with_first_revision(),
             rng=random.Random(own.name),
         )
         self._task: asyncio.Task[None] | None = None
@@ -155,6 +161,13 @@
             await node.stop()
 
 
+def _store_with_first_revision() -> MemoryRevisionStore:
+    store = MemoryRevisionStore()
+    document = document_to_bytes(Document())
+    store.save(SavedRevision(revision=FIRST_REVISION, document=document))
+    return store
+
+
 def make_upstream(number: int) -> UpstreamRecord:
     """Return the record of an upstream."""
     return UpstreamRecord(
--- a/tests/coordination/test_gossip.py
+++ b/tests/coordination/test_gossip.py
@@ -6,6 +6,7 @@
 from arbutuslift.protocol.gossip import GossipRecords, RecordItem
 from arbutuslift.protocol.messages import encode
 from arbutuslift.protocol.records import encode_record
+from arbutuslift.state.loads import UpstreamLoad
 from arbutuslift.state.upstreams import UpstreamState
 
 from ..builders import upstream
@@ -147,6 +148,19 @@
     }
 
 
+async def test_load_stays_in_its_data_centre_and_is_coarse(cluster, clock):
+    """Guards against load figures that cross data centres or change every second."""
+    gossip = cluster[0].membership.gossip
+    load = UpstreamLoad(upstream_id="a", sequence=1, open_connections=300, busy_slots=1)
+    gossip.publish("load", load)
+    local = [cluster.nodes[name] for name in cluster.of("dc-1")]
+    await cluster.until(lambda: all(node.loads.get("a") for node in local), 15.0)
+    gossip.publish("load", evolve(load, sequence=2, open_connections=301))
+    await clock.advance(10.0)
+    assert [node.loads.get("a").sequence for node in local] == [2, 1, 1]
+    assert sum(node.loads.get("a") is not None for node in cluster) == len(local)
+
+
 async def test_messages_stay_small(cluster, clock):
     gossip = cluster[0].membership.gossip
     for number in range(1, 200):
