--- a/arbutuslift/errors.py
+++ b/arbutuslift/errors.py
@@ -47,14 +47,16 @@
     """An input with faults.
 
     Args:
-        faults: Every fault that was found.
+        faults: Every fault that was found, or the reason of a single one.
         step: The operation during which they were found.
         peer: The process or file on the other side, if there is one.
     """
 
     def __init__(
-        self, faults: tuple[Fault, ...], *, step: str, peer: str | None = None
+        self, faults: tuple[Fault, ...] | str, *, step: str, peer: str | None = None
     ) -> None:
+        if isinstance(faults, str):
+            faults = (Fault("", faults),)
         super().__init__("; ".join(map(str, faults)), step=step, peer=peer)
         self.faults = faults
 
