Divide limits over the ordinals of the agreed configuration

Instances can't agree on who is alive within a second, so the parts of a limit depend on the document only. The remainder goes to ordinals in an order that differs between upstreams.

--- /dev/null
+++ b/tests/state/test_shares.py
@@ -0,0 +1,92 @@
+"""Division of limits over instances."""
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from arbutuslift.clock import ManualClock
+from arbutuslift.state.shares import (
+    MAX_FORMER_PLANS,
+    TRANSITION_S,
+    LimitPlan,
+    NamedLimits,
+    ServiceLimits,
+    ShareBook,
+)
+
+IDS = st.integers(0, 2**128 - 1).map("{:032x}".format)
+
+
+def plan(count, limit=10, names=None):
+    names = names or [f"instance-{number}" for number in range(count)]
+    limits = ServiceLimits(cold_new_flows_per_s=limit)
+    return LimitPlan(instances=tuple(names), services=(NamedLimits("alerts", limits),))
+
+
+def cold_share(book, upstream_id="1"):
+    return book.share("alerts", upstream_id, lambda limits: limits.cold_new_flows_per_s)
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(IDS, st.integers(1, 40), st.integers(0, 100))
+def test_shares_add_up_to_the_limit(upstream_id, count, total):
+    divided = plan(count)
+    shares = {
+        name: divided.share(name, upstream_id, total) for name in divided.instances
+    }
+    assert sum(shares.values()) == total
+    assert max(shares.values()) - min(shares.values()) <= 1
+    with_share = {name for name, share in shares.items() if share}
+    assert set(divided.holders(upstream_id, total)) == with_share
+
+
+def test_shares_of_1500_instances_add_up_and_differ_between_upstreams():
+    divided = plan(1500)
+    holders = [frozenset(divided.holders(f"{n:032x}", 10)) for n in range(20)]
+    assert {len(names) for names in holders} == {10}
+    assert len(set(holders)) == 20
+
+
+def test_instance_that_is_not_listed_has_no_share():
+    book = ShareBook(ManualClock(), "instance-9")
+    book.apply(plan(9))
+    assert cold_share(book) == 0
+
+
+CHANGES = [
+    pytest.param(plan(9), plan(18), id="more instances"),
+    pytest.param(plan(18), plan(9), id="fewer instances"),
+    pytest.param(
+        plan(9), plan(9, names=[f"instance-{n}" for n in range(8, -1, -1)]), id="order"
+    ),
+    pytest.param(plan(9, limit=20), plan(9, limit=5), id="lower limit"),
+]
+
+
+@pytest.mark.parametrize(("old", "new"), CHANGES)
+def test_mixture_of_two_plans_stays_within_the_larger_limit(old, new):
+    # Instances learn of a revision at different times within the transition.
+    clock = ManualClock()
+    names = set(old.instances) | set(new.instances)
+    books = [ShareBook(clock, name) for name in sorted(names)]
+    for book in books:
+        book.apply(old)
+    limit = max(p.limits_of("alerts").cold_new_flows_per_s for p in (old, new))
+    for book in books:
+        for upstream_number in range(20):
+            upstream_id = f"{upstream_number:032x}"
+            assert sum(cold_share(b, upstream_id) for b in books) <= limit
+        book.apply(new)
+        clock.jump(TRANSITION_S / len(books))
+    clock.jump(TRANSITION_S)
+    expected = new.limits_of("alerts").cold_new_flows_per_s
+    assert sum(cold_share(book) for book in books) == expected
+
+
+def test_more_changes_than_are_kept_leave_no_share_until_the_transition_ends():
+    clock = ManualClock()
+    book = ShareBook(clock, "instance-0")
+    for count in range(1, MAX_FORMER_PLANS + 3):
+        book.apply(plan(count, limit=1000))
+    assert cold_share(book) == 0
+    clock.jump(TRANSITION_S)
+    assert cold_share(book) > 0
