Check announcements against a schema and their signature

Announcements were structured by type only: a negative port, a weight of 0 or a state of gone reached the slot tables, deep nesting raised RecursionError and the endpoint answered 500.

A JSON schema now lists every faulty field, the body's HMAC-SHA256 is compared in constant time before it is parsed, and a start over 10 s ahead of the clock or another address under a known identity is refused. States are announced by name. Slot tables follow the view, so news from gossip refreshes them too. Health checks answer 503 while the instance stops.

The stand-in announces to all its URLs at once, signs if it has a key, and announces cold, leaving and its busy slots.

--- a/arbutuslift/coordination/registrar.py
+++ b/arbutuslift/coordination/registrar.py
@@ -1,36 +1,88 @@
 """Takes announcements of upstreams into the view."""
 
-import cattrs
+from collections import Counter
 
+from ..clock import Clock, SystemClock
 from ..errors import AnnouncementError
 from ..state.upstreams import UpstreamRecord
+from .announcement import STEP, parse_announcement
 from .services import ServiceTable
 
+# Synchronized clocks differ by milliseconds. An upstream whose clock is further
+# ahead would hold its address against processes that start soon after it.
+MAX_CLOCK_AHEAD_S = 10.0
+
 
 class Registrar:
-    """Checks announcements and updates the services that they concern.
+    """Checks announcements and merges them into the view.
+
+    Every change of the view that may concern a slot table, from here or from gossip,
+    refreshes the table of the service.
 
     Args:
         services: Services and upstreams.
+        clock: Source of time.
     """
 
-    def __init__(self, services: ServiceTable) -> None:
-        self._services = services
-        self._converter = cattrs.Converter(forbid_extra_keys=True)
+    def __init__(self, services: ServiceTable, clock: Clock | None = None) -> None:
+        self._view = services.view
+        self._clock = clock or SystemClock()
+        self._heard_at_s: dict[str, float] = {}
+        self.counts: Counter[str] = Counter()
+        self._view.on_change(self._forget_if_gone)
+        self._view.on_eligibility_change(
+            lambda record: services.refresh_service(record.service)
+        )
 
     def accept(self, content: object) -> None:
         """Take one announcement.
 
         Args:
-            content: Fields of :class:`UpstreamRecord` as plain values.
+            content: The decoded JSON value.
 
         Raises:
-            AnnouncementError: A field is missing, unknown or malformed.
+            AnnouncementError: The announcement is refused; lists every faulty field.
         """
         try:
-            record = self._converter.structure(content, UpstreamRecord)
-        except (cattrs.BaseValidationError, TypeError, ValueError) as error:
-            faults = "; ".join(cattrs.transform_error(error))
-            raise AnnouncementError(faults, step="accept announcement") from error
-        if self._services.view.merge(record):
-            self._services.refresh_service(record.service)
+            record = parse_announcement(content)
+            self._check_against_view(record)
+        except AnnouncementError:
+            self.counts["refused"] += 1
+            raise
+        is_change = self._view.merge(record)
+        self.counts["merged" if is_change else "unchanged"] += 1
+        known = self._view.get(record.upstream_id)
+        if known is None:
+            self.counts["refused"] += 1
+            raise AnnouncementError("too many upstreams are known", step=STEP)
+        if not known.is_alive:
+            self.counts["gone"] += 1
+        elif known.sequence == record.sequence:
+            self._heard_at_s[record.upstream_id] = self._clock.monotonic_s()
+
+    def heard_at_s(self, upstream_id: str) -> float | None:
+        """Return when an alive upstream's newest announcement last arrived here.
+
+        Gossip may have carried the same sequence here before, so it needn't be new.
+        The time is on the monotonic clock.
+        """
+        return self._heard_at_s.get(upstream_id)
+
+    def _forget_if_gone(self, record: UpstreamRecord) -> None:
+        if not record.is_alive:
+            self._heard_at_s.pop(record.upstream_id, None)
+
+    def _check_against_view(self, record: UpstreamRecord) -> None:
+        ahead_s = record.started_at_s - self._clock.wall_s()
+        if ahead_s > MAX_CLOCK_AHEAD_S:
+            raise AnnouncementError(
+                f"started_at_s: {ahead_s:.0f} s ahead of this instance's clock",
+                step=STEP,
+            )
+        known = self._view.get(record.upstream_id)
+        if known is not None and not record.same_process(known):
+            raise AnnouncementError(
+                "upstream_id: already announced with another name, data_centre, "
+                "address, port, service or started_at_s",
+                step=STEP,
+            )
--- a/arbutuslift/transport/announcements.py
+++ b/arbutuslift/transport/announcements.py
@@ -1,28 +1,66 @@
 """HTTP endpoint at which upstreams announce themselves."""
 
+import hashlib
+import hmac
 import json
+from collections import Counter
 from collections.abc import Callable
 
 from aiohttp import web
+from attrs import frozen
 
 from ..errors import AnnouncementError, TransportError
 from .fabric import Address
 
 ANNOUNCEMENTS_PATH = "/v1/announcements"
+HEALTH_PATH = "/v1/health"
+SIGNATURE_HEADER = "Announcement-Signature"
 MAX_BODY_BYTES = 8192
 
 
+@frozen(kw_only=True)
+class Refusal:
+    """An announcement that was refused.
+
+    Attributes:
+        peer: IP address of the sender.
+        status: HTTP status of the answer.
+        reason: What is wrong with it.
+    """
+
+    peer: str
+    status: int
+    reason: str
+
+
+def signature_of(body: bytes, key: bytes) -> str:
+    """Return the value of the signature header: HMAC-SHA256 of the body in hex."""
+    return hmac.new(key, body, hashlib.sha256).hexdigest()
+
+
 class AnnouncementEndpoint:
-    """Accepts ``POST /v1/announcements`` with a JSON object.
+    """Accepts ``POST /v1/announcements`` with a JSON object, answers health checks.
 
     Args:
         accept: Called with the decoded object; raises AnnouncementError to refuse.
+        key: Shared key of signed announcements, or None to accept unsigned ones.
+        on_refusal: Called with every announcement that is refused.
     """
 
-    def __init__(self, accept: Callable[[object], None]) -> None:
+    def __init__(
+        self,
+        accept: Callable[[object], None],
+        key: bytes | None = None,
+        on_refusal: Callable[[Refusal], None] | None = None,
+    ) -> None:
         self._accept = accept
+        self._key = key
+        self._on_refusal = on_refusal
+        self.stopping = False
+        self.counts: Counter[str] = Counter()
         application = web.Application(client_max_size=MAX_BODY_BYTES)
         application.router.add_post(ANNOUNCEMENTS_PATH, self._post)
+        application.router.add_get(HEALTH_PATH, self._health)
         self._runner = web.AppRunner(application, access_log=None)
 
     async def open(self, address: Address) -> None:
@@ -45,9 +83,51 @@
         """Stop listening."""
         await self._runner.cleanup()
 
-    async def _post(self, request: web.Request) -> web.Response:
+    def handle(self, body: bytes, signature: str, peer: str) -> web.Response:
+        """Answer one announcement.
+
+        Args:
+            body: Body of the request.
+            signature: Value of the signature header, empty if there is none.
+            peer: IP address of the sender.
+        """
+        if self._key is not None and not _is_signed(body, signature, self._key):
+            return self._refuse(peer, 401, f"{SIGNATURE_HEADER}: missing or wrong")
         try:
-            self._accept(json.loads(await request.read()))
-        except (AnnouncementError, ValueError) as error:
-            return web.json_response({"error": str(error)}, status=400)
+            self._accept(json.loads(body, parse_constant=_refuse_constant))
+        except AnnouncementError as error:
+            return self._refuse(peer, 400, error.message)
+        except RecursionError:
+            return self._refuse(peer, 400, "body: nested too deeply")
+        except ValueError as error:
+            return self._refuse(peer, 400, f"body: not JSON: {error}")
+        self.counts["accepted"] += 1
         return web.Response(status=204)
+
+    async def _post(self, request: web.Request) -> web.Response:
+        peer = request.remote or ""
+        try:
+            body = await request.read()
+        except web.HTTPRequestEntityTooLarge:
+            return self._refuse(peer, 400, f"body: over {MAX_BODY_BYTES} bytes")
+        return self.handle(body, request.headers.get(SIGNATURE_HEADER, ""), peer)
+
+    async def _health(self, request: web.Request) -> web.Response:
+        return web.Response(status=503 if self.stopping else 200)
+
+    def _refuse(self, peer: str, status: int, reason: str) -> web.Response:
+        self.counts[f"refused_{status}"] += 1
+        if self._on_refusal is not None:
+            self._on_refusal(Refusal(peer=peer, status=status, reason=reason))
+        return web.json_response({"error": reason}, status=status)
+
+
+def _is_signed(body: bytes, signature: str, key: bytes) -> bool:
+    expected = signature_of(body, key)
+    # Headers may hold surrogate escapes, which compare_digest refuses in text.
+    given = signature.encode("utf-8", "surrogateescape")
+    return hmac.compare_digest(given, expected.encode())
+
+
+def _refuse_constant(name: str) -> float:
+    raise ValueError(f"{name} is not a JSON number")
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import ipaddress
+import json
 import secrets
 import signal
 import time
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
 
 import aiohttp
 from absl import app, flags
@@ -20,12 +21,13 @@
     encode_tcp,
 )
 from arbutuslift.state.flowkey import Endpoint, FlowKey
-from arbutuslift.state.upstreams import UpstreamState
+from arbutuslift.transport.announcements import SIGNATURE_HEADER, signature_of
 
 from .addresses import parse_address
 from .tcp import Connection, ConnectionLost
 
-ANNOUNCE_INTERVAL_S = 0.5
+ANNOUNCE_INTERVAL_S = 1.0
+ANNOUNCE_TIMEOUT_S = 1.0
 SLOTS = 2
 WORK_S = 0.005
 
@@ -36,6 +38,8 @@
 flags.DEFINE_string("service_address", None, "ip:port of the service.")
 flags.DEFINE_list("work_kinds", [], "Kinds of work.")
 flags.DEFINE_list("announce", [], "URLs that take announcements.")
+flags.DEFINE_string("announce_key", None, "Shared key of signed announcements.")
+flags.DEFINE_float("cold_s", 0.0, "Announces the state cold for this time.")
 flags.DEFINE_string("return_path", None, "ip:port of the fabric for return packets.")
 
 
@@ -49,6 +53,7 @@
         self._connections: dict[FlowKey, Connection] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._slots = asyncio.Semaphore(SLOTS)
+        self.busy_slots = 0
         self._transport: asyncio.DatagramTransport | None = None
 
     @property
@@ -107,7 +112,11 @@
     async def _answer(self, line: bytes, connection: Connection) -> None:
         request_id = line.split(b" ")[0]
         async with self._slots:
-            await asyncio.sleep(WORK_S)
+            self.busy_slots += 1
+            try:
+                await asyncio.sleep(WORK_S)
+            finally:
+                self.busy_slots -= 1
         connection.write(b"%s done %s\n" % (request_id, self.name.encode()))
 
     def _send(self, data: bytes) -> None:
@@ -115,42 +124,81 @@
 
 
 class Announcer:
-    """Posts announcements until cancelled."""
-
-    def __init__(self, upstream: UpstreamStandIn, fixed: dict[str, object]) -> None:
-        self.state = UpstreamState.READY
+    """Posts announcements until the upstream leaves.
+
+    Args:
+        upstream: The upstream.
+        fixed: Fields that never change.
+        key: Shared key to sign with, or None.
+        cold_s: How long to announce the state cold.
+    """
+
+    def __init__(
+        self,
+        upstream: UpstreamStandIn,
+        fixed: dict[str, object],
+        key: bytes | None = None,
+        cold_s: float = 0.0,
+    ) -> None:
         self._upstream = upstream
         self._fixed = fixed
+        self._key = key
+        self._ready_at_s = time.monotonic() + cold_s
         self._sequence = 0
+        self._end_state: str | None = None
+        self._changed = asyncio.Event()
 
     async def run(self, urls: list[str]) -> None:
-        """Announce to every URL at each interval."""
-        async with aiohttp.ClientSession() as session:
-            while True:
-                self._sequence += 1
-                body = self._fixed | {
-                    "state": int(self.state),
-                    "sequence": self._sequence,
-                    "open_connections": self._upstream.open_connections,
-                }
-                for url in urls:
-                    await self._post(session, url, body)
-                await asyncio.sleep(ANNOUNCE_INTERVAL_S)
-
-    async def _post(self, session, url: str, body: dict[str, object]) -> None:
-        try:
-            async with session.post(url, json=body) as response:
-                await response.read()
-        except aiohttp.ClientError:
-            return
+        """Announce to every URL at each interval and at once on a change of state."""
+        timeout = aiohttp.ClientTimeout(total=ANNOUNCE_TIMEOUT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while self._end_state != "leaving":
+                self._changed.clear()
+                await self._announce(session, urls)
+                with suppress(TimeoutError):
+                    await asyncio.wait_for(self._changed.wait(), ANNOUNCE_INTERVAL_S)
+            await self._announce(session, urls)
 
     def drain(self) -> None:
         """Announce the state draining from now on."""
-        self.state = UpstreamState.DRAINING
+        self._end_with("draining")
+
+    def leave(self) -> None:
+        """Announce the state leaving once and stop."""
+        self._end_with("leaving")
+
+    def _end_with(self, state: str) -> None:
+        self._end_state = state
+        self._changed.set()
+
+    def _state(self) -> str:
+        if self._end_state is not None:
+            return self._end_state
+        return "ready" if time.monotonic() >= self._ready_at_s else "cold"
+
+    async def _announce(self, session: aiohttp.ClientSession, urls: list[str]) -> None:
+        self._sequence += 1
+        content = self._fixed | {
+            "state": self._state(),
+            "sequence": self._sequence,
+            "open_connections": self._upstream.open_connections,
+            "busy_slots": self._upstream.busy_slots,
+        }
+        body = json.dumps(content).encode()
+        await asyncio.gather(*(self._post(session, url, body) for url in urls))
+
+    async def _post(self, session: aiohttp.ClientSession, url: str, body: bytes):
+        headers = {"Content-Type": "application/json"}
+        if self._key is not None:
+            headers[SIGNATURE_HEADER] = signature_of(body, self._key)
+        with suppress(aiohttp.ClientError, TimeoutError):
+            async with session.post(url, data=body, headers=headers) as response:
+                if response.status != 204:
+                    print(f"announcement refused: {await response.text()}", flush=True)
 
 
 async def serve() -> None:
-    """Run the stand-in; SIGUSR1 makes it drain."""
+    """Run the stand-in; SIGUSR1 makes it drain, SIGTERM leave."""
     settings = flags.FLAGS
     listen = parse_address(settings.upstream_listen)
     service_ip, service_port = parse_address(settings.service_address)
@@ -174,11 +222,13 @@
                 "service": settings.service,
                 "work_kinds": settings.work_kinds,
                 "weight": 100,
-                "busy_slots": 0,
                 "started_at_s": time.time(),
             },
+            key=settings.announce_key.encode() if settings.announce_key else None,
+            cold_s=settings.cold_s,
         )
         loop.add_signal_handler(signal.SIGUSR1, announcer.drain)
+        loop.add_signal_handler(signal.SIGTERM, announcer.leave)
         await announcer.run(settings.announce)
 
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -69,3 +69,23 @@
 
 def returned(number: int = 1, *, flags: int, seq: int = 501, ack: int = 101) -> bytes:
     return encode_tcp(SERVICE, caller(number), flags=flags, seq=seq, ack=ack)
+
+
+def announcement(number: int = 1, **changes) -> dict[str, object]:
+    record = upstream(number)
+    fields = {
+        "upstream_id": record.upstream_id,
+        "name": record.name,
+        "data_centre": record.data_centre,
+        "address": record.address,
+        "port": record.port,
+        "service": record.service,
+        "work_kinds": ["alerts"],
+        "state": "ready",
+        "sequence": 1,
+        "weight": 100,
+        "open_connections": 0,
+        "busy_slots": 0,
+        "started_at_s": 0.0,
+    }
+    return fields | changes
--- /dev/null
+++ b/tests/coordination/test_registrar.py
@@ -0,0 +1,87 @@
+"""Announcements: checks and effect on the view."""
+
+import pytest
+
+from arbutuslift.clock import ManualClock
+from arbutuslift.coordination.registrar import MAX_CLOCK_AHEAD_S, Registrar
+from arbutuslift.coordination.services import ServiceTable
+from arbutuslift.errors import AnnouncementError
+from arbutuslift.state.upstreams import UpstreamState, UpstreamView
+
+from .. import builders
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def services(clock):
+    table = ServiceTable(clock, UpstreamView(clock))
+    table.apply(builders.configuration())
+    return table
+
+
+@pytest.fixture
+def registrar(services, clock):
+    return Registrar(services, clock)
+
+
+def eligible(services):
+    routes = services.at(builders.SERVICE, 6)
+    members = routes.history.current.generation.members
+    return [member.upstream_id for member in members]
+
+
+def test_every_faulty_field_is_listed(registrar):
+    content = builders.announcement(port=0, state="gone", extra=1, weight="a" * 9000)
+    del content["name"]
+    with pytest.raises(AnnouncementError) as caught:
+        registrar.accept(content)
+    faults = caught.value.message
+    for field in ("port: ", "state: ", "'extra'", "weight: ", "'name'"):
+        assert field in faults
+    assert len(faults) < 1200
+
+
+def test_leaving_upstream_gets_no_new_flows(registrar, services):
+    registrar.accept(builders.announcement())
+    assert eligible(services) == [builders.upstream().upstream_id]
+    registrar.accept(builders.announcement(sequence=2, state="leaving"))
+    assert eligible(services) == []
+    registrar.accept(builders.announcement(sequence=1))
+    registrar.accept(builders.announcement(sequence=3, state="ready"))
+    assert eligible(services) == []
+
+
+def test_news_from_gossip_refreshes_the_slot_table(registrar, services):
+    services.view.merge(builders.upstream())
+    assert eligible(services) == [builders.upstream().upstream_id]
+    services.view.merge(builders.upstream(sequence=2, state=UpstreamState.DRAINING))
+    assert eligible(services) == []
+
+
+def test_start_ahead_of_the_clock_is_refused(registrar, services, clock):
+    start_s = clock.wall_s() + MAX_CLOCK_AHEAD_S + 1.0
+    with pytest.raises(AnnouncementError, match="started_at_s"):
+        registrar.accept(builders.announcement(started_at_s=start_s))
+    assert list(services.view) == []
+
+
+def test_identity_can_not_move_to_another_address(registrar, services):
+    registrar.accept(builders.announcement())
+    with pytest.raises(AnnouncementError, match="upstream_id"):
+        registrar.accept(builders.announcement(sequence=2, address="127.20.0.9"))
+    assert [r.address for r in services.view] == [builders.upstream().address]
+
+
+def test_announcement_that_gossip_overtook_counts_as_heard(registrar, services, clock):
+    # An upstream announces itself to two instances; news from the other one may
+    # arrive first, and this instance must still take part in its lapse.
+    services.view.merge(builders.upstream(sequence=2))
+    registrar.accept(builders.announcement(sequence=2))
+    upstream_id = builders.upstream().upstream_id
+    assert registrar.heard_at_s(upstream_id) == clock.monotonic_s()
+    services.view.mark_lapsed(upstream_id)
+    assert registrar.heard_at_s(upstream_id) is None
