Mark upstreams gone that no longer announce themselves

Nothing removed an upstream that died without a word.

An instance counts silence from the last growth of the sequence in its view. Only instances to which the upstream announces itself mark it after 5 s; others wait 60 s, since a failure of gossip looks the same to them and would end flows of healthy upstreams. The later mark covers an upstream that dies together with both of its hearers.

An upstream counts as about to lapse after 2 s. Counting only those past 5 s marks the first upstreams of a failure of the receiving side before more than half of them are silent. Upstreams whose news arrives less often than that count neither way: a large data centre has more upstreams than gossip can report each second, and its instances would otherwise never mark one.

--- /dev/null
+++ b/tests/coordination/test_lapse.py
@@ -0,0 +1,142 @@
+"""Lapse of upstreams that no longer announce themselves."""
+
+import pytest
+
+from arbutuslift.clock import ManualClock
+from arbutuslift.coordination.lapse import LAPSE_S, UNHEARD_LAPSE_S, LapseDetector
+from arbutuslift.coordination.registrar import Registrar
+from arbutuslift.coordination.services import ServiceTable
+from arbutuslift.state.upstreams import UpstreamView
+
+from .. import builders
+
+COUNT = 6
+
+
+class Instance:
+    """An instance that hears some upstreams itself and others by gossip."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.view = UpstreamView(clock)
+        services = ServiceTable(clock, self.view)
+        self.registrar = Registrar(services, clock)
+        self.detector = LapseDetector(self.view, self.registrar, clock, "dc-1")
+
+    def second(self, sequence, heard=(), gossiped=()):
+        self.clock.jump(1.0)
+        for number in heard:
+            content = builders.announcement(number, sequence=sequence)
+            self.registrar.accept(content | {"data_centre": "dc-1"})
+        for number in gossiped:
+            self.view.merge(record(number, sequence))
+        self.detector.tick()
+
+    def alive(self):
+        return sorted(int(r.upstream_id, 16) for r in self.view if r.is_alive)
+
+
+def record(number, sequence, **changes):
+    return builders.upstream(number, sequence=sequence, data_centre="dc-1", **changes)
+
+
+@pytest.fixture
+def instance():
+    return Instance(ManualClock())
+
+
+ALL = range(COUNT)
+SECONDS = int(LAPSE_S) + 3
+
+
+def test_silent_upstream_is_gone_and_returns_when_it_announces_again(instance):
+    for second in range(1, 4):
+        instance.second(second, heard=ALL)
+    for second in range(4, 4 + int(LAPSE_S) - 1):
+        instance.second(second, heard=range(1, COUNT))
+        assert 0 in instance.alive()
+    instance.second(9, heard=range(1, COUNT))
+    assert instance.alive() == list(range(1, COUNT))
+    instance.second(3, heard=[0])
+    assert 0 not in instance.alive()
+    instance.second(10, heard=ALL)
+    assert instance.alive() == list(ALL)
+
+
+def test_upstream_heard_by_another_instance_does_not_lapse(instance):
+    # Each upstream announces itself to two instances; one of the paths may fail.
+    for second in range(1, 20):
+        gossiped = ALL if second > 3 else ()
+        instance.second(second, heard=ALL if second <= 3 else (), gossiped=gossiped)
+    assert instance.alive() == list(ALL)
+
+
+@pytest.mark.parametrize("spread_s", [0, 1, 3], ids="spread_{}_s".format)
+def test_failure_of_the_receiving_side_keeps_the_last_known_set(instance, spread_s):
+    for second in range(1, 4):
+        instance.second(second, heard=ALL)
+    for second in range(4, 40):
+        still = [n for n in ALL if second - 4 < n * spread_s / COUNT]
+        instance.second(second, heard=still)
+        assert instance.alive() == list(ALL)
+    assert instance.detector.is_held
+
+
+def test_upstreams_heard_again_one_by_one_after_a_failure_do_not_lapse(instance):
+    for second in range(1, 4):
+        instance.second(second, heard=ALL)
+    for second in range(4, 20):
+        instance.second(second)
+    for second in range(20, 20 + COUNT):
+        instance.second(second, heard=range(min(COUNT, second - 18)))
+        assert instance.alive() == list(ALL)
+
+
+def test_two_failures_within_one_lapse_time_count_together(instance):
+    for second in range(1, 4):
+        instance.second(second, heard=ALL)
+    for second in range(4, 30):
+        silent = {0, 1} if second < 6 else {0, 1, 2, 3}
+        instance.second(second, heard=set(ALL) - silent)
+    assert instance.alive() == list(ALL)
+
+
+def test_frozen_process_marks_none_when_it_resumes(instance):
+    for second in range(1, 4):
+        instance.second(second, heard=ALL)
+    instance.clock.jump(60.0)
+    for second in range(4, 4 + int(LAPSE_S) - 1):
+        instance.second(second)
+        assert instance.alive() == list(ALL)
+
+
+def test_failed_gossip_does_not_end_upstreams_that_others_hear(instance):
+    for second in range(1, 4):
+        instance.second(second, heard=range(4), gossiped=[4, 5])
+    for second in range(4, int(UNHEARD_LAPSE_S) - 1):
+        instance.second(second, heard=range(4))
+        assert instance.alive() == list(ALL)
+
+
+def test_upstream_lost_together_with_its_hearers_lapses_later(instance):
+    for second in range(1, 4):
+        instance.second(second, heard=range(4), gossiped=[4, 5])
+    for second in range(4, int(UNHEARD_LAPSE_S) + 4):
+        instance.second(second, heard=range(4))
+    assert instance.alive() == [0, 1, 2, 3]
+
+
+def test_rare_gossip_of_a_large_data_centre_does_not_hold_back_a_lapse(instance):
+    # Gossip can't carry every sequence of 1,300 upstreams each second.
+    for second in range(1, 60):
+        heard = [0, 1, 2] if second < 50 else [0, 1]
+        gossiped = range(10, 40) if second % 20 == 0 else ()
+        instance.second(second, heard=heard, gossiped=gossiped)
+    assert instance.alive() == [0, 1, *range(10, 40)]
+
+
+def test_upstreams_of_other_data_centres_do_not_lapse(instance):
+    instance.view.merge(builders.upstream(1))
+    for second in range(1, int(UNHEARD_LAPSE_S) + 5):
+        instance.second(second, heard=[2, 4])
+    assert 1 in instance.alive()
