Admit new flows by this instance's share of each upstream's limits

UnlimitedAdmission sent a cold upstream whatever callers asked for.

The cold limit holds in any second by a log per upstream. It starts with a state cold, a denial, another identity at a known name or address, or a process younger than its warm-up time, and ends by a timer of this instance. A process that starts or was frozen waits until its window can hold nothing; so does a new identity at a known address, whose machine also got the former one's flows.

Thresholds of priorities round down. A share of 1 has no unit to spare, so a lower priority may use it once per two windows (three if the upstream is busy); rounding up would let ordinary flows take every unit, rounding to 0 would never start an ordinary upstream behind 9 instances with a cold limit of 10. For connections the threshold applies to the limit before its division, so open connections count as used.

--- /dev/null
+++ b/arbutuslift/coordination/limits.py
@@ -0,0 +1,25 @@
+"""Limits of upstreams as the configuration document gives them."""
+
+from ..protocol.document import Document, Service
+from ..state.shares import LimitPlan, NamedLimits, ServiceLimits
+
+
+def limit_plan_of(document: Document) -> LimitPlan:
+    """Return the instances in order of their ordinals and the limits of services."""
+    return LimitPlan(
+        instances=tuple(
+            name for centre in document.data_centres for name in centre.instances
+        ),
+        services=tuple(
+            NamedLimits(service.name, _limits_of(service))
+            for service in document.services
+        ),
+    )
+
+
+def _limits_of(service: Service) -> ServiceLimits:
+    return ServiceLimits(
+        max_connections=service.max_connections,
+        cold_new_flows_per_s=service.cold_new_flows_per_s,
+        warm_up_s=service.warm_up_s,
+    )
--- a/arbutuslift/state/admission.py
+++ b/arbutuslift/state/admission.py
@@ -1,9 +1,39 @@
 """Limits on what this instance sends to each upstream."""
 
 from abc import ABC, abstractmethod
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
 
+from attrs import frozen
+
+from ..clock import Clock
+from .coldness import ColdStarts
 from .flowkey import FlowKey
-from .upstreams import UpstreamRecord
+from .hashing import rendezvous_order
+from .priorities import (
+    MAX_SPACING_WINDOWS,
+    URGENT,
+    limit_of_priority,
+    spacing_windows,
+)
+from .shares import LimitPlan, ServiceLimits, ShareBook
+from .upstreams import UpstreamRecord, UpstreamView
+from .windows import SlidingLog
+
+COLD_WINDOW_S = 1.0
+FREEZE_GAP_S = 1.0
+TICK_S = 0.25
+
+# A report may not include flows admitted shortly before it arrived.
+REPORT_LAG_S = 2.0
+REPORT_TIMEOUT_S = 10.0
+UNREPORTED_DIVISOR = 8
+
+MAX_UNANSWERED = 64
+HANDSHAKE_TIMEOUT_S = 3.0
+
+MAX_LEDGERS = 20_000
+LEDGER_RETENTION_S = MAX_SPACING_WINDOWS * (REPORT_TIMEOUT_S + REPORT_LAG_S)
 
 
 class Admission(ABC):
@@ -50,3 +80,211 @@
     def relay_holder(self, record: UpstreamRecord, flow: FlowKey) -> str | None:
         """Return None."""
         return None
+
+
+class Ledger:
+    """What this instance sent to one upstream lately.
+
+    Args:
+        clock: Source of time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.admissions = SlidingLog(clock, LEDGER_RETENTION_S)
+        self.unanswered = SlidingLog(clock, HANDSHAKE_TIMEOUT_S)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether forgetting the ledger can't raise any budget."""
+        return self.admissions.count_within(LEDGER_RETENTION_S) == 0
+
+
+@frozen
+class Budget:
+    """Units that may be used within any span of a length."""
+
+    units: int
+    span_s: float
+
+    def has_room(self, admissions: SlidingLog) -> bool:
+        """Whether the admissions of the last span leave a unit."""
+        return self.units > 0 and admissions.count_within(self.span_s) < self.units
+
+
+NO_BUDGET = Budget(0, 0.0)
+
+
+class AdmissionControl(Admission):
+    """Enforces this instance's share of every upstream's limits.
+
+    Args:
+        clock: Source of time.
+        view: Records of upstreams.
+        instance: Name of this instance.
+        alive_instances: Gives the names of the instances that are alive.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        view: UpstreamView,
+        instance: str,
+        alive_instances: Callable[[], Iterable[str]] = tuple,
+    ) -> None:
+        self._clock = clock
+        self._view = view
+        self._instance = instance
+        self._alive_instances = alive_instances
+        self._shares = ShareBook(clock, instance)
+        self._cold = ColdStarts(clock, view)
+        self._ledgers: OrderedDict[str, Ledger] = OrderedDict()
+        self._last_active_s = clock.monotonic_s()
+        # The admissions of a former process of this instance, or of this one before
+        # it was frozen, may still count against the window.
+        self._full_until_s = self._last_active_s + COLD_WINDOW_S
+
+    def apply(self, plan: LimitPlan) -> None:
+        """Put the instances and limits of a revision in effect."""
+        self._shares.apply(plan)
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        while True:
+            self.tick()
+            await self._clock.sleep(TICK_S)
+
+    def tick(self) -> None:
+        """Detect that the process was frozen and drop what has expired."""
+        now_s = self._clock.monotonic_s()
+        if now_s - self._last_active_s > FREEZE_GAP_S:
+            self._full_until_s = now_s + COLD_WINDOW_S
+        self._last_active_s = now_s
+        while self._ledgers:
+            upstream_id, ledger = next(iter(self._ledgers.items()))
+            if not ledger.is_idle:
+                return
+            del self._ledgers[upstream_id]
+
+    def is_cold(self, record: UpstreamRecord) -> bool:
+        """Whether the cold limit applies to an upstream at this instance."""
+        limits = self._shares.limits_of(record.service)
+        return limits is not None and self._cold.is_cold(record, limits.warm_up_s)
+
+    def try_admit(self, record: UpstreamRecord, priority: str) -> bool:
+        """Use up one unit of the upstream's budget if the priority allows it."""
+        self.tick()
+        limits = self._shares.limits_of(record.service)
+        if limits is None or record.open_connections >= limits.max_connections:
+            return False
+        ledger = self._ledger(record.upstream_id)
+        if ledger is None:
+            return False
+        if ledger.unanswered.count_within(HANDSHAKE_TIMEOUT_S) >= MAX_UNANSWERED:
+            return False
+        is_busy = record.busy_slots >= limits.slots
+        if self._cold.is_cold(record, limits.warm_up_s):
+            budget = self._cold_budget(record, priority, is_busy)
+        else:
+            budget = self._connection_budget(record, priority, is_busy)
+        if not budget.has_room(ledger.admissions):
+            return False
+        ledger.admissions.add()
+        ledger.unanswered.add()
+        return True
+
+    def note_return(self, upstream_id: str) -> None:
+        """Count all handshakes with an upstream as answered."""
+        ledger = self._ledgers.get(upstream_id)
+        if ledger is not None:
+            ledger.unanswered.clear()
+
+    def note_restart(self, upstream_id: str) -> None:
+        """Apply the cold limit to an upstream for its warm-up time."""
+        record = self._view.get(upstream_id)
+        if record is not None and record.is_alive and not self.is_cold(record):
+            self._cold.start(upstream_id)
+
+    def relay_holder(self, record: UpstreamRecord, flow: FlowKey) -> str | None:
+        """Return an alive instance with a share of a cold upstream.
+
+        Returns:
+            The first alive holder in the rendezvous order of the flow key, so that
+            every copy of a SYN goes to the same holder. None if this instance has a
+            share itself, the upstream isn't cold or no holder is alive.
+        """
+        if not self.is_cold(record) or self._share(record, _cold_limit) > 0:
+            return None
+        plan = self._shares.plan
+        total = _cold_limit(plan.limits_of(record.service))
+        alive = set(self._alive_instances()) - {self._instance}
+        holders = plan.holders(record.upstream_id, total)
+        candidates = [name for name in holders if name in alive]
+        order = rendezvous_order(flow.to_bytes(), candidates)
+        return order[0] if order else None
+
+    def _share(
+        self, record: UpstreamRecord, total_of: Callable[[ServiceLimits], int]
+    ) -> int:
+        return self._shares.share(record.service, record.upstream_id, total_of)
+
+    def _cold_budget(
+        self, record: UpstreamRecord, priority: str, is_busy: bool
+    ) -> Budget:
+        full_until_s = max(self._full_until_s, self._cold.full_until_s(record))
+        if self._clock.monotonic_s() < full_until_s:
+            return NO_BUDGET
+        share = self._share(record, _cold_limit)
+        units = limit_of_priority(share, priority, is_busy)
+        return _budget(share, units, COLD_WINDOW_S, priority, is_busy)
+
+    def _connection_budget(
+        self, record: UpstreamRecord, priority: str, is_busy: bool
+    ) -> Budget:
+        reported_s = self._view.advanced_at_s(record.upstream_id)
+        report_age_s = self._clock.monotonic_s() - reported_s
+        divisor, used, span_s = 1, record.open_connections, report_age_s + REPORT_LAG_S
+        if report_age_s >= REPORT_TIMEOUT_S:
+            divisor, used, span_s = UNREPORTED_DIVISOR, 0, REPORT_TIMEOUT_S
+
+        def free(limits: ServiceLimits) -> int:
+            return limits.max_connections // divisor - used
+
+        def free_for_priority(limits: ServiceLimits) -> int:
+            limit = limits.max_connections // divisor
+            return limit_of_priority(limit, priority, is_busy) - used
+
+        units = self._share(record, free_for_priority)
+        if units <= 0:
+            return NO_BUDGET
+        return _budget(self._share(record, free), units, span_s, priority, is_busy)
+
+    def _ledger(self, upstream_id: str) -> Ledger | None:
+        """Return the ledger of an upstream, or None if all places are in use."""
+        ledger = self._ledgers.get(upstream_id)
+        if ledger is None:
+            if len(self._ledgers) >= MAX_LEDGERS:
+                return None
+            ledger = self._ledgers[upstream_id] = Ledger(self._clock)
+        self._ledgers.move_to_end(upstream_id)
+        return ledger
+
+
+def _cold_limit(limits: ServiceLimits) -> int:
+    return limits.cold_new_flows_per_s
+
+
+def _unreported_limit(limits: ServiceLimits) -> int:
+    return limits.max_connections // UNREPORTED_DIVISOR
+
+
+def _budget(
+    share: int, units: int, span_s: float, priority: str, is_busy: bool
+) -> Budget:
+    """Return the budget of a priority that may use ``units`` of a share."""
+    if share <= 0:
+        return NO_BUDGET
+    if units >= share and priority != URGENT:
+        units = share - 1
+    if units > 0:
+        return Budget(units, span_s)
+    return Budget(1, span_s * spacing_windows(priority, is_busy))
--- /dev/null
+++ b/arbutuslift/state/windows.py
@@ -0,0 +1,44 @@
+"""Log of recent events on a monotonic clock."""
+
+from bisect import bisect_right
+from collections import deque
+
+from ..clock import Clock
+
+
+class SlidingLog:
+    """Times of the events within a retention time.
+
+    Each instant lies in exactly one of two adjoining half-open spans, so a limit on
+    ``count_within(span_s)`` bounds the events of any span of that length.
+
+    Args:
+        clock: Source of time.
+        retention_s: Longest span that can be counted.
+    """
+
+    def __init__(self, clock: Clock, retention_s: float) -> None:
+        self._clock = clock
+        self._retention_s = retention_s
+        self._times_s: deque[float] = deque()
+
+    def add(self) -> None:
+        """Add an event now."""
+        now_s = self._clock.monotonic_s()
+        self._drop_expired(now_s)
+        self._times_s.append(now_s)
+
+    def clear(self) -> None:
+        """Forget all events."""
+        self._times_s.clear()
+
+    def count_within(self, span_s: float) -> int:
+        """Return the number of events of the last ``span_s`` seconds."""
+        now_s = self._clock.monotonic_s()
+        self._drop_expired(now_s)
+        return len(self._times_s) - bisect_right(self._times_s, now_s - span_s)
+
+    def _drop_expired(self, now_s: float) -> None:
+        oldest_s = now_s - self._retention_s
+        while self._times_s and self._times_s[0] <= oldest_s:
+            self._times_s.popleft()
--- /dev/null
+++ b/tests/state/test_admission.py
@@ -0,0 +1,281 @@
+"""Admission of new flows to upstreams."""
+
+import random
+
+import pytest
+
+from arbutuslift.clock import ManualClock
+from arbutuslift.coordination.limits import limit_plan_of
+from arbutuslift.protocol.document import DataCentre, Document
+from arbutuslift.state import admission
+from arbutuslift.state.admission import AdmissionControl
+from arbutuslift.state.flowkey import FlowKey
+from arbutuslift.state.priorities import THRESHOLDS
+from arbutuslift.state.upstreams import UpstreamState, UpstreamView
+
+from .. import builders
+
+COLD_LIMIT = 10
+MAX_CONNECTIONS = 180
+WARM_UP_S = 30.0
+
+
+def plan(count=9):
+    service = builders.service(
+        cold_new_flows_per_s=COLD_LIMIT,
+        max_connections=MAX_CONNECTIONS,
+        warm_up_s=WARM_UP_S,
+    )
+    names = tuple(f"instance-{number}" for number in range(count))
+    centres = (DataCentre(name="dc-1", instances=names),)
+    return limit_plan_of(Document(services=(service,), data_centres=centres))
+
+
+class Instances:
+    """Instances that share a clock and a view, and use no time to gossip."""
+
+    def __init__(self, count=9, listed=None):
+        self.clock = ManualClock()
+        self.view = UpstreamView(self.clock)
+        self.plan = plan(listed or count)
+        self.names = [f"instance-{number}" for number in range(count)]
+        self.controls = [self.start(name) for name in self.names]
+        self.pass_s(1.0)
+
+    def start(self, name):
+        control = AdmissionControl(self.clock, self.view, name, lambda: self.names)
+        control.apply(self.plan)
+        return control
+
+    def pass_s(self, duration_s):
+        for _ in range(round(duration_s / 0.25)):
+            self.clock.jump(0.25)
+            for control in self.controls:
+                control.tick()
+
+    def announce(self, **changes):
+        self.record = builders.upstream(**changes)
+        self.view.merge(self.record)
+        return self.record
+
+    def admit_all(self, priority="urgent", per_instance=300):
+        """Return how many flows each instance admits under overload."""
+        record = self.view.get(self.record.upstream_id)
+        return [
+            sum(control.try_admit(record, priority) for _ in range(per_instance))
+            for control in self.controls
+        ]
+
+
+@pytest.fixture
+def instances():
+    return Instances()
+
+
+def answer_all(instances):
+    for control in instances.controls:
+        control.note_return(instances.record.upstream_id)
+
+
+def warm_up(instances, **changes):
+    instances.announce(state=UpstreamState.COLD)
+    instances.pass_s(WARM_UP_S)
+    instances.announce(sequence=2, **changes)
+    instances.pass_s(0.25)
+
+
+def test_cold_limit_holds_in_any_second_and_ends_with_the_warm_up(instances):
+    instances.announce(state=UpstreamState.COLD)
+    assert sum(instances.admit_all()) == COLD_LIMIT
+    instances.pass_s(0.75)
+    assert sum(instances.admit_all()) == 0
+    instances.pass_s(0.25)
+    assert sum(instances.admit_all()) == COLD_LIMIT
+    instances.pass_s(WARM_UP_S - 1.25)
+    instances.announce(sequence=2, state=UpstreamState.READY)
+    assert sum(instances.admit_all()) == COLD_LIMIT
+    instances.pass_s(0.25)
+    assert sum(instances.admit_all()) > COLD_LIMIT
+
+
+SIGNS_OF_COLD_START = [
+    pytest.param({"address": "127.20.0.9"}, id="known name"),
+    pytest.param({"name": "other"}, id="known address"),
+]
+
+
+@pytest.mark.parametrize("changes", SIGNS_OF_COLD_START)
+def test_replacement_that_announces_ready_is_cold_after_a_full_window(
+    instances, changes
+):
+    warm_up(instances)
+    instances.announce(upstream_id="f" * 32, started_at_s=1.0, **changes)
+    # The former process's admissions of the last second reached the same machine.
+    assert sum(instances.admit_all()) == 0
+    instances.pass_s(1.0)
+    assert sum(instances.admit_all()) == COLD_LIMIT
+
+
+def test_denial_of_a_known_flow_makes_an_upstream_cold_and_others_do_not_prolong_it(
+    instances,
+):
+    warm_up(instances)
+    for _ in range(3):
+        for control in instances.controls:
+            control.note_restart(instances.record.upstream_id)
+        assert sum(instances.admit_all()) == COLD_LIMIT
+        instances.pass_s(WARM_UP_S / 3)
+    assert not instances.controls[0].is_cold(instances.record)
+
+
+def test_joining_instance_takes_a_young_process_for_cold():
+    instances = Instances()
+    instances.announce(started_at_s=instances.clock.wall_s() - WARM_UP_S + 1.0)
+    old = builders.upstream(2)
+    instances.view.merge(old)
+    joined = instances.start("instance-0")
+    assert joined.is_cold(instances.record)
+    assert not joined.is_cold(old)
+
+
+def test_restarted_and_frozen_process_wait_for_a_full_window(instances):
+    instances.announce(state=UpstreamState.COLD)
+    instances.admit_all()
+    instances.controls[0] = instances.start("instance-0")
+    assert instances.admit_all()[0] == 0
+    instances.pass_s(1.0)
+    assert sum(instances.admit_all()) == COLD_LIMIT
+    instances.clock.jump(1.5)
+    assert sum(instances.admit_all()) == 0
+    instances.pass_s(0.75)
+    assert sum(instances.admit_all()) == 0
+    instances.pass_s(0.25)
+    assert sum(instances.admit_all()) == COLD_LIMIT
+
+
+def test_instance_outside_the_document_admits_nothing():
+    instances = Instances(count=10, listed=9)
+    instances.announce(state=UpstreamState.COLD)
+    admitted = instances.admit_all()
+    assert admitted[9] == 0
+    assert sum(admitted) == COLD_LIMIT
+
+
+def test_random_restarts_and_freezes_never_exceed_the_cold_limit(instances):
+    # Invariant 3: an upstream in cold start gets no more than it can handle.
+    randomness = random.Random(7)
+    record = instances.announce(state=UpstreamState.COLD)
+    times_s = []
+    while instances.clock.monotonic_s() < 1000.0 + WARM_UP_S:
+        instances.clock.jump(0.01)
+        frozen = randomness.randrange(9)
+        for number, control in enumerate(instances.controls):
+            if number != frozen and control.try_admit(record, "urgent"):
+                times_s.append(instances.clock.monotonic_s())
+        if randomness.random() < 0.02:
+            number = randomness.randrange(9)
+            instances.controls[number] = instances.start(f"instance-{number}")
+        answer_all(instances)
+    assert len(times_s) > 5 * WARM_UP_S
+    spans = zip(times_s, times_s[COLD_LIMIT:], strict=False)
+    assert min(later - earlier for earlier, later in spans) > 0.999999
+
+
+def test_report_limits_connections_less_own_recent_admissions(instances):
+    warm_up(instances, open_connections=90)
+    assert sum(instances.admit_all()) == 90
+    answer_all(instances)
+    # The next report doesn't include these admissions yet.
+    instances.announce(sequence=3, open_connections=90)
+    assert sum(instances.admit_all()) == 0
+    instances.pass_s(2.0)
+    instances.announce(sequence=4, open_connections=180)
+    assert sum(instances.admit_all()) == 0
+    instances.announce(sequence=5, open_connections=171)
+    assert instances.admit_all() == [1] * 9
+
+
+def test_without_reports_an_eighth_of_the_limit_is_admitted_per_10_s(instances):
+    warm_up(instances, open_connections=90)
+    instances.pass_s(10.0)
+    for _ in range(3):
+        assert sum(instances.admit_all()) == MAX_CONNECTIONS // 8
+        instances.pass_s(10.0)
+
+
+def test_unanswered_handshakes_are_limited_until_the_upstream_answers(monkeypatch):
+    monkeypatch.setattr(admission, "MAX_UNANSWERED", 5)
+    instances = Instances()
+    warm_up(instances)
+    assert instances.admit_all() == [5] * 9
+    instances.controls[0].note_return(instances.record.upstream_id)
+    assert instances.admit_all() == [5] + [0] * 8
+    instances.pass_s(3.0)
+    assert instances.admit_all()[1:] == [5] * 8
+
+
+def test_priorities_use_their_part_of_the_connection_limit(instances):
+    # A collapse of urgent services under ordinary load starts here.
+    warm_up(instances)
+    for priority, total in (("ordinary", 126), ("high", 162), ("urgent", 180)):
+        instances.admit_all(priority)
+        used = [c._ledgers[instances.record.upstream_id] for c in instances.controls]
+        assert sum(u.admissions.count_within(2.0) for u in used) == total
+
+
+def test_busy_slots_lower_the_ordinary_class_only(instances):
+    warm_up(instances, busy_slots=2)
+    assert sum(instances.admit_all("ordinary")) == 63
+    assert sum(instances.admit_all("high")) == 162 - 63
+
+
+@pytest.mark.parametrize("priority", ["ordinary", "high"])
+@pytest.mark.parametrize("count", [1, 5, 9, 10])
+def test_lower_priority_never_takes_all_seconds_of_a_small_share(priority, count):
+    instances = Instances(count)
+    record = instances.announce(state=UpstreamState.COLD)
+    lower, urgent = [0] * count, [0] * count
+    for _ in range(20):
+        for number, control in enumerate(instances.controls):
+            for _ in range(20):
+                lower[number] += control.try_admit(record, priority)
+            urgent[number] += control.try_admit(record, "urgent")
+        answer_all(instances)
+        instances.pass_s(1.0)
+    assert min(urgent) >= 9
+    assert min(lower) >= 1
+    assert sum(lower) + sum(urgent) <= 20 * COLD_LIMIT
+    assert sum(lower) <= THRESHOLDS[priority] * 20 * COLD_LIMIT
+
+
+def test_syn_without_a_share_is_relayed_to_an_alive_holder():
+    instances = Instances(count=30)
+    record = instances.announce(state=UpstreamState.COLD)
+    flows = [FlowKey(builders.caller(n), builders.SERVICE, 6) for n in range(200)]
+    share = dict(zip(instances.names, instances.admit_all(), strict=True))
+    chosen = set()
+    for name, control in zip(instances.names, instances.controls, strict=True):
+        holders = {control.relay_holder(record, flow) for flow in flows}
+        assert (holders == {None}) == (share[name] == 1)
+        chosen |= holders - {None}
+    assert chosen == {name for name in instances.names if share[name]}
+    without = next(n for n in instances.names if not share[n])
+    control = instances.controls[instances.names.index(without)]
+    dead = control.relay_holder(record, flows[0])
+    instances.names.remove(dead)
+    assert control.relay_holder(record, flows[0]) in chosen - {dead}
+    instances.names.clear()
+    assert control.relay_holder(record, flows[0]) is None
+
+
+def test_ledgers_are_bounded_and_idle_ones_make_room(monkeypatch):
+    monkeypatch.setattr(admission, "MAX_LEDGERS", 3)
+    instances = Instances(count=1)
+    records = [builders.upstream(number) for number in range(5)]
+    for record in records:
+        instances.view.merge(record)
+    control = instances.controls[0]
+    admitted = [control.try_admit(record, "urgent") for record in records]
+    assert admitted == [True, True, True, False, False]
+    instances.pass_s(admission.LEDGER_RETENTION_S)
+    assert control.try_admit(records[4], "urgent")
