Measure goodput under overload with persistent connections

One request per flow says little about a limit on connections. Callers now hold a connection for 20 s on average with a request each second, close it when an answer takes over 2 s and try again up to 3 times.

--- a/measure/limits.py
+++ b/measure/limits.py
@@ -1,8 +1,9 @@
 """Goodput per priority of an upstream under overload with retries."""
 
 import heapq
+import itertools
 import random
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 
 from attrs import define, evolve, field, frozen
@@ -19,15 +20,20 @@
 from .result import Measure
 
 START_S = 1000.0
-RUN_S = 60.0
+RUN_S = 120.0
+# The first callers connect into an empty upstream; figures start after this time.
+SETTLE_S = 40.0
 INSTANCES = 9
 SLOTS = 2
-WORK_S = 0.1
-CAPACITY_PER_S = SLOTS / WORK_S
-# A caller gives up an answer after this time; the work for it is then wasted.
+WORK_S = 0.01
+HOLD_S = 20.0
+REQUEST_INTERVAL_S = 1.0
+# Connections whose requests fill the slots.
+CAPACITY = round(SLOTS / WORK_S * REQUEST_INTERVAL_S)
+MAX_CONNECTIONS = round(0.9 * CAPACITY)
+# A caller whose answer is later than this closes its connection and tries again; the
+# upstream still works on the request.
 PATIENCE_S = 2.0
-# Connections that the slots serve within three quarters of the callers' patience.
-MAX_CONNECTIONS = round(0.75 * PATIENCE_S * CAPACITY_PER_S)
 RETRIES = 3
 BACKOFF_S = 0.5
 MIX = {"urgent": 0.2, "high": 0.3, "ordinary": 0.5}
@@ -35,13 +41,22 @@
 SEED = 5
 
 
-@define
-class Request:
-    """A caller's request, sent again as a new flow when it fails."""
+@define(eq=False)
+class Connection:
+    """A caller's persistent connection with one request at a time."""
 
     priority: str
-    retries_left: int = RETRIES
-    given_up_at_s: float = 0.0
+    retries_left: int
+    closes_at_s: float
+    is_open: bool = True
+
+
+@define(eq=False)
+class Request:
+    """A request whose caller waits until a time."""
+
+    connection: Connection
+    late_at_s: float
 
 
 @frozen(order=True)
@@ -57,17 +72,19 @@
     """Callers, instances and one upstream that works in order of arrival.
 
     Args:
-        factor: Offered load in multiples of the upstream's capacity.
+        factor: Offered connections in multiples of the upstream's capacity.
         is_limited: Whether the instances enforce limits.
     """
 
     def __init__(self, factor: float, is_limited: bool) -> None:
-        self._rate_per_s = factor * CAPACITY_PER_S
+        self._rate_per_s = factor * CAPACITY / HOLD_S
         self._random = random.Random(SEED)
         self._clock = ManualClock(START_S)
         self._events: list[Event] = []
-        self._queue: list[Request] = []
+        self._numbers = itertools.count()
+        self._queue: deque[Request] = deque()
         self._busy = 0
+        self._open = 0
         self._view = UpstreamView(self._clock)
         self._record = _ready_record()
         self._view.merge(self._record)
@@ -75,18 +92,21 @@
         names = plan.instances if is_limited else ()
         self._controls: list[Admission] = [self._control(name, plan) for name in names]
         self._controls = self._controls or [UnlimitedAdmission()]
-        self.offered: Counter[str] = Counter()
         self.answered: Counter[str] = Counter()
 
     def run(self) -> None:
-        """Run until all offered requests have ended."""
+        """Run for the set time."""
         self._at(0.0, self._offer)
         self._at(0.0, self._report)
-        while self._events:
+        while self._events[0].due_s < START_S + RUN_S:
             event = heapq.heappop(self._events)
             self._clock.jump(max(0.0, event.due_s - self._clock.monotonic_s()))
             event.run()
 
+    def goodput(self, priority: str) -> float:
+        """Return the answers in time per second."""
+        return self.answered[priority] / (RUN_S - SETTLE_S)
+
     def _control(self, name: str, plan: LimitPlan) -> AdmissionControl:
         control = AdmissionControl(self._clock, self._view, name)
         control.apply(plan)
@@ -94,65 +114,68 @@
 
     def _at(self, delay_s: float, run: Callable[[], None]) -> None:
         due_s = self._clock.monotonic_s() + delay_s
-        heapq.heappush(self._events, Event(due_s, len(self._events), run))
-
-    def _is_over(self) -> bool:
-        return self._clock.monotonic_s() >= START_S + RUN_S
+        heapq.heappush(self._events, Event(due_s, next(self._numbers), run))
 
     def _offer(self) -> None:
-        if self._is_over():
-            return
         priority = self._random.choices(list(MIX), weights=MIX.values())[0]
-        self.offered[priority] += 1
-        self._connect(Request(priority))
+        self._connect(priority, RETRIES)
         self._at(self._random.expovariate(self._rate_per_s), self._offer)
 
-    def _connect(self, request: Request) -> None:
+    def _connect(self, priority: str, retries_left: int) -> None:
         control = self._random.choice(self._controls)
         record = self._view.get(self._record.upstream_id)
-        if not control.try_admit(record, request.priority):
-            self._retry(request)
+        if not control.try_admit(record, priority):
+            self._retry(priority, retries_left)
             return
         control.note_return(record.upstream_id)
-        request.given_up_at_s = self._clock.monotonic_s() + PATIENCE_S
-        attempt = evolve(request)
-        self._queue.append(attempt)
-        self._at(PATIENCE_S, lambda: self._give_up(attempt))
+        hold_s = self._random.expovariate(1.0 / HOLD_S)
+        closes_at_s = self._clock.monotonic_s() + hold_s
+        self._open += 1
+        self._request(Connection(priority, retries_left, closes_at_s))
+
+    def _retry(self, priority: str, retries_left: int) -> None:
+        if retries_left > 0:
+            delay_s = self._random.uniform(0.5, 1.5) * BACKOFF_S
+            self._at(delay_s, lambda: self._connect(priority, retries_left - 1))
+
+    def _request(self, connection: Connection) -> None:
+        if not connection.is_open:
+            return
+        now_s = self._clock.monotonic_s()
+        if now_s >= connection.closes_at_s:
+            self._close(connection)
+            return
+        request = Request(connection, now_s + PATIENCE_S)
+        self._queue.append(request)
         self._work()
 
-    def _give_up(self, attempt: Request) -> None:
-        if attempt.given_up_at_s > 0.0:
-            self._retry(attempt)
-
-    def _retry(self, request: Request) -> None:
-        if request.retries_left == 0:
-            return
-        again = Request(request.priority, request.retries_left - 1)
-        delay_s = self._random.uniform(0.5, 1.5) * BACKOFF_S
-        self._at(delay_s, lambda: self._connect(again))
+    def _close(self, connection: Connection) -> None:
+        connection.is_open = False
+        self._open -= 1
 
     def _work(self) -> None:
-        if self._busy == SLOTS or not self._queue:
-            return
-        attempt = self._queue.pop(0)
-        self._busy += 1
-        self._at(WORK_S, lambda: self._finish(attempt))
+        if self._busy < SLOTS and self._queue:
+            request = self._queue.popleft()
+            self._busy += 1
+            self._at(WORK_S, lambda: self._finish(request))
 
-    def _finish(self, attempt: Request) -> None:
+    def _finish(self, request: Request) -> None:
         self._busy -= 1
-        if self._clock.monotonic_s() < attempt.given_up_at_s:
-            self.answered[attempt.priority] += 1
-            attempt.given_up_at_s = 0.0
+        connection = request.connection
+        if self._clock.monotonic_s() < request.late_at_s:
+            if self._clock.monotonic_s() >= START_S + SETTLE_S:
+                self.answered[connection.priority] += 1
+            self._at(REQUEST_INTERVAL_S, lambda: self._request(connection))
+        else:
+            self._close(connection)
+            self._retry(connection.priority, connection.retries_left)
         self._work()
 
     def _report(self) -> None:
-        if self._is_over():
-            return
         self._record = evolve(
             self._record,
             sequence=self._record.sequence + 1,
-            open_connections=len(self._queue) + self._busy,
-            busy_slots=self._busy,
+            open_connections=self._open,
         )
         self._view.merge(self._record)
         self._at(1.0, self._report)
@@ -184,22 +207,24 @@
     run = OverloadRun(factor, is_limited)
     run.run()
     mode = "limits" if is_limited else "no limits"
+    capacity_per_s = SLOTS / WORK_S
     results = [
         Measure(
             name=f"goodput at {factor} times capacity, {mode}, {priority}",
-            figure=round(run.answered[priority] / RUN_S, 1),
-            unit="answers per s",
-            note=f"{run.offered[priority] / RUN_S:.1f} offered per s",
+            figure=round(run.goodput(priority), 1),
+            unit="answers in time per s",
+            note=f"{factor * part * capacity_per_s:.0f} offered per s, "
+            f"{RETRIES} retries",
         )
-        for priority in MIX
+        for priority, part in MIX.items()
     ]
-    total = round(100 * run.answered.total() / RUN_S / CAPACITY_PER_S, 1)
+    total = sum(run.goodput(priority) for priority in MIX)
     results.append(
         Measure(
             name=f"goodput at {factor} times capacity, {mode}, all",
-            figure=total,
+            figure=round(100 * total / capacity_per_s, 1),
             unit="% of capacity",
-            note=f"capacity {CAPACITY_PER_S:.0f} per s, {RETRIES} retries",
+            note=f"limit of {MAX_CONNECTIONS} connections, capacity {CAPACITY}",
         )
     )
     return results
