Count marks of a receiving failure for as long as it lasts

Upstreams lost 4 s after others were held at first, but 5 s later the marks of the first ones no longer counted and the second group was marked too, although more than half of the data centre had lapsed within one window. Marks now age only while none is held back.

--- a/arbutuslift/coordination/lapse.py
+++ b/arbutuslift/coordination/lapse.py
@@ -93,6 +93,9 @@
                 self._view.mark_lapsed(record.upstream_id)
 
     def _drop_old_marks(self, now_s: float) -> None:
+        # Upstreams marked at the start of a failure count for as long as it lasts.
+        if self.is_held:
+            return
         while self._marks and now_s - self._marks[0].marked_at_s >= LAPSE_S:
             self._marks.popleft()
 
--- a/tests/coordination/test_registrar.py
+++ b/tests/coordination/test_registrar.py
@@ -45,6 +45,28 @@
     assert len(faults) < 1200
 
 
+OUT_OF_RANGE = {
+    "weight": [0, 10_001, 1.5, True],
+    "port": [0, 65536],
+    "sequence": [0, 2**63],
+    "started_at_s": [-1, 1e30],
+    "upstream_id": ["A" * 32, "a" * 31, "a" * 32 + "\n"],
+    "address": ["1.2.3.256", "1.2.3", "1.2.3.4\n", "01.2.3.4"],
+    "name": ["", "a b", "a\n", "a" * 129],
+    "work_kinds": ["alerts", [1], ["a"] * 33],
+    "state": [2, "gone"],
+}
+
+
+@pytest.mark.parametrize("field", OUT_OF_RANGE)
+def test_value_out_of_range_is_refused(registrar, services, field):
+    # A weight of 0, for example, would divide by zero in the slot table.
+    for value in OUT_OF_RANGE[field]:
+        with pytest.raises(AnnouncementError, match=field):
+            registrar.accept(builders.announcement(**{field: value}))
+    assert list(services.view) == []
+
+
 def test_leaving_upstream_gets_no_new_flows(registrar, services):
     registrar.accept(builders.announcement())
     assert eligible(services) == [builders.upstream().upstream_id]
