--- a/arbutuslift/state/admission.py
+++ b/arbutuslift/state/admission.py
@@ -259,7 +259,8 @@
         units = self._share(record, free_for_priority)
         if units <= 0:
             return NO_BUDGET
-        return _budget(self._share(record, free), units, span_s, priority, is_busy)
+        share = units if priority == URGENT else self._share(record, free)
+        return _budget(share, units, span_s, priority, is_busy)
 
     def _ledger(self, address: str) -> Ledger | None:
         """Return the ledger of an upstream, or None if all places are in use."""
--- a/arbutuslift/state/priorities.py
+++ b/arbutuslift/state/priorities.py
@@ -1,22 +1,11 @@
 """Part of a limit or share that each priority may use."""
 
-from fractions import Fraction
-from math import ceil, floor
-
 URGENT = "urgent"
 
-THRESHOLDS = {
-    URGENT: Fraction(1),
-    "high": Fraction(9, 10),
-    "ordinary": Fraction(7, 10),
-}
+THRESHOLD_PERCENT = {URGENT: 100, "high": 90, "ordinary": 70}
 
 # An upstream that reports all slots busy first loses ordinary flows.
-BUSY_FACTORS = {
-    URGENT: Fraction(1),
-    "high": Fraction(1),
-    "ordinary": Fraction(1, 2),
-}
+BUSY_THRESHOLD_PERCENT = THRESHOLD_PERCENT | {"ordinary": 35}
 
 
 def limit_of_priority(limit: int, priority: str, is_busy: bool = False) -> int:
@@ -24,7 +13,7 @@
 
     It rounds down, so the last unit of a share is kept for urgent flows.
     """
-    return floor(limit * _threshold(priority, is_busy))
+    return limit * _percent(priority, is_busy) // 100
 
 
 def spacing_windows(priority: str, is_busy: bool = False) -> int:
@@ -34,12 +23,12 @@
     urgent flow thus finds the share free in every second window at least, while a
     service of ordinary priority still gets flows at instances with a share of 1.
     """
-    return ceil(1 / _threshold(priority, is_busy))
+    return -(-100 // _percent(priority, is_busy))
 
 
-def _threshold(priority: str, is_busy: bool) -> Fraction:
-    threshold = THRESHOLDS[priority]
-    return threshold * BUSY_FACTORS[priority] if is_busy else threshold
+def _percent(priority: str, is_busy: bool) -> int:
+    percents = BUSY_THRESHOLD_PERCENT if is_busy else THRESHOLD_PERCENT
+    return percents[priority]
 
 
-MAX_SPACING_WINDOWS = max(spacing_windows(priority, True) for priority in THRESHOLDS)
+MAX_SPACING_WINDOWS = max(spacing_windows(name, True) for name in THRESHOLD_PERCENT)
--- a/arbutuslift/state/shares.py
+++ b/arbutuslift/state/shares.py
@@ -187,19 +187,19 @@
             address: Address of the upstream.
             total_of: Gives the limit to divide.
         """
-        if self.plan.limits_of(service) is None:
+        limits = self.plan.limits_of(service)
+        if limits is None or self._clock.monotonic_s() < self._overflow_until_s:
             return 0
-        if self._clock.monotonic_s() < self._overflow_until_s:
-            return 0
-        plans = [self.plan, *(former.plan for former in self._unexpired_formers())]
-        return min(
-            plan.share(self._instance, address, total_of(limits))
-            for plan in plans
-            if (limits := plan.limits_of(service)) is not None
-        )
+        share = self.plan.share(self._instance, address, total_of(limits))
+        for former in self._unexpired_formers():
+            limits = former.plan.limits_of(service)
+            if limits is not None:
+                total = total_of(limits)
+                share = min(share, former.plan.share(self._instance, address, total))
+        return share
 
     def _unexpired_formers(self) -> list[FormerPlan]:
-        now_s = self._clock.monotonic_s()
-        if self._formers and self._formers[0].expires_at_s <= now_s:
+        if self._formers:
+            now_s = self._clock.monotonic_s()
             self._formers = [f for f in self._formers if f.expires_at_s > now_s]
         return self._formers
--- a/measure/cold.py
+++ b/measure/cold.py
@@ -343,7 +343,7 @@
 def measure_missing() -> list[Measure]:
     """Return the part of the limit that is lost with missing instances."""
     results = []
-    for missing in (1, 2, 4):
+    for missing in (0, 1, 2, 4):
         rates = [
             Spray(INSTANCES, missing, upstream_of(1 + seed), seed).rate_per_s(
                 offered_per_s=100, run_s=10.0, relays=False
--- a/tests/state/test_admission.py
+++ b/tests/state/test_admission.py
@@ -10,7 +10,7 @@
 from arbutuslift.state import admission
 from arbutuslift.state.admission import AdmissionControl
 from arbutuslift.state.flowkey import FlowKey
-from arbutuslift.state.priorities import THRESHOLDS
+from arbutuslift.state.priorities import THRESHOLD_PERCENT
 from arbutuslift.state.upstreams import UpstreamState, UpstreamView
 
 from .. import builders
@@ -252,7 +252,7 @@
     assert min(urgent) >= 9
     assert min(lower) >= 1
     assert sum(lower) + sum(urgent) <= 20 * COLD_LIMIT
-    assert sum(lower) <= THRESHOLDS[priority] * 20 * COLD_LIMIT
+    assert sum(lower) <= 20 * COLD_LIMIT * THRESHOLD_PERCENT[priority] // 100
 
 
 def test_ordinary_flows_leave_connections_of_a_small_share_to_urgent_ones():
