Hold back cold shares that a missed revision may have changed

measure/cold.py now lets a restarted process learn the newest revision, as a join does, and lets processes freeze for up to 20 s. The peak rose to 11 flows in one second on an upstream that bears 10: a process that starts in the middle of a transition uses its new share while others use their old ones, and one that resumes after a transition uses its old share until it hears the news.

A process that starts, or was frozen for over 5 s, now waits for the 5 s in which every instance has a revision in effect. The caller can say that the revision is settled to wait 1 s only. Only cold upstreams are concerned.

--- a/arbutuslift/state/admission.py
+++ b/arbutuslift/state/admission.py
@@ -16,7 +16,7 @@
     limit_of_priority,
     spacing_windows,
 )
-from .shares import LimitPlan, ServiceLimits, ShareBook
+from .shares import PROPAGATION_S, LimitPlan, ServiceLimits, ShareBook
 from .upstreams import UpstreamRecord, UpstreamView
 from .windows import SlidingLog
 
@@ -144,10 +144,23 @@
         self._last_active_s = clock.monotonic_s()
         # The admissions of a former process of this instance, or of this one before
         # it was frozen, may still count against the window.
-        self._full_until_s = self._last_active_s + COLD_WINDOW_S
+        self._full_until_s = 0.0
+        self._fill_windows(COLD_WINDOW_S)
+        self._has_plan = False
 
-    def apply(self, plan: LimitPlan) -> None:
-        """Put the instances and limits of a revision in effect."""
+    def apply(self, plan: LimitPlan, is_settled: bool = False) -> None:
+        """Put the instances and limits of a revision in effect.
+
+        Args:
+            plan: The instances and limits.
+            is_settled: Whether all instances are known to have the revision in
+                effect. Without it a process that has just started admits nothing to
+                cold upstreams until they must have it, since it doesn't know which
+                shares they use now.
+        """
+        if not self._has_plan and not is_settled:
+            self._fill_windows(PROPAGATION_S)
+        self._has_plan = True
         self._shares.apply(plan)
 
     async def run(self) -> None:
@@ -159,8 +172,12 @@
     def tick(self) -> None:
         """Detect that the process was frozen and drop what has expired."""
         now_s = self._clock.monotonic_s()
-        if now_s - self._last_active_s > FREEZE_GAP_S:
-            self._full_until_s = now_s + COLD_WINDOW_S
+        gap_s = now_s - self._last_active_s
+        if gap_s > PROPAGATION_S:
+            # Others may have ended a transition to a revision not known here.
+            self._fill_windows(PROPAGATION_S)
+        elif gap_s > FREEZE_GAP_S:
+            self._fill_windows(COLD_WINDOW_S)
         self._last_active_s = now_s
         while self._ledgers:
             address, ledger = next(iter(self._ledgers.items()))
@@ -226,6 +243,10 @@
         order = rendezvous_order(flow.to_bytes(), candidates)
         return order[0] if order else None
 
+    def _fill_windows(self, duration_s: float) -> None:
+        full_until_s = self._clock.monotonic_s() + duration_s
+        self._full_until_s = max(self._full_until_s, full_until_s)
+
     def _share(
         self, record: UpstreamRecord, total_of: Callable[[ServiceLimits], int]
     ) -> int:
--- a/arbutuslift/state/shares.py
+++ b/arbutuslift/state/shares.py
@@ -14,8 +14,10 @@
 from ..clock import Clock
 from .hashing import hash_64
 
-# Longer than the 5 s within which every instance has a new revision in effect.
-TRANSITION_S = 10.0
+# Every instance has a new revision in effect within this time.
+PROPAGATION_S = 5.0
+
+TRANSITION_S = 2 * PROPAGATION_S
 
 # More changes than this within one transition make all shares 0 for a transition,
 # which keeps the list bounded and the sum of shares within the limit.
--- a/measure/cold.py
+++ b/measure/cold.py
@@ -25,6 +25,8 @@
 WARM_UP_S = 300.0
 PROPAGATION_S = 5.0
 GOSSIP_S = 1.0
+# A process that resumes hears what it missed within two rounds of gossip.
+CATCH_UP_S = 2.0
 
 
 def plan_of(count: int, limit: int = COLD_LIMIT) -> LimitPlan:
@@ -70,21 +72,26 @@
     alive_names: Callable[[], list[str]]
     view: UpstreamView = field(init=False)
     control: AdmissionControl = field(init=False)
-    plan: LimitPlan = field(factory=LimitPlan)
     revision: int = 0
     away_until_s: float = 0.0
     is_dead: bool = False
     inbox: list[Delivery] = field(factory=list)
 
-    def start(self, plan: LimitPlan, known: list[UpstreamRecord]) -> None:
-        """Start a process that learns a plan and records from a peer."""
+    def start(
+        self,
+        revision: int,
+        plan: LimitPlan,
+        known: list[UpstreamRecord],
+        is_settled: bool = False,
+    ) -> None:
+        """Start a process that learns the newest plan and records from a peer."""
         self.view = UpstreamView(self.clock)
         self.control = AdmissionControl(
             self.clock, self.view, self.name, self.alive_names
         )
         self.is_dead = False
-        self.plan = plan
-        self.control.apply(plan)
+        self.revision = revision
+        self.control.apply(plan, is_settled)
         for record in known:
             self.view.merge(record)
 
@@ -92,7 +99,6 @@
         """Put a plan in effect unless a newer one is."""
         if revision > self.revision:
             self.revision = revision
-            self.plan = plan
             self.control.apply(plan)
 
     def is_away(self) -> bool:
@@ -102,11 +108,16 @@
     def deliver(self) -> None:
         """Take the news that is due."""
         now_s = self.clock.monotonic_s()
-        due = [delivery for delivery in self.inbox if delivery.due_s <= now_s]
-        self.inbox = [delivery for delivery in self.inbox if delivery.due_s > now_s]
+        due = [delivery for delivery in self.inbox if self._due_s(delivery) <= now_s]
+        self.inbox = [d for d in self.inbox if self._due_s(d) > now_s]
         for delivery in sorted(due, key=lambda delivery: delivery.due_s):
             delivery.call()
 
+    def _due_s(self, delivery: Delivery) -> float:
+        if delivery.due_s > self.away_until_s:
+            return delivery.due_s
+        return self.away_until_s + CATCH_UP_S
+
 
 @frozen(kw_only=True)
 class Faults:
@@ -114,7 +125,7 @@
 
     Attributes:
         deaths_per_s: Processes that die and restart 0.1 to 10 s later.
-        freezes_per_s: Processes that stop for 0.2 to 5 s and resume.
+        freezes_per_s: Processes that stop for 0.2 to 20 s and resume.
         revisions_per_s: Revisions that change the number of instances or the order.
         replacements_per_s: Restarts of the upstream under a new identity.
         stale_instances: Instances that get no revision after the first.
@@ -148,7 +159,7 @@
             for number in range(count)
         ]
         for instance in self._instances:
-            instance.start(self._plan, [self._upstream])
+            instance.start(0, self._plan, [self._upstream], is_settled=True)
         self.admitted_s: list[float] = []
 
     def run(self) -> None:
@@ -164,7 +175,7 @@
             if instance.is_away():
                 continue
             if instance.is_dead:
-                instance.start(instance.plan, [self._upstream])
+                instance.start(self._revision, self._plan, [self._upstream])
             instance.deliver()
             for record in instance.view.of_service("alerts"):
                 if instance.control.try_admit(record, "urgent"):
@@ -177,7 +188,7 @@
             instance = self._leave_for(0.1, 10.0)
             instance.is_dead = True
         if self._happens(faults.freezes_per_s):
-            self._leave_for(0.2, 5.0)
+            self._leave_for(0.2, 20.0)
         if self._happens(faults.revisions_per_s):
             self._revise()
         if self._happens(faults.replacements_per_s):
@@ -309,7 +320,7 @@
             for name in self._alive
         }
         for control in self._controls.values():
-            control.apply(plan)
+            control.apply(plan, is_settled=True)
         self._view.merge(upstream)
         self._upstream = upstream
 
--- a/tests/state/test_admission.py
+++ b/tests/state/test_admission.py
@@ -42,9 +42,9 @@
         self.controls = [self.start(name) for name in self.names]
         self.pass_s(1.0)
 
-    def start(self, name):
+    def start(self, name, is_settled=True):
         control = AdmissionControl(self.clock, self.view, name, lambda: self.names)
-        control.apply(self.plan)
+        control.apply(self.plan, is_settled)
         return control
 
     def pass_s(self, duration_s):
@@ -160,6 +160,23 @@
     assert sum(instances.admit_all()) == COLD_LIMIT
 
 
+def test_process_that_may_have_missed_a_revision_waits_until_others_have_it(instances):
+    # With shares of a revision that others don't use yet, or use no more, the sum
+    # over all instances reached 11 of 10 in measure/cold.py.
+    instances.announce(state=UpstreamState.COLD)
+    instances.controls[0] = instances.start("instance-0", is_settled=False)
+    instances.pass_s(4.75)
+    assert instances.admit_all()[0] == 0
+    instances.pass_s(0.25)
+    assert instances.admit_all()[0] > 0
+    instances.clock.jump(6.0)
+    assert sum(instances.admit_all()) == 0
+    instances.pass_s(4.75)
+    assert sum(instances.admit_all()) == 0
+    instances.pass_s(0.25)
+    assert sum(instances.admit_all()) == COLD_LIMIT
+
+
 def test_instance_outside_the_document_admits_nothing():
     instances = Instances(count=10, listed=9)
     instances.announce(state=UpstreamState.COLD)
