--- a/tests/builders.py
+++ b/tests/builders.py
@@ -126,3 +126,23 @@
         services=st.lists(_services, unique_by=lambda row: row.name).map(tuple),
         data_centres=st.lists(_data_centres, unique_by=lambda row: row.name).map(tuple),
     )
+
+
+def announcement(number: int = 1, **changes) -> dict[str, object]:
+    record = upstream(number)
+    fields = {
+        "upstream_id": record.upstream_id,
+        "name": record.name,
+        "data_centre": record.data_centre,
+        "address": record.address,
+        "port": record.port,
+        "service": record.service,
+        "work_kinds": ["alerts"],
+        "state": "ready",
+        "sequence": 1,
+        "weight": 100,
+        "open_connections": 0,
+        "busy_slots": 0,
+        "started_at_s": 0.0,
+    }
+    return fields | changes
