--- /dev/null
+++ b/arbutuslift/state/marks.py
@@ -0,0 +1,77 @@
+"""Limit marks: upstreams whose flows may have gone to the next in the order."""
+
+from attrs import frozen
+
+from .generations import RETENTION_S
+
+# A mark is renewed at most this often, so that an upstream at its limit doesn't
+# fill the control traffic of all instances.
+RENEWAL_S = 600.0
+
+
+@frozen(kw_only=True)
+class LimitMark:
+    """An upstream was cold or had no budget, and flows went past it.
+
+    Attributes:
+        upstream_id: The upstream.
+        marked_at_s: When this last happened, seconds since the Unix epoch.
+    """
+
+    upstream_id: str
+    marked_at_s: float
+
+
+class LimitMarks:
+    """The newest mark of every upstream."""
+
+    def __init__(self) -> None:
+        self._marked_at_s: dict[str, float] = {}
+
+    def __contains__(self, upstream_id: str) -> bool:
+        return upstream_id in self._marked_at_s
+
+    def note(self, upstream_id: str, now_s: float) -> LimitMark | None:
+        """Mark an upstream.
+
+        Returns:
+            The mark to tell other instances of; None if a recent one stands.
+        """
+        known_s = self._marked_at_s.get(upstream_id)
+        if known_s is not None and now_s - known_s < RENEWAL_S:
+            return None
+        self._marked_at_s[upstream_id] = now_s
+        return LimitMark(upstream_id=upstream_id, marked_at_s=now_s)
+
+    def merge(self, mark: LimitMark, now_s: float) -> bool:
+        """Take a mark of another instance; the newest time wins.
+
+        A time in the future is taken as now, so that a wrong clock can't make a
+        mark outlive the retention time.
+
+        Returns:
+            Whether the mark was newer than the known one.
+        """
+        marked_at_s = min(mark.marked_at_s, now_s)
+        known_s = self._marked_at_s.get(mark.upstream_id)
+        if now_s - marked_at_s > RETENTION_S:
+            return False
+        if known_s is not None and marked_at_s <= known_s:
+            return False
+        self._marked_at_s[mark.upstream_id] = marked_at_s
+        return True
+
+    def expire(self, now_s: float) -> None:
+        """Forget marks older than the retention time."""
+        self._marked_at_s = {
+            upstream_id: marked_at_s
+            for upstream_id, marked_at_s in self._marked_at_s.items()
+            if now_s - marked_at_s <= RETENTION_S
+        }
+
+    def records(self) -> list[LimitMark]:
+        """Return every mark."""
+        return [
+            LimitMark(upstream_id=upstream_id, marked_at_s=marked_at_s)
+            for upstream_id, marked_at_s in self._marked_at_s.items()
+        ]
