Route by generations, limit marks and confirmed entries

Cause: the router sent a new flow to the first upstream without asking for budget, knew no limit marks, and reset flows on weak evidence.

A property test with lagging views found flows broken by these rules, which are changed: - A confirmed entry outlived its connection when the caller reused the port elsewhere. It now counts only for sequence numbers near those last seen. - A confirmed entry of a vanished upstream answered with a reset.

Tables keep primaries (4 KB) and compute the rest of an order when a flow spills over.

Beyond 32 generations per service the oldest is dropped and its members become candidates for every slot until 26 h have passed, which costs copies and no flow.

--- a/arbutuslift/coordination/router.py
+++ b/arbutuslift/coordination/router.py
@@ -1,7 +1,8 @@
 """Decides where each packet goes."""
 
+from collections.abc import Callable
 from enum import StrEnum
-from functools import singledispatchmethod
+from functools import lru_cache, singledispatchmethod
 
 from attrs import frozen
 
@@ -11,15 +12,26 @@
     SynAckPacket,
     SynPacket,
     TcpPacket,
+    UdpPacket,
     abort_of,
     refusal_of,
     without_payload,
 )
-from ..state.flowkey import FlowKey
-from ..state.flows import FlowCache
+from ..state.admission import Admission, UnlimitedAdmission
+from ..state.flows import FlowCache, FlowEntry, is_near
+from ..state.tokens import TokenBucket
 from ..state.upstreams import UpstreamRecord
 from ..transport.fabric import Address
-from .services import ServiceRoutes, ServiceTable
+from .denials import Denials
+from .routes import ServiceRoutes
+from .services import ServiceTable
+
+# Copies beyond the first packet. Flows that no cache knows cost one copy per
+# further candidate; the limit keeps a flood of such segments from being amplified.
+COPIES_PER_S = 2000.0
+COPIES_BURST = 4000.0
+# Fill of the receive queue from which new flows of each priority are refused.
+SHED_QUEUE_FILL = {"ordinary": 0.7, "high": 0.9, "urgent": 1.0}
 
 
 class Verdict(StrEnum):
@@ -28,13 +40,18 @@
     NEW_FLOW = "new_flow"
     KNOWN_FLOW = "known_flow"
     PROBED_FLOW = "probed_flow"
+    PROBE_LIMITED = "probe_limited"
+    RELAYED = "relayed"
     REFUSED = "refused"
+    SHED = "shed"
     ABORTED = "aborted"
     RETURNED = "returned"
+    DENIED = "denied"
     DENIAL_WITHHELD = "denial_withheld"
     UNKNOWN_SERVICE = "unknown_service"
     UNKNOWN_SENDER = "unknown_sender"
     WRONG_SENDER = "wrong_sender"
+    OUT_OF_SERVICE = "out_of_service"
     NO_UPSTREAM = "no_upstream"
 
 
@@ -60,11 +77,34 @@
     Args:
         services: Services and upstreams.
         flows: Cache of flows.
+        admission: Budgets of this instance at the upstreams.
+        denials: Withheld denials; without it they are dropped.
+        instance_address: Returns the fabric address of an alive instance.
+        is_instance: Whether an outer address is an instance's fabric address.
+        queue_fill: Returns how full the receive queue is, from 0 to 1.
     """
 
-    def __init__(self, services: ServiceTable, flows: FlowCache) -> None:
+    def __init__(
+        self,
+        services: ServiceTable,
+        flows: FlowCache,
+        *,
+        admission: Admission | None = None,
+        denials: Denials | None = None,
+        instance_address: Callable[[str], Address | None] = lambda name: None,
+        is_instance: Callable[[Address], bool] = lambda address: False,
+        queue_fill: Callable[[], float] = lambda: 0.0,
+    ) -> None:
         self._services = services
         self._flows = flows
+        self._admission = admission or UnlimitedAdmission()
+        self._denials = denials
+        self._instance_address = instance_address
+        self._is_instance = is_instance
+        self._queue_fill = queue_fill
+        self._copies = TokenBucket(
+            COPIES_PER_S, COPIES_BURST, services.clock.monotonic_s
+        )
 
     def route(self, packet: Packet, source: Address) -> Decision:
         """Decide about one packet.
@@ -73,89 +113,213 @@
             packet: The decoded packet.
             source: Outer address that it came from.
         """
-        routes = self._services.at(packet.destination, packet.protocol)
+        flow = packet.key_from_caller()
+        routes = self._services.at(flow[6:])
         if routes is not None:
-            return self._from_caller(packet, routes)
-        routes = self._services.at(packet.source, packet.protocol)
+            return self._from_caller(packet, flow, routes, source)
+        flow = packet.key_to_caller()
+        routes = self._services.at(flow[6:])
         if routes is None:
             return Decision(Verdict.UNKNOWN_SERVICE)
         sender = self._services.view.at_address(source.ip, routes.service.name)
         if sender is None:
             return Decision(Verdict.UNKNOWN_SENDER)
-        return self._from_upstream(packet, sender, packet.flow_to_caller())
+        if self._services.is_out_of_service(sender):
+            return Decision(Verdict.OUT_OF_SERVICE)
+        return self._from_upstream(packet, flow, sender)
 
     @singledispatchmethod
-    def _from_caller(self, packet: Packet, routes: ServiceRoutes) -> Decision:
-        flow = packet.flow_from_caller()
-        known = self._services.view.get(self._flows.confirmed_at(flow) or "")
-        targets = [known] if self._services.may_admit(known) else []
-        targets = targets or self._services.preference(routes, flow)[:1]
-        if not targets:
-            return Decision(Verdict.NO_UPSTREAM)
-        return Decision(Verdict.KNOWN_FLOW, _copies(packet, targets))
+    def _from_caller(
+        self, packet: Packet, flow: bytes, routes: ServiceRoutes, source: Address
+    ) -> Decision:
+        raise NotImplementedError
 
     @_from_caller.register
-    def _(self, packet: SynPacket, routes: ServiceRoutes) -> Decision:
-        flow = packet.flow_from_caller()
-        known = self._services.view.get(self._flows.confirmed_at(flow) or "")
-        targets = [known] if self._services.may_admit(known) else []
-        targets = targets or self._services.preference(routes, flow)
-        if not targets:
-            refusal = Send(refusal_of(packet), None)
-            return Decision(Verdict.REFUSED, (refusal,))
-        self._flows.hint(flow, targets[0].upstream_id)
-        if packet.payload:
-            packet = without_payload(packet)
-        return Decision(Verdict.NEW_FLOW, _copies(packet, targets[:1]))
+    def _(
+        self, packet: UdpPacket, flow: bytes, routes: ServiceRoutes, source: Address
+    ) -> Decision:
+        record = self._services.view.get(self._flows.confirmed_at(flow) or "")
+        if self._services.may_admit(record):
+            return _forward(Verdict.KNOWN_FLOW, packet.raw, [record])
+        for record in self._services.preference(routes, flow):
+            if self._admission.try_admit(record, routes.service.priority):
+                return _forward(Verdict.NEW_FLOW, packet.raw, [record])
+        return Decision(Verdict.NO_UPSTREAM)
+
+    @_from_caller.register
+    def _(
+        self, packet: SynPacket, flow: bytes, routes: ServiceRoutes, source: Address
+    ) -> Decision:
+        priority = routes.service.priority
+        if self._queue_fill() >= SHED_QUEUE_FILL[priority]:
+            return _refuse(Verdict.SHED, packet)
+        passed_over = []
+        for record in self._order_for(routes, flow):
+            if self._admission.try_admit(record, priority):
+                for other in passed_over:
+                    self._services.note_limited(other.upstream_id)
+                self._flows.hint(flow, record.upstream_id)
+                raw = without_payload(packet).raw if packet.payload else packet.raw
+                return _forward(Verdict.NEW_FLOW, raw, [record])
+            holder = self._relay_address(record, packet, source)
+            if holder is not None:
+                return Decision(Verdict.RELAYED, (Send(packet.raw, holder),))
+            passed_over.append(record)
+        return _refuse(Verdict.REFUSED, packet)
 
     @_from_caller.register
-    def _(self, packet: TcpPacket, routes: ServiceRoutes) -> Decision:
-        flow = packet.flow_from_caller()
+    def _(
+        self, packet: TcpPacket, flow: bytes, routes: ServiceRoutes, source: Address
+    ) -> Decision:
         entry = self._flows.get(flow)
-        if entry is None or not entry.confirmed:
-            hint = entry.upstream_id if entry else None
-            targets = self._services.candidates(routes, flow, hint)
-            if not targets:
-                return Decision(Verdict.NO_UPSTREAM)
-            return Decision(Verdict.PROBED_FLOW, _copies(packet, targets))
+        if entry is None:
+            return self._probe(packet, flow, routes, None)
+        if not entry.confirmed:
+            return self._probe(packet, flow, routes, entry.upstream_id)
+        if not entry.is_near(packet.seq, packet.ack):
+            # Another connection on a reused port, which any upstream may hold.
+            entry.confirmed = False
+            return self._probe(packet, flow, routes, entry.upstream_id)
         record = self._services.view.get(entry.upstream_id)
         if self._services.may_receive(record):
-            return Decision(Verdict.KNOWN_FLOW, _copies(packet, [record]))
+            entry.caller_seq = packet.seq
+            entry.upstream_seq = packet.ack
+            return _forward(Verdict.KNOWN_FLOW, packet.raw, [record])
+        if record is None or not self._services.is_out_of_service(record):
+            # The upstream is gone, but another process may have taken over its
+            # address before this instance learned of it.
+            return self._probe(packet, flow, routes, entry.upstream_id)
+        if isinstance(packet, ResetPacket):
+            return Decision(Verdict.OUT_OF_SERVICE)
         return Decision(Verdict.ABORTED, (Send(abort_of(packet), None),))
 
     @singledispatchmethod
     def _from_upstream(
-        self, packet: Packet, sender: UpstreamRecord, flow: FlowKey
+        self, packet: Packet, flow: bytes, sender: UpstreamRecord
     ) -> Decision:
-        confirmed_at = self._flows.confirmed_at(flow)
-        if confirmed_at not in (None, sender.upstream_id):
-            return Decision(Verdict.WRONG_SENDER)
+        raise NotImplementedError
+
+    @_from_upstream.register
+    def _(self, packet: UdpPacket, flow: bytes, sender: UpstreamRecord) -> Decision:
+        self._admission.note_return(sender.upstream_id)
         self._flows.confirm(flow, sender.upstream_id)
         return _to_caller(packet)
 
     @_from_upstream.register
-    def _(
-        self, packet: SynAckPacket, sender: UpstreamRecord, flow: FlowKey
-    ) -> Decision:
+    def _(self, packet: TcpPacket, flow: bytes, sender: UpstreamRecord) -> Decision:
+        self._admission.note_return(sender.upstream_id)
+        entry = self._flows.get(flow)
+        if self._is_held_elsewhere(entry, packet, sender):
+            # Or the caller soon reused its port, with close sequence numbers. The
+            # flow then loses this packet only.
+            entry.confirmed = False
+            return Decision(Verdict.WRONG_SENDER)
+        self._flows.confirm(flow, sender.upstream_id, packet.ack, packet.seq)
+        return _to_caller(packet)
+
+    @_from_upstream.register
+    def _(self, packet: SynAckPacket, flow: bytes, sender: UpstreamRecord) -> Decision:
+        self._admission.note_return(sender.upstream_id)
         self._flows.hint(flow, sender.upstream_id)
         return _to_caller(packet)
 
     @_from_upstream.register
-    def _(self, packet: ResetPacket, sender: UpstreamRecord, flow: FlowKey) -> Decision:
-        confirmed_at = self._flows.confirmed_at(flow)
-        if confirmed_at not in (None, sender.upstream_id):
+    def _(self, packet: ResetPacket, flow: bytes, sender: UpstreamRecord) -> Decision:
+        entry = self._flows.get(flow)
+        if not packet.is_denial:
+            return self._abort_by_upstream(packet, flow, sender, entry)
+        if _is_confirmed_at(entry, sender) and is_near(packet.seq, entry.upstream_seq):
+            self._admission.note_restart(sender.upstream_id)
+            self._flows.remove(flow)
+            return Decision(Verdict.DENIED, (Send(packet.raw, None),))
+        if self._denials is not None:
+            self._denials.report(packet, sender.upstream_id)
+        return Decision(Verdict.DENIAL_WITHHELD)
+
+    def _abort_by_upstream(
+        self,
+        packet: ResetPacket,
+        flow: bytes,
+        sender: UpstreamRecord,
+        entry: FlowEntry | None,
+    ) -> Decision:
+        self._admission.note_return(sender.upstream_id)
+        if self._is_held_elsewhere(entry, packet, sender):
             return Decision(Verdict.WRONG_SENDER)
-        if packet.is_denial and confirmed_at is None:
-            return Decision(Verdict.DENIAL_WITHHELD)
-        self._flows.remove(flow)
+        if _is_confirmed_at(entry, sender):
+            self._flows.remove(flow)
         return _to_caller(packet)
 
+    def _probe(
+        self, packet: TcpPacket, flow: bytes, routes: ServiceRoutes, hint: str | None
+    ) -> Decision:
+        """Send a copy to every upstream that may hold the flow; others deny it."""
+        targets = self._services.candidates(routes, flow, hint)
+        if not targets:
+            return Decision(Verdict.NO_UPSTREAM)
+        if len(targets) > 1 and not self._copies.take(len(targets) - 1):
+            return _forward(Verdict.PROBE_LIMITED, packet.raw, targets[:1])
+        return _forward(Verdict.PROBED_FLOW, packet.raw, targets)
+
+    def _order_for(self, routes: ServiceRoutes, flow: bytes) -> list[UpstreamRecord]:
+        """Return the upstreams for a SYN, preferred first.
+
+        A repeated SYN goes to the upstream that holds the flow, if the current
+        table makes it a candidate; a flow opened elsewhere would be known to no
+        other instance.
+        """
+        order = self._services.preference(routes, flow)
+        confirmed_at = self._flows.confirmed_at(flow)
+        if confirmed_at is None:
+            return order
+        records = list(order)
+        current = self._services.current_candidates(routes, flow)
+        if confirmed_at in current:
+            records.sort(key=lambda record: record.upstream_id != confirmed_at)
+        return records
+
+    def _relay_address(
+        self, record: UpstreamRecord, packet: SynPacket, source: Address
+    ) -> Address | None:
+        if self._is_instance(source):
+            return None
+        holder = self._admission.relay_holder(record, packet.flow_from_caller())
+        return self._instance_address(holder) if holder else None
 
-def _copies(packet: Packet, targets: list[UpstreamRecord]) -> tuple[Send, ...]:
-    return tuple(
-        Send(packet.raw, Address(record.address, record.port)) for record in targets
+    def _is_held_elsewhere(
+        self, entry: FlowEntry | None, packet: TcpPacket, sender: UpstreamRecord
+    ) -> bool:
+        """Whether another upstream is known to hold the packet's connection."""
+        return (
+            entry is not None
+            and entry.confirmed
+            and entry.upstream_id != sender.upstream_id
+            and is_near(packet.ack, entry.caller_seq)
+            and self._services.may_receive(self._services.view.get(entry.upstream_id))
+        )
+
+
+def _is_confirmed_at(entry: FlowEntry | None, sender: UpstreamRecord) -> bool:
+    return (
+        entry is not None
+        and entry.confirmed
+        and entry.upstream_id == sender.upstream_id
     )
 
 
+@lru_cache(maxsize=65536)
+def _tunnel(address: str, port: int) -> Address:
+    return Address(address, port)
+
+
+def _forward(verdict: Verdict, raw: bytes, targets: list[UpstreamRecord]) -> Decision:
+    sends = [Send(raw, _tunnel(record.address, record.port)) for record in targets]
+    return Decision(verdict, tuple(sends))
+
+
+def _refuse(verdict: Verdict, packet: SynPacket) -> Decision:
+    return Decision(verdict, (Send(refusal_of(packet), None),))
+
+
 def _to_caller(packet: Packet) -> Decision:
     return Decision(Verdict.RETURNED, (Send(packet.raw, None),))
--- a/arbutuslift/coordination/services.py
+++ b/arbutuslift/coordination/services.py
@@ -1,33 +1,16 @@
 """The services of the configuration in force, with their tables and upstreams."""
 
-import ipaddress
+from collections.abc import Callable, Iterator
 
 from ..clock import Clock
 from ..protocol.document import Configuration, Service
-from ..protocol.packets import PROTOCOL_TCP, PROTOCOL_UDP
-from ..state.flowkey import Endpoint, FlowKey
-from ..state.generations import GenerationHistory
-from ..state.hashing import hash_64
-from ..state.table import SLOT_COUNT, Generation, WeightedUpstream
-from ..state.upstreams import UpstreamRecord, UpstreamView
+from ..state.generations import GenerationRecord
+from ..state.marks import LimitMark, LimitMarks
+from ..state.table import Generation, SlotTable, WeightedUpstream
+from ..state.upstreams import UpstreamRecord, UpstreamState, UpstreamView
+from .routes import AddressOwners, ServiceRoutes
 
-PROTOCOL_NUMBERS = {"tcp": PROTOCOL_TCP, "udp": PROTOCOL_UDP}
-
-
-class ServiceRoutes:
-    """Routes of one service.
-
-    Args:
-        service: Its entry in the document.
-    """
-
-    def __init__(self, service: Service) -> None:
-        self.service = service
-        self.history = GenerationHistory(service.name)
-
-    def slot_of(self, flow: FlowKey) -> int:
-        """Return the slot of a flow."""
-        return hash_64(flow.to_bytes()) % SLOT_COUNT
+ChangeCallback = Callable[[GenerationRecord | LimitMark], None]
 
 
 class ServiceTable:
@@ -36,15 +19,24 @@
     Args:
         clock: Source of time.
         view: Records of upstreams.
+
+    Attributes:
+        history_known: Whether this instance has learned the generations that others
+            used. Until then, every alive upstream of a service may hold a flow.
+        on_change: Called with each generation or limit mark that arises here.
     """
 
     def __init__(self, clock: Clock, view: UpstreamView) -> None:
-        self._clock = clock
+        self.clock = clock
         self.view = view
         self.configuration = Configuration()
+        self.history_known = False
+        self.on_change: list[ChangeCallback] = []
         self._routes: dict[str, ServiceRoutes] = {}
-        self._by_endpoint: dict[tuple[Endpoint, int], ServiceRoutes] = {}
+        self._by_endpoint: dict[bytes, ServiceRoutes] = {}
         self._out_of_service: set[str] = set()
+        self._marks = LimitMarks()
+        self._owners = AddressOwners(view)
 
     def apply(self, configuration: Configuration) -> None:
         """Put a configuration in force; an older one than now is ignored."""
@@ -58,9 +50,7 @@
         self._routes = {
             service.name: self._routes_for(service) for service in document.services
         }
-        self._by_endpoint = {
-            _key_of(routes.service): routes for routes in self._routes.values()
-        }
+        self._by_endpoint = {routes.key: routes for routes in self._routes.values()}
         self.refresh()
 
     def refresh(self) -> None:
@@ -69,22 +59,22 @@
             self.refresh_service(name)
 
     def refresh_service(self, name: str) -> None:
-        """Recompute the eligible upstreams of one service."""
-        routes = self._routes.get(name)
-        if routes is None:
-            return
-        members = [
-            WeightedUpstream(record.upstream_id, record.weight)
-            for record in self.view.of_service(name)
-            if self._is_eligible(record, routes.service)
-        ]
-        generation = Generation.of(members)
-        if generation != routes.history.current.generation:
-            routes.history.use(generation, self._clock.monotonic_s())
-
-    def at(self, endpoint: Endpoint, protocol: int) -> ServiceRoutes | None:
-        """Return the service at an endpoint."""
-        return self._by_endpoint.get((endpoint, protocol))
+        """Recompute the eligible upstreams after a change of one service's records."""
+        records = self.view.of_service(name)
+        affected = {name} | self._owners.note(records)
+        for affected_name in affected & self._routes.keys():
+            self._refresh_generation(self._routes[affected_name])
+
+    def expire(self) -> None:
+        """Forget generations and marks older than the retention time."""
+        now_s = self.clock.wall_s()
+        self._marks.expire(now_s)
+        for routes in self._routes.values():
+            routes.history.expire(now_s)
+
+    def at(self, key: bytes) -> ServiceRoutes | None:
+        """Return the service at an address and port, in the form of packets' keys."""
+        return self._by_endpoint.get(key)
 
     def may_receive(self, record: UpstreamRecord | None) -> bool:
         """Whether packets may go to the upstream at all."""
@@ -92,26 +82,141 @@
             record is not None
             and record.is_alive
             and record.data_centre not in self._out_of_service
+            and self._owners.owns_address(record)
         )
 
     def may_admit(self, record: UpstreamRecord | None) -> bool:
         """Whether new flows may go to the upstream."""
         return self.may_receive(record) and record.takes_new_flows
 
-    def preference(self, routes: ServiceRoutes, flow: FlowKey) -> list[UpstreamRecord]:
-        """Return the upstreams for a new flow, preferred first."""
-        order = routes.history.current.preference(routes.slot_of(flow))
-        records = (self.view.get(upstream_id) for upstream_id in order)
-        return [record for record in records if self.may_admit(record)]
+    def is_out_of_service(self, record: UpstreamRecord) -> bool:
+        """Whether the upstream's data centre is taken out of service."""
+        return record.data_centre in self._out_of_service
+
+    def preference(
+        self, routes: ServiceRoutes, flow: bytes
+    ) -> Iterator[UpstreamRecord]:
+        """Yield the upstreams for a new flow, preferred first.
+
+        An upstream whose record changed after the table was made is marked, since
+        the flow goes past it.
+        """
+        for upstream_id in routes.history.current.preference(routes.slot_of(flow)):
+            record = self.view.get(upstream_id)
+            if self.may_admit(record):
+                yield record
+            else:
+                self.note_limited(upstream_id)
+
+    def current_candidates(self, routes: ServiceRoutes, flow: bytes) -> list[str]:
+        """Return the identities that the current table alone makes candidates."""
+        return list(self._holders(routes.history.current, routes.slot_of(flow)))
 
     def candidates(
-        self, routes: ServiceRoutes, flow: FlowKey, hint: str | None
+        self, routes: ServiceRoutes, flow: bytes, hint: str | None
     ) -> list[UpstreamRecord]:
-        """Return the upstreams that may hold a flow, likeliest first."""
-        former_ids = routes.history.formers(routes.slot_of(flow))
-        ids = dict.fromkeys([hint, *former_ids] if hint else former_ids)
-        records = (self.view.get(upstream_id) for upstream_id in ids)
-        return [record for record in records if self.may_receive(record)]
+        """Return the upstreams that may hold a flow, likeliest first.
+
+        A process that took over the address of a former primary got the flows that
+        were sent there before its announcement had reached every instance.
+        """
+        ids = dict.fromkeys([hint] if hint else ())
+        slot = routes.slot_of(flow)
+        for table in routes.history.tables():
+            ids.update(dict.fromkeys(self._holders(table, slot)))
+        ids.update(dict.fromkeys(routes.history.every_slot()))
+        if not self.history_known:
+            records = self.view.of_service(routes.service.name)
+            ids.update(dict.fromkeys(record.upstream_id for record in records))
+        records = {}
+        for upstream_id in ids:
+            record = self.view.get(upstream_id)
+            if record is not None and not self.may_receive(record):
+                record = self._owners.successor(record)
+            if self.may_receive(record) and record.service == routes.service.name:
+                records[record.upstream_id] = record
+        return list(records.values())
+
+    def note_limited(self, upstream_id: str) -> None:
+        """Mark an upstream that new flows go past: it is cold or has no budget."""
+        mark = self._marks.note(upstream_id, self.clock.wall_s())
+        if mark is not None:
+            self._tell(mark)
+
+    def mark_records(self) -> list[LimitMark]:
+        """Return every limit mark, to tell other instances."""
+        return self._marks.records()
+
+    def merge_mark(self, mark: LimitMark) -> bool:
+        """Take a limit mark of another instance.
+
+        Returns:
+            Whether it was new.
+        """
+        return self._marks.merge(mark, self.clock.wall_s())
+
+    def generation_records(self) -> list[GenerationRecord]:
+        """Return the generations of every service, to tell other instances."""
+        now_s = self.clock.wall_s()
+        return [
+            record
+            for routes in self._routes.values()
+            for record in routes.history.records(now_s)
+        ]
+
+    def merge_generation(self, record: GenerationRecord) -> bool:
+        """Take a generation of another instance.
+
+        Returns:
+            Whether it was new. False for a service that the configuration in force
+            here doesn't have; its generations come again with the next exchange.
+        """
+        routes = self._routes.get(record.service)
+        if routes is None:
+            return False
+        return routes.history.merge(record, self.clock.wall_s())
+
+    def _holders(self, table: SlotTable, slot: int) -> Iterator[str]:
+        """Yield the primary and, while each is marked, the next in the order."""
+        primary = table.primary(slot)
+        if primary is None:
+            return
+        if primary not in self._marks:
+            yield primary
+            return
+        for upstream_id in table.preference(slot):
+            yield upstream_id
+            if upstream_id not in self._marks:
+                return
+
+    def _refresh_generation(self, routes: ServiceRoutes) -> None:
+        records = [
+            record
+            for record in self.view.of_service(routes.service.name)
+            if self._is_eligible(record, routes.service)
+        ]
+        for record in records:
+            if record.state == UpstreamState.COLD:
+                self.note_limited(record.upstream_id)
+        generation = Generation.of(
+            [WeightedUpstream(record.upstream_id, record.weight) for record in records]
+        )
+        if generation == routes.history.current.generation:
+            return
+        now_s = self.clock.wall_s()
+        is_new = routes.history.use(generation, now_s)
+        if is_new and generation.members:
+            self._tell(
+                GenerationRecord(
+                    service=routes.service.name,
+                    members=generation.members,
+                    last_used_at_s=now_s,
+                )
+            )
+
+    def _tell(self, change: GenerationRecord | LimitMark) -> None:
+        for callback in self.on_change:
+            callback(change)
 
     def _routes_for(self, service: Service) -> ServiceRoutes:
         routes = self._routes.get(service.name)
@@ -121,9 +226,8 @@
         return routes
 
     def _is_eligible(self, record: UpstreamRecord, service: Service) -> bool:
-        return self.may_admit(record) and service.kind in record.work_kinds
-
-
-def _key_of(service: Service) -> tuple[Endpoint, int]:
-    ip = ipaddress.IPv4Address(service.address).packed
-    return Endpoint(ip, service.port), PROTOCOL_NUMBERS[service.protocol]
+        return (
+            self.may_admit(record)
+            and record.weight > 0
+            and service.kind in record.work_kinds
+        )
--- a/arbutuslift/protocol/packets.py
+++ b/arbutuslift/protocol/packets.py
@@ -1,17 +1,27 @@
-"""Codec of IPv4 packets with TCP or UDP inside, over dpkt."""
+"""Codec of IPv4 packets with TCP or UDP inside; dpkt encodes."""
 
 import struct
 
 import dpkt
-from attrs import evolve, frozen
+from attrs import define
 
 from ..errors import PacketError
 from ..state.flowkey import Endpoint, FlowKey
 
 PROTOCOL_TCP = dpkt.ip.IP_PROTO_TCP
 PROTOCOL_UDP = dpkt.ip.IP_PROTO_UDP
+PROTOCOL_BYTES = {PROTOCOL_TCP: b"\x06", PROTOCOL_UDP: b"\x11"}
 MAX_PACKET_BYTES = 9216
 
+# Version and header length, total length, fragment bits, protocol.
+IP_HEADER = struct.Struct(">BxH2xHxB10x")
+# Ports, sequence number, acknowledgement number, data offset, flags.
+TCP_HEADER = struct.Struct(">4sIIBB6x")
+# Ports, length, checksum.
+UDP_HEADER = struct.Struct(">4sHH")
+# More-fragments bit and fragment offset.
+FRAGMENT_BITS = 0x3FFF
+
 FIN = dpkt.tcp.TH_FIN
 SYN = dpkt.tcp.TH_SYN
 RST = dpkt.tcp.TH_RST
@@ -19,15 +29,32 @@
 ACK = dpkt.tcp.TH_ACK
 
 
-@frozen(kw_only=True)
+@define(eq=False)
 class Packet:
-    """A decoded packet; ``raw`` is the packet as received."""
+    """A decoded packet.
+
+    Attributes:
+        raw: The packet as received.
+        source_key: Address and port of the sender, 6 bytes as on the wire.
+        destination_key: Address and port of the receiver.
+        protocol: IP protocol number.
+    """
 
     raw: bytes
-    source: Endpoint
-    destination: Endpoint
+    source_key: bytes
+    destination_key: bytes
     protocol: int
 
+    @property
+    def source(self) -> Endpoint:
+        """The sender."""
+        return _endpoint_of(self.source_key)
+
+    @property
+    def destination(self) -> Endpoint:
+        """The receiver."""
+        return _endpoint_of(self.destination_key)
+
     def flow_from_caller(self) -> FlowKey:
         """Return the flow if a caller sent this packet."""
         return FlowKey(self.source, self.destination, self.protocol)
@@ -36,33 +63,46 @@
         """Return the flow if an upstream sent this packet."""
         return FlowKey(self.destination, self.source, self.protocol)
 
+    def key_from_caller(self) -> bytes:
+        """Return the bytes of :meth:`flow_from_caller`."""
+        return self.source_key + self.destination_key + PROTOCOL_BYTES[self.protocol]
+
+    def key_to_caller(self) -> bytes:
+        """Return the bytes of :meth:`flow_to_caller`."""
+        return self.destination_key + self.source_key + PROTOCOL_BYTES[self.protocol]
 
-@frozen(kw_only=True)
+
+@define(eq=False)
 class UdpPacket(Packet):
     """A UDP datagram."""
 
 
-@frozen(kw_only=True)
+@define(eq=False)
 class TcpPacket(Packet):
     """A TCP segment that is neither SYN nor RST."""
 
     seq: int
     ack: int
     flags: int
-    payload: bytes
+    payload_offset: int
+
+    @property
+    def payload(self) -> bytes:
+        """The data that it carries."""
+        return self.raw[self.payload_offset :]
 
 
-@frozen(kw_only=True)
+@define(eq=False)
 class SynPacket(TcpPacket):
     """A caller's request for a connection."""
 
 
-@frozen(kw_only=True)
+@define(eq=False)
 class SynAckPacket(TcpPacket):
     """An upstream's answer to a SYN."""
 
 
-@frozen(kw_only=True)
+@define(eq=False)
 class ResetPacket(TcpPacket):
     """A reset."""
 
@@ -75,6 +115,9 @@
 def decode(raw: bytes) -> Packet:
     """Decode one packet.
 
+    The headers are read with ``struct`` and not with dpkt, which builds three
+    objects per packet and takes about ten times as long (``measure/packets.py``).
+
     Args:
         raw: IPv4 packet from its first header byte.
 
@@ -85,24 +128,26 @@
         PacketError: Truncated, oversized, fragmented, of another protocol or
             with a wrong checksum.
     """
-    if len(raw) > MAX_PACKET_BYTES:
-        raise _error(f"{len(raw)} bytes, more than {MAX_PACKET_BYTES}")
-    try:
-        ip = dpkt.ip.IP(raw)
-    except (dpkt.UnpackError, ValueError, IndexError) as error:
-        raise _error(f"not IPv4: {error}") from error
-    _check_ip(ip, raw)
-    if ip.p == PROTOCOL_TCP and isinstance(ip.data, dpkt.tcp.TCP):
-        return _decode_tcp(ip, raw)
-    if ip.p == PROTOCOL_UDP and isinstance(ip.data, dpkt.udp.UDP):
-        _check_udp(ip)
-        return UdpPacket(
-            raw=raw,
-            source=Endpoint(ip.src, ip.data.sport),
-            destination=Endpoint(ip.dst, ip.data.dport),
-            protocol=PROTOCOL_UDP,
-        )
-    raise _error(f"protocol {ip.p} or its header is not supported")
+    size = len(raw)
+    if size > MAX_PACKET_BYTES:
+        raise _error(f"{size} bytes, more than {MAX_PACKET_BYTES}")
+    if size < IP_HEADER.size:
+        raise _error(f"{size} bytes, less than an IPv4 header")
+    version, length, fragment, protocol = IP_HEADER.unpack_from(raw)
+    header_bytes = (version & 0x0F) * 4
+    if version >> 4 != 4 or not IP_HEADER.size <= header_bytes <= size:
+        raise _error("not IPv4")
+    if length != size:
+        raise _error(f"header says {length} bytes, datagram has {size}")
+    if fragment & FRAGMENT_BITS:
+        raise _error("fragments are not supported")
+    if not _is_checksum_right(raw[:header_bytes]):
+        raise _error("wrong IPv4 header checksum")
+    if protocol == PROTOCOL_TCP:
+        return _decode_tcp(raw, header_bytes)
+    if protocol == PROTOCOL_UDP:
+        return _decode_udp(raw, header_bytes)
+    raise _error(f"protocol {protocol} is not supported")
 
 
 def encode_tcp(
@@ -142,7 +187,7 @@
     ip.len = 0
     ip.sum = 0
     ip.data.sum = 0
-    return evolve(packet, raw=bytes(ip), payload=b"")
+    return decode(bytes(ip))
 
 
 def refusal_of(packet: SynPacket) -> bytes:
@@ -169,36 +214,40 @@
     )
 
 
-def _check_ip(ip: dpkt.ip.IP, raw: bytes) -> None:
-    if ip.v != 4 or ip.hl < 5:
-        raise _error("not IPv4")
-    if ip.len != len(raw):
-        raise _error(f"header says {ip.len} bytes, datagram has {len(raw)}")
-    if ip.mf or ip.offset:
-        raise _error("fragments are not supported")
-    if dpkt.in_cksum(raw[: ip.hl * 4]) != 0:
-        raise _error("wrong IPv4 header checksum")
-
-
-def _decode_tcp(ip: dpkt.ip.IP, raw: bytes) -> TcpPacket:
-    segment = ip.data
-    if segment.off < 5:
-        raise _error("TCP header shorter than 20 bytes")
-    if _transport_checksum(ip, raw[ip.hl * 4 :]) != 0:
+def _decode_tcp(raw: bytes, start: int) -> TcpPacket:
+    if len(raw) < start + TCP_HEADER.size:
+        raise _error("truncated TCP header")
+    ports, seq, ack, offset, flags = TCP_HEADER.unpack_from(raw, start)
+    payload_offset = start + (offset >> 4) * 4
+    if not start + TCP_HEADER.size <= payload_offset <= len(raw):
+        raise _error("wrong TCP header length")
+    if not _is_transport_checksum_right(raw, start, PROTOCOL_TCP):
         raise _error("wrong TCP checksum")
-    kind = _tcp_class(segment.flags)
-    return kind(
-        raw=raw,
-        source=Endpoint(ip.src, segment.sport),
-        destination=Endpoint(ip.dst, segment.dport),
-        protocol=PROTOCOL_TCP,
-        seq=segment.seq,
-        ack=segment.ack,
-        flags=segment.flags,
-        payload=bytes(segment.data),
+    return _tcp_class(flags)(
+        raw,
+        raw[12:16] + ports[:2],
+        raw[16:20] + ports[2:],
+        PROTOCOL_TCP,
+        seq,
+        ack,
+        flags,
+        payload_offset,
     )
 
 
+def _decode_udp(raw: bytes, start: int) -> UdpPacket:
+    if len(raw) < start + UDP_HEADER.size:
+        raise _error("truncated UDP header")
+    ports, length, checksum = UDP_HEADER.unpack_from(raw, start)
+    if length != len(raw) - start:
+        raise _error("wrong UDP length")
+    # 0 means that the sender computed no checksum (RFC 768).
+    if checksum and not _is_transport_checksum_right(raw, start, PROTOCOL_UDP):
+        raise _error("wrong UDP checksum")
+    source = raw[12:16] + ports[:2]
+    return UdpPacket(raw, source, raw[16:20] + ports[2:], PROTOCOL_UDP)
+
+
 def _tcp_class(flags: int) -> type[TcpPacket]:
     if flags & RST:
         return ResetPacket
@@ -207,17 +256,24 @@
     return TcpPacket
 
 
-def _check_udp(ip: dpkt.ip.IP) -> None:
-    body = bytes(ip.data)
-    if ip.data.ulen != len(body):
-        raise _error("wrong UDP length")
-    if ip.data.sum and _transport_checksum(ip, body) != 0:
-        raise _error("wrong UDP checksum")
+def _is_transport_checksum_right(raw: bytes, start: int, protocol: int) -> bool:
+    pseudo_header = raw[12:20] + struct.pack(">HH", protocol, len(raw) - start)
+    return _is_checksum_right(pseudo_header + raw[start:])
+
+
+def _is_checksum_right(data: bytes) -> bool:
+    """Whether the 16-bit ones' complement sum of ``data`` is 0 (RFC 1071).
+
+    Since 2**16 is 1 modulo 65,535, the sum has the same remainder as the number
+    that the bytes form, which Python computes without a loop.
+    """
+    if len(data) % 2:
+        data += b"\0"
+    return int.from_bytes(data) % 65535 == 0
 
 
-def _transport_checksum(ip: dpkt.ip.IP, body: bytes) -> int:
-    pseudo_header = struct.pack(">4s4sxBH", ip.src, ip.dst, ip.p, len(body))
-    return dpkt.in_cksum(pseudo_header + body)
+def _endpoint_of(key: bytes) -> Endpoint:
+    return Endpoint(key[:4], int.from_bytes(key[4:]))
 
 
 def _error(message: str) -> PacketError:
--- a/arbutuslift/state/flows.py
+++ b/arbutuslift/state/flows.py
@@ -4,12 +4,15 @@
 
 from attrs import define
 
-from .flowkey import FlowKey
-
 MAX_FLOWS = 400_000
+SEQ_MODULUS = 2**32
+# How far the sequence numbers of a connection may move between two packets that
+# reach this instance. Another connection on a reused port starts at a random
+# number, so it looks like the same one with a probability of 2**-18.
+NEAR_BYTES = 2**22
 
 
-@define
+@define(eq=False)
 class FlowEntry:
     """Where a flow is.
 
@@ -17,54 +20,85 @@
         upstream_id: The upstream.
         confirmed: Whether the upstream sent traffic that only the holder of the
             connection sends. Otherwise the entry is a hint.
+        caller_seq: Sequence number of the caller when last seen.
+        upstream_seq: Sequence number of the upstream when last seen.
     """
 
     upstream_id: str
     confirmed: bool
+    caller_seq: int = 0
+    upstream_seq: int = 0
+
+    def is_near(self, caller_seq: int, upstream_seq: int) -> bool:
+        """Whether a segment may belong to the confirmed connection.
+
+        A caller may reuse its port for another connection that this instance
+        saw nothing of.
+        """
+        return is_near(caller_seq, self.caller_seq) and is_near(
+            upstream_seq, self.upstream_seq
+        )
 
 
 class FlowCache:
     """Least-recently-used cache; losing an entry never breaks a flow.
 
+    Flows are identified by the bytes of their key (``FlowKey.to_bytes``).
+
     Args:
         max_flows: Number of entries kept.
     """
 
     def __init__(self, max_flows: int = MAX_FLOWS) -> None:
         self._max_flows = max_flows
-        self._entries: OrderedDict[FlowKey, FlowEntry] = OrderedDict()
+        self._entries: OrderedDict[bytes, FlowEntry] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._entries)
 
-    def get(self, flow: FlowKey) -> FlowEntry | None:
+    def get(self, flow: bytes) -> FlowEntry | None:
         """Return the entry of a flow and mark it as used."""
         entry = self._entries.get(flow)
         if entry is not None:
             self._entries.move_to_end(flow)
         return entry
 
-    def confirmed_at(self, flow: FlowKey) -> str | None:
+    def confirmed_at(self, flow: bytes) -> str | None:
         """Return the upstream that is known to hold the flow."""
         entry = self.get(flow)
         return entry.upstream_id if entry and entry.confirmed else None
 
-    def hint(self, flow: FlowKey, upstream_id: str) -> None:
+    def hint(self, flow: bytes, upstream_id: str) -> None:
         """Note where a SYN went, unless the flow is confirmed elsewhere."""
         entry = self.get(flow)
-        if entry is None or not entry.confirmed:
-            self._put(flow, FlowEntry(upstream_id, confirmed=False))
-
-    def confirm(self, flow: FlowKey, upstream_id: str) -> None:
+        if entry is None:
+            self._put(flow, FlowEntry(upstream_id, False))
+        elif not entry.confirmed:
+            entry.upstream_id = upstream_id
+
+    def confirm(
+        self, flow: bytes, upstream_id: str, caller_seq: int = 0, upstream_seq: int = 0
+    ) -> None:
         """Note the upstream that holds the flow."""
-        self._put(flow, FlowEntry(upstream_id, confirmed=True))
-
-    def remove(self, flow: FlowKey) -> None:
+        entry = self.get(flow)
+        if entry is None:
+            self._put(flow, FlowEntry(upstream_id, True, caller_seq, upstream_seq))
+            return
+        entry.upstream_id = upstream_id
+        entry.confirmed = True
+        entry.caller_seq = caller_seq
+        entry.upstream_seq = upstream_seq
+
+    def remove(self, flow: bytes) -> None:
         """Forget a flow."""
         self._entries.pop(flow, None)
 
-    def _put(self, flow: FlowKey, entry: FlowEntry) -> None:
+    def _put(self, flow: bytes, entry: FlowEntry) -> None:
         self._entries[flow] = entry
-        self._entries.move_to_end(flow)
         if len(self._entries) > self._max_flows:
             self._entries.popitem(last=False)
+
+
+def is_near(left: int, right: int) -> bool:
+    """Whether two sequence numbers are close, modulo their range."""
+    return (left - right + NEAR_BYTES) % SEQ_MODULUS < 2 * NEAR_BYTES
--- a/arbutuslift/state/generations.py
+++ b/arbutuslift/state/generations.py
@@ -1,37 +1,101 @@
 """Generations of a service: sets of upstreams that were eligible for new flows."""
 
-from .table import Generation, SlotTable
+from collections.abc import Iterator
+
+from attrs import frozen
+
+from .table import Generation, SlotTable, WeightedUpstream
 
 RETENTION_S = 26 * 3600.0
+# Each generation costs a table of 4 KB and, per packet of an unknown flow, one
+# look-up. A service of 8 upstreams that all restart once a day makes 16.
+MAX_GENERATIONS = 32
+
+
+@frozen(kw_only=True)
+class GenerationRecord:
+    """A generation as instances tell each other of it.
+
+    Attributes:
+        service: Name of the service.
+        members: The upstreams, sorted by identity.
+        last_used_at_s: When it was last in use, seconds since the Unix epoch.
+        covers_every_slot: The members stem from generations beyond the bound, and
+            each may hold flows of any slot.
+    """
+
+    service: str
+    members: tuple[WeightedUpstream, ...]
+    last_used_at_s: float
+    covers_every_slot: bool = False
 
 
 class GenerationHistory:
     """The current slot table and the tables that open flows may stem from.
 
+    Times are seconds since the Unix epoch, because instances exchange them. Beyond
+    ``max_generations`` the oldest table is dropped, and its members stay
+    candidates for every slot until the retention time has passed. That costs
+    copies of packets but loses no flow.
+
     Args:
         service: Name of the service.
+        max_generations: Number of tables kept.
     """
 
-    def __init__(self, service: str) -> None:
+    def __init__(self, service: str, max_generations: int = MAX_GENERATIONS) -> None:
         self._service = service
+        self._max_generations = max_generations
         self._tables: dict[Generation, SlotTable] = {}
         self._last_used_s: dict[Generation, float] = {}
+        self._newest_first: list[SlotTable] = []
+        self._every_slot: dict[str, float] = {}
         self.current = SlotTable(service, Generation(()))
 
-    def use(self, generation: Generation, now_s: float) -> None:
-        """Make a generation the current one."""
+    def use(self, generation: Generation, now_s: float) -> bool:
+        """Make a generation the current one.
+
+        Returns:
+            Whether it was unknown.
+        """
+        is_new = generation not in self._tables
         previous = self.current.generation
         if previous in self._last_used_s:
             self._last_used_s[previous] = now_s
-        self.add(generation, now_s)
-        self.current = self._tables[generation]
+        self.current = self._tables.get(generation) or SlotTable(
+            self._service, generation
+        )
+        if generation.members:
+            self._tables[generation] = self.current
+            self._last_used_s[generation] = now_s
+        self._shrink()
+        return is_new
 
-    def add(self, generation: Generation, last_used_s: float) -> None:
-        """Add a generation that another instance used."""
-        if generation not in self._tables:
-            self._tables[generation] = SlotTable(self._service, generation)
-        known_s = self._last_used_s.get(generation, last_used_s)
-        self._last_used_s[generation] = max(known_s, last_used_s)
+    def merge(self, record: GenerationRecord, now_s: float) -> bool:
+        """Take a generation that another instance used.
+
+        A time in the future is taken as now, so that a wrong clock can't make a
+        generation outlive the retention time.
+
+        Returns:
+            Whether anything new was learned.
+        """
+        last_used_s = min(record.last_used_at_s, now_s)
+        if now_s - last_used_s > RETENTION_S or not record.members:
+            return False
+        generation = Generation.of(list(record.members))
+        if record.covers_every_slot:
+            return self._cover_every_slot(generation, last_used_s)
+        known_s = self._last_used_s.get(generation)
+        if known_s is not None:
+            self._last_used_s[generation] = max(known_s, last_used_s)
+            return last_used_s > known_s
+        if self._is_covered(generation, last_used_s):
+            return False
+        self._tables[generation] = SlotTable(self._service, generation)
+        self._last_used_s[generation] = last_used_s
+        self._shrink()
+        return True
 
     def expire(self, now_s: float) -> None:
         """Forget generations that were last used before the retention time."""
@@ -39,19 +103,75 @@
             if generation == self.current.generation:
                 continue
             if now_s - last_used_s > RETENTION_S:
-                del self._last_used_s[generation]
-                del self._tables[generation]
+                self._drop(generation)
+        self._every_slot = {
+            upstream_id: last_used_s
+            for upstream_id, last_used_s in self._every_slot.items()
+            if now_s - last_used_s <= RETENTION_S
+        }
+        self._sort()
 
-    def formers(self, slot: int) -> list[str]:
-        """Return primaries of the slot in all generations, newest first."""
-        newest_first = sorted(
-            self._last_used_s, key=self._last_used_s.__getitem__, reverse=True
-        )
-        primaries = (
-            self._tables[generation].primary(slot) for generation in newest_first
+    def tables(self) -> list[SlotTable]:
+        """Return the tables of all generations, the current one first."""
+        return self._newest_first
+
+    def every_slot(self) -> Iterator[str]:
+        """Yield the upstreams that may hold flows of any slot."""
+        return iter(self._every_slot)
+
+    def records(self, now_s: float) -> list[GenerationRecord]:
+        """Return every generation; the current one was last used now."""
+        if self.current.generation in self._last_used_s:
+            self._last_used_s[self.current.generation] = now_s
+        records = [
+            GenerationRecord(
+                service=self._service,
+                members=generation.members,
+                last_used_at_s=last_used_s,
+            )
+            for generation, last_used_s in self._last_used_s.items()
+        ]
+        return records + self._every_slot_records()
+
+    def _every_slot_records(self) -> list[GenerationRecord]:
+        return [
+            GenerationRecord(
+                service=self._service,
+                members=(WeightedUpstream(upstream_id, 1),),
+                last_used_at_s=last_used_s,
+                covers_every_slot=True,
+            )
+            for upstream_id, last_used_s in self._every_slot.items()
+        ]
+
+    def _is_covered(self, generation: Generation, last_used_s: float) -> bool:
+        return all(
+            self._every_slot.get(member.upstream_id, -1.0) >= last_used_s
+            for member in generation.members
         )
-        return list(dict.fromkeys(name for name in primaries if name))
 
-    def generations(self) -> list[tuple[Generation, float]]:
-        """Return every generation with the time of its last use."""
-        return list(self._last_used_s.items())
+    def _cover_every_slot(self, generation: Generation, last_used_s: float) -> bool:
+        if self._is_covered(generation, last_used_s):
+            return False
+        for member in generation.members:
+            known_s = self._every_slot.get(member.upstream_id, last_used_s)
+            self._every_slot[member.upstream_id] = max(known_s, last_used_s)
+        return True
+
+    def _shrink(self) -> None:
+        while len(self._tables) > self._max_generations:
+            former = (g for g in self._tables if g != self.current.generation)
+            oldest = min(former, key=self._last_used_s.__getitem__)
+            self._cover_every_slot(oldest, self._last_used_s[oldest])
+            self._drop(oldest)
+        self._sort()
+
+    def _drop(self, generation: Generation) -> None:
+        del self._tables[generation]
+        del self._last_used_s[generation]
+
+    def _sort(self) -> None:
+        former = [g for g in self._tables if g != self.current.generation]
+        former.sort(key=self._last_used_s.__getitem__, reverse=True)
+        tables = [self._tables[generation] for generation in former]
+        self._newest_first = [self.current, *tables]
--- a/arbutuslift/state/table.py
+++ b/arbutuslift/state/table.py
@@ -1,11 +1,18 @@
 """Slot table of a service: order of preference over upstreams for each slot."""
 
+import math
+from collections.abc import Iterator
+
 import numpy as np
 from attrs import frozen
 
 from .hashing import hash_64
 
 SLOT_COUNT = 4096
+MASK_64 = 2**64 - 1
+GOLDEN_GAMMA = 0x9E3779B97F4A7C15
+MIX_1 = 0xBF58476D1CE4E5B9
+MIX_2 = 0x94D049BB133111EB
 
 
 @frozen(order=True)
@@ -21,7 +28,7 @@
     weight: int
 
 
-@frozen
+@frozen(cache_hash=True)
 class Generation:
     """A set of upstreams that was eligible for new flows, sorted by identity."""
 
@@ -38,7 +45,9 @@
 
     The order of a slot depends only on the service, the slot and each upstream's
     identity and weight, so adding or removing an upstream moves no slot between
-    two others.
+    two others. Only the primaries are stored, in 4 KB or 8 KB per table: thousands
+    of services with several generations each wouldn't fit otherwise. The rest of
+    an order is computed when a flow spills over.
 
     Args:
         service: Name of the service.
@@ -48,31 +57,61 @@
     def __init__(self, service: str, generation: Generation) -> None:
         self.generation = generation
         self._ids = [member.upstream_id for member in generation.members]
-        self._order = self._compute_order(service)
-
-    def preference(self, slot: int) -> list[str]:
-        """Return upstream identities of a slot, preferred first."""
-        return [self._ids[index] for index in self._order[slot]]
+        self._seeds = [
+            hash_64(service.encode(), upstream_id.encode()) for upstream_id in self._ids
+        ]
+        self._primaries: bytes | np.ndarray | None = None
+
+    def preference(self, slot: int) -> Iterator[str]:
+        """Yield upstream identities of a slot, preferred first."""
+        primary = self.primary(slot)
+        if primary is None:
+            return
+        yield primary
+        scores = {
+            member.upstream_id: _score(seed, slot, member.weight)
+            for seed, member in zip(self._seeds, self.generation.members, strict=True)
+        }
+        del scores[primary]
+        yield from sorted(scores, key=scores.__getitem__, reverse=True)
 
     def primary(self, slot: int) -> str | None:
         """Return the preferred upstream of a slot."""
-        return self._ids[self._order[slot, 0]] if self._ids else None
-
-    def _compute_order(self, service: str) -> np.ndarray:
         if not self._ids:
-            return np.empty((SLOT_COUNT, 0), dtype=np.uint16)
-        scores = np.empty((SLOT_COUNT, len(self._ids)))
+            return None
+        if self._primaries is None:
+            self._primaries = self._compute_primaries()
+        return self._ids[self._primaries[slot]]
+
+    def _compute_primaries(self) -> bytes | np.ndarray:
+        scores = np.empty((len(self._ids), SLOT_COUNT))
         for index, member in enumerate(self.generation.members):
-            seed = hash_64(service.encode(), member.upstream_id.encode())
-            scores[:, index] = np.log(_uniform(seed)) / member.weight
-        return np.argsort(-scores, axis=1, kind="stable").astype(np.uint16)
+            scores[index] = slot_scores(self._seeds[index], member.weight)
+        primaries = scores.argmax(axis=0)
+        if len(self._ids) <= 256:
+            return primaries.astype(np.uint8).tobytes()
+        return primaries.astype(np.uint16)
+
+
+def slot_scores(seed: int, weight: int) -> np.ndarray:
+    """Return the score of an upstream in every slot; the highest is preferred."""
+    return np.log(_uniform(seed)) / weight
 
 
 def _uniform(seed: int) -> np.ndarray:
     """Return one number in (0, 1) per slot with the splitmix64 finalizer."""
     slots = np.arange(1, SLOT_COUNT + 1, dtype=np.uint64)
-    value = np.uint64(seed) + slots * np.uint64(0x9E3779B97F4A7C15)
-    value = (value ^ (value >> np.uint64(30))) * np.uint64(0xBF58476D1CE4E5B9)
-    value = (value ^ (value >> np.uint64(27))) * np.uint64(0x94D049BB133111EB)
+    value = np.uint64(seed) + slots * np.uint64(GOLDEN_GAMMA)
+    value = (value ^ (value >> np.uint64(30))) * np.uint64(MIX_1)
+    value = (value ^ (value >> np.uint64(27))) * np.uint64(MIX_2)
     value = value ^ (value >> np.uint64(31))
     return ((value >> np.uint64(11)).astype(np.float64) + 0.5) / 2.0**53
+
+
+def _score(seed: int, slot: int, weight: int) -> float:
+    """Return the score of one slot, as :func:`slot_scores` computes it."""
+    value = (seed + (slot + 1) * GOLDEN_GAMMA) & MASK_64
+    value = ((value ^ (value >> 30)) * MIX_1) & MASK_64
+    value = ((value ^ (value >> 27)) * MIX_2) & MASK_64
+    value ^= value >> 31
+    return math.log(((value >> 11) + 0.5) / 2.0**53) / weight
--- /dev/null
+++ b/tests/state/test_generations.py
@@ -0,0 +1,60 @@
+"""Generations: retention, exchange and the bound."""
+
+from attrs import evolve
+
+from arbutuslift.state.generations import RETENTION_S, GenerationHistory
+from arbutuslift.state.table import Generation, WeightedUpstream
+
+
+def generation(*numbers):
+    return Generation.of([WeightedUpstream(f"u{n}", 100) for n in numbers])
+
+
+def known(history):
+    return {table.generation for table in history.tables()}
+
+
+def test_merge_carries_every_generation_to_another_instance():
+    left, right = GenerationHistory("alerts"), GenerationHistory("alerts")
+    left.use(generation(1, 2), 0.0)
+    left.use(generation(2), 10.0)
+    right.use(generation(1), 10.0)
+    assert [right.merge(record, 20.0) for record in left.records(20.0)] == [True] * 2
+    assert known(right) == {generation(1, 2), generation(2), generation(1)}
+    assert not any(right.merge(record, 20.0) for record in left.records(20.0))
+
+
+def test_retention_starts_at_the_last_use():
+    history = GenerationHistory("alerts")
+    history.use(generation(1, 2), 0.0)
+    history.use(generation(2), 1000.0)
+    history.expire(1000.0 + RETENTION_S)
+    assert generation(1, 2) in known(history)
+    history.expire(1001.0 + RETENTION_S)
+    assert known(history) == {generation(2)}
+
+
+def test_time_in_the_future_does_not_extend_retention():
+    history = GenerationHistory("alerts")
+    other = GenerationHistory("alerts")
+    other.use(generation(1), 0.0)
+    [record] = other.records(0.0)
+    history.merge(evolve(record, last_used_at_s=1e12), 0.0)
+    history.expire(RETENTION_S + 1.0)
+    assert generation(1) not in known(history)
+
+
+def test_beyond_the_bound_old_members_stay_candidates_of_every_slot():
+    # Dropping a generation without a trace would lose its idle flows.
+    history = GenerationHistory("alerts", max_generations=3)
+    for number in range(10):
+        history.use(generation(number), float(number))
+    assert len(history.tables()) == 3
+    assert set(history.every_slot()) == {f"u{n}" for n in range(7)}
+    other = GenerationHistory("alerts", max_generations=3)
+    for record in history.records(9.0):
+        other.merge(record, 9.0)
+    ids = {member.upstream_id for g in known(other) for member in g.members}
+    assert ids | set(other.every_slot()) == {f"u{n}" for n in range(10)}
+    history.expire(RETENTION_S + 7.5)
+    assert list(history.every_slot()) == []
