--- /dev/null
+++ b/tests/coordination/test_denials.py
@@ -0,0 +1,143 @@
+"""Withheld denials: owner, hold time, bound."""
+
+import asyncio
+
+import pytest
+
+from arbutuslift.clock import ManualClock
+from arbutuslift.coordination.denials import HOLD_S, Denials
+from arbutuslift.coordination.services import ServiceTable
+from arbutuslift.protocol.channel import Channel
+from arbutuslift.protocol.packets import RST, decode
+from arbutuslift.state.flows import FlowCache
+from arbutuslift.state.upstreams import UpstreamView
+from arbutuslift.transport.bus import MemoryNetwork
+
+from .. import builders
+
+NAMES = ["i1", "i2", "i3"]
+UPSTREAM_IDS = {builders.upstream(number).upstream_id for number in (1, 2)}
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def network(clock):
+    return MemoryNetwork(clock)
+
+
+@pytest.fixture
+def sent():
+    return []
+
+
+@pytest.fixture
+def services(clock):
+    # Marks make both upstreams candidates of every slot.
+    table = ServiceTable(clock, UpstreamView())
+    table.apply(builders.configuration())
+    table.history_known = True
+    for number in (1, 2):
+        table.view.merge(builders.upstream(number))
+        table.refresh_service("alerts")
+        table.note_limited(builders.upstream(number).upstream_id)
+    return table
+
+
+@pytest.fixture
+def denials(services, network, sent):
+    return {
+        name: Denials(
+            services,
+            FlowCache(),
+            sent.append,
+            alive_instances=lambda: NAMES,
+            channel=Channel(network.bus(name)),
+        )
+        for name in NAMES
+    }
+
+
+def denial(number=1, seq=501):
+    return decode(builders.returned(number, flags=RST, seq=seq))
+
+
+def release(denials):
+    for held in denials.values():
+        held.release_due()
+
+
+async def test_reset_passes_once_every_candidate_denied(clock, denials, sent):
+    for name, upstream_id in zip(NAMES, UPSTREAM_IDS, strict=False):
+        denials[name].report(denial(), upstream_id)
+    await clock.advance(HOLD_S - 0.5)
+    release(denials)
+    assert sent == []
+    await clock.advance(1.0)
+    release(denials)
+    assert sent == [denial().raw]
+
+
+@pytest.mark.parametrize("seqs", [(501,), (501, 777)])
+async def test_reset_is_dropped_while_a_candidate_has_not_denied(
+    clock, denials, sent, seqs
+):
+    # A denial with another number belongs to another connection on the port.
+    for seq, upstream_id in zip(seqs, UPSTREAM_IDS, strict=False):
+        denials["i1"].report(denial(seq=seq), upstream_id)
+    await clock.advance(2 * HOLD_S)
+    release(denials)
+    assert sent == []
+    assert not any(len(held) for held in denials.values())
+
+
+async def test_one_instance_owns_a_flow(clock, denials):
+    for held in denials.values():
+        held.report(denial(), "u")
+    await clock.advance(0.1)
+    assert sorted(len(held) for held in denials.values()) == [0, 0, 1]
+
+
+async def test_denial_is_held_here_when_its_owner_does_not_answer(
+    clock, network, denials
+):
+    network.cut(["i1"], ["i2", "i3"])
+    for number in range(20):
+        denials["i1"].report(denial(number), "u")
+    await clock.advance(1.5)
+    assert len(denials["i1"]) == 20
+
+
+async def test_oldest_denial_is_dropped_at_the_bound(clock, services, sent):
+    denials = Denials(services, FlowCache(), sent.append, max_held=2)
+    for number in (1, 2, 3):
+        for upstream_id in UPSTREAM_IDS:
+            denials.report(denial(number), upstream_id)
+    assert len(denials) == 2
+    await clock.advance(HOLD_S)
+    denials.release_due()
+    assert sent == [denial(2).raw, denial(3).raw]
+
+
+async def test_without_generations_nothing_is_passed_on(clock, services, sent):
+    # A restarted instance doesn't know where else the flow may be.
+    services.history_known = False
+    denials = Denials(services, FlowCache(), sent.append)
+    for upstream_id in UPSTREAM_IDS:
+        denials.report(denial(), upstream_id)
+    await clock.advance(HOLD_S)
+    denials.release_due()
+    assert sent == []
+
+
+async def test_run_decides_without_being_called(clock, services, sent):
+    denials = Denials(services, FlowCache(), sent.append)
+    task = asyncio.create_task(denials.run())
+    for upstream_id in UPSTREAM_IDS:
+        denials.report(denial(), upstream_id)
+    await clock.advance(HOLD_S + 0.5)
+    task.cancel()
+    assert sent == [denial().raw]
--- a/tests/coordination/test_router.py
+++ b/tests/coordination/test_router.py
@@ -1,11 +1,14 @@
 """Router: where packets go."""
 
 import pytest
+from attrs import define, field
 
 from arbutuslift.clock import ManualClock
 from arbutuslift.coordination.router import Router, Verdict
 from arbutuslift.coordination.services import ServiceTable
-from arbutuslift.protocol.packets import ACK, RST, SYN, decode
+from arbutuslift.protocol.document import DataCentre
+from arbutuslift.protocol.packets import ACK, RST, SYN, decode, encode_udp
+from arbutuslift.state.admission import Admission
 from arbutuslift.state.flows import FlowCache
 from arbutuslift.state.upstreams import UpstreamState, UpstreamView
 from arbutuslift.transport.fabric import Address
@@ -29,6 +32,43 @@
     return Router(services, FlowCache())
 
 
+@define(eq=False)
+class FakeAdmission(Admission):
+    """Has budget only for some upstreams."""
+
+    admitted: set = field(factory=set)
+    holder: str | None = None
+    answered: list = field(factory=list)
+    restarted: list = field(factory=list)
+    priorities: list = field(factory=list)
+
+    def try_admit(self, record, priority):
+        self.priorities.append(priority)
+        return record.upstream_id in self.admitted
+
+    def note_return(self, upstream_id):
+        self.answered.append(upstream_id)
+
+    def note_restart(self, upstream_id):
+        self.restarted.append(upstream_id)
+
+    def relay_holder(self, record, flow):
+        return self.holder
+
+
+def order_of(services, number=1):
+    flow = decode(builders.syn(number)).key_from_caller()
+    return list(services.preference(services.at(flow[6:]), flow))
+
+
+def routed(router, raw, source=FABRIC):
+    return router.route(decode(raw), source)
+
+
+def targets(decision):
+    return [send.destination for send in decision.sends]
+
+
 def announce(table, record):
     table.view.merge(record)
     table.refresh_service(record.service)
@@ -85,3 +125,178 @@
     router = Router(table, FlowCache())
     decision = router.route(decode(builders.syn()), FABRIC)
     assert decision.verdict == Verdict.REFUSED
+
+
+def test_flow_spills_over_to_the_next_and_marks_the_primary(services):
+    # Another instance finds the flow at the alternate only by the mark.
+    changes = []
+    services.on_change.append(changes.append)
+    order = order_of(services)
+    admission = FakeAdmission({order[2].upstream_id})
+    router = Router(services, FlowCache(), admission=admission)
+    decision = routed(router, builders.syn())
+    assert targets(decision) == [tunnel(order[2])]
+    assert admission.priorities == ["urgent"] * 3
+    assert [c.upstream_id for c in changes] == [r.upstream_id for r in order[:2]]
+    segment = routed(Router(services, FlowCache()), builders.segment(flags=ACK))
+    assert {tunnel(record) for record in order[:3]} <= set(targets(segment))
+
+
+def test_syn_is_refused_when_no_upstream_has_budget(services):
+    router = Router(services, FlowCache(), admission=FakeAdmission())
+    assert routed(router, builders.syn()).verdict == Verdict.REFUSED
+    assert services.mark_records() == []
+
+
+def test_syn_is_relayed_once(services):
+    # Two instances without a share would pass it to each other for ever.
+    holder = Address("127.0.0.2", 7300)
+    router = Router(
+        services,
+        FlowCache(),
+        admission=FakeAdmission(holder="i2"),
+        instance_address={"i2": holder}.get,
+        is_instance=lambda address: address == holder,
+    )
+    raw = builders.syn(payload=b"claim")
+    decision = routed(router, raw)
+    assert (decision.verdict, targets(decision)) == (Verdict.RELAYED, [holder])
+    assert decision.sends[0].data == raw
+    assert routed(router, raw, holder).verdict == Verdict.REFUSED
+
+
+@pytest.mark.parametrize(
+    ("priority", "fill", "verdict"),
+    [
+        ("ordinary", 0.69, Verdict.NEW_FLOW),
+        ("ordinary", 0.7, Verdict.SHED),
+        ("high", 0.89, Verdict.NEW_FLOW),
+        ("high", 0.9, Verdict.SHED),
+        ("urgent", 0.99, Verdict.NEW_FLOW),
+        ("urgent", 1.0, Verdict.SHED),
+    ],
+)
+def test_full_queue_sheds_new_flows_by_priority(services, priority, fill, verdict):
+    services.apply(builders.configuration(2, [builders.service(priority=priority)]))
+    router = Router(services, FlowCache(), queue_fill=lambda: fill)
+    decision = routed(router, builders.syn())
+    assert decision.verdict == verdict
+    if verdict == Verdict.SHED:
+        assert decode(decision.sends[0].data).flags == RST | ACK
+    assert routed(router, builders.segment(flags=ACK)).verdict == Verdict.PROBED_FLOW
+
+
+def take_out(services, data_centre):
+    names = ("dc-1", "dc-2")
+    centres = [DataCentre(name=n, in_service=n != data_centre) for n in names]
+    services.apply(builders.configuration(2, data_centres=tuple(centres)))
+
+
+def test_flow_in_a_data_centre_out_of_service_is_reset(services, router):
+    record = admitted_at(services, router)
+    routed(router, builders.returned(flags=ACK), tunnel(record))
+    take_out(services, record.data_centre)
+    decision = routed(router, builders.segment(flags=ACK))
+    reset = decode(decision.sends[0].data)
+    assert decision.verdict == Verdict.ABORTED
+    assert targets(decision) == [None]
+    assert (reset.flags, reset.seq) == (RST, 501)
+    returned = routed(router, builders.returned(flags=ACK), tunnel(record))
+    assert returned.verdict == Verdict.OUT_OF_SERVICE
+    other = routed(Router(services, FlowCache()), builders.segment(flags=ACK))
+    assert tunnel(record) not in targets(other)
+    reset = routed(router, builders.segment(flags=RST))
+    assert reset.verdict != Verdict.ABORTED
+
+
+def test_denial_by_the_confirmed_upstream_is_evidence_of_a_restart(services):
+    admission = FakeAdmission({record.upstream_id for record in services.view})
+    router = Router(services, FlowCache(), admission=admission)
+    record = admitted_at(services, router)
+    routed(router, builders.returned(flags=ACK), tunnel(record))
+    decision = routed(router, builders.returned(flags=RST), tunnel(record))
+    assert (decision.verdict, targets(decision)) == (Verdict.DENIED, [None])
+    assert admission.restarted == [record.upstream_id]
+    assert admission.answered == [record.upstream_id]
+
+
+def test_denial_of_another_connection_on_the_port_is_withheld(services, router):
+    # The caller reused its port at another upstream; that flow must survive.
+    record = admitted_at(services, router)
+    routed(router, builders.returned(flags=ACK), tunnel(record))
+    denial = builders.returned(flags=RST, seq=2**31)
+    decision = routed(router, denial, tunnel(record))
+    assert decision.verdict == Verdict.DENIAL_WITHHELD
+
+
+def test_segment_of_another_connection_on_the_port_is_probed(services, router):
+    record = admitted_at(services, router)
+    routed(router, builders.returned(flags=ACK), tunnel(record))
+    decision = routed(router, builders.segment(flags=ACK, seq=2**31, ack=2**30))
+    assert decision.verdict == Verdict.PROBED_FLOW
+
+
+def test_instance_without_generations_asks_every_alive_upstream(services):
+    services.history_known = False
+    decision = routed(Router(services, FlowCache()), builders.segment(flags=ACK))
+    assert len(targets(decision)) == 4
+
+
+def test_copies_are_limited(services):
+    # A flood of segments of unknown flows would otherwise be amplified.
+    router = Router(services, FlowCache())
+    decisions = [
+        routed(router, builders.segment(number, flags=ACK)) for number in range(4000)
+    ]
+    copies = sum(len(decision.sends) - 1 for decision in decisions)
+    assert 3900 < copies <= 4000
+    assert decisions[-1].verdict == Verdict.PROBE_LIMITED
+    assert len(decisions[-1].sends) == 1
+
+
+def test_nothing_goes_to_an_address_taken_over_by_another_service(services):
+    [first, *_] = order_of(services)
+    services.apply(
+        builders.configuration(
+            2,
+            [
+                builders.service(),
+                builders.service(name="photos", address="127.10.0.2", kind="photos"),
+            ],
+        )
+    )
+    record = builders.upstream(
+        9,
+        address=first.address,
+        service="photos",
+        work_kinds=("photos",),
+        started_at_s=1.0,
+    )
+    announce(services, record)
+    for raw in (builders.syn(), builders.segment(flags=ACK)):
+        decision = routed(Router(services, FlowCache()), raw)
+        assert decision.sends
+        assert tunnel(first) not in targets(decision)
+
+
+def test_udp_follows_the_confirmed_upstream_and_the_budget():
+    services = ServiceTable(ManualClock(), UpstreamView())
+    services.apply(builders.configuration(1, [builders.service(protocol="udp")]))
+    for number in range(1, 5):
+        announce(services, builders.upstream(number))
+    raw = encode_udp(builders.caller(), builders.SERVICE, b"question")
+    answer = encode_udp(builders.SERVICE, builders.caller(), b"answer")
+    flow = decode(raw).key_from_caller()
+    order = list(services.preference(services.at(flow[6:]), flow))
+    admission = FakeAdmission({order[1].upstream_id})
+    router = Router(services, FlowCache(), admission=admission)
+    assert targets(routed(router, raw)) == [tunnel(order[1])]
+    routed(router, answer, tunnel(order[1]))
+    admission.admitted.clear()
+    known = routed(router, raw)
+    assert (known.verdict, targets(known)) == (
+        Verdict.KNOWN_FLOW,
+        [tunnel(order[1])],
+    )
+    other = Router(services, FlowCache(), admission=admission)
+    assert targets(routed(other, raw)) == []
--- a/tests/protocol/test_packets.py
+++ b/tests/protocol/test_packets.py
@@ -1,12 +1,17 @@
 """Packets: what is decoded, and what is rejected."""
 
+import dpkt
 import pytest
+from hypothesis import example, given, settings, strategies as st
 
 from arbutuslift.errors import PacketError
 from arbutuslift.protocol.packets import (
     ACK,
     SynPacket,
+    TcpPacket,
     decode,
+    encode_tcp,
+    encode_udp,
     refusal_of,
     without_payload,
 )
@@ -50,3 +55,70 @@
 def test_malformed_packets_are_rejected(raw):
     with pytest.raises(PacketError):
         decode(raw)
+
+
+valid_packets = st.builds(
+    encode_tcp,
+    st.just(builders.caller()),
+    st.just(builders.SERVICE),
+    flags=st.integers(0, 63),
+    seq=st.integers(0, 2**32 - 1),
+    ack=st.integers(0, 2**32 - 1),
+    payload=st.binary(max_size=40),
+) | st.builds(
+    encode_udp,
+    st.just(builders.caller()),
+    st.just(builders.SERVICE),
+    st.binary(max_size=40),
+)
+
+
+@st.composite
+def damaged_packets(draw):
+    raw = bytearray(draw(valid_packets))
+    for index, value in draw(
+        st.lists(st.tuples(st.integers(0, 59), st.integers(0, 255)), max_size=3)
+    ):
+        raw[index % len(raw)] = value
+    return bytes(raw[: draw(st.integers(0, 100)) or None])
+
+
+def fields_by_dpkt(raw):
+    """Fields of a packet that dpkt accepts and whose checksums it computes alike."""
+    ip = dpkt.ip.IP(raw)
+    body = raw[ip.hl * 4 :]
+    if ip.v != 4 or ip.hl < 5 or ip.len != len(raw) or ip.mf or ip.offset:
+        return None
+    if dpkt.in_cksum(raw[: ip.hl * 4]):
+        return None
+    pseudo_header = ip.src + ip.dst + bytes([0, ip.p]) + len(body).to_bytes(2)
+    is_right = dpkt.in_cksum(pseudo_header + body) == 0
+    if isinstance(ip.data, dpkt.tcp.TCP) and ip.data.off >= 5 and is_right:
+        tcp = ip.data
+        return ip.src, tcp.sport, tcp.dport, tcp.seq, tcp.ack, tcp.flags, tcp.data
+    if not isinstance(ip.data, dpkt.udp.UDP) or ip.data.ulen != len(body):
+        return None
+    is_right = is_right or not ip.data.sum
+    return (ip.src, ip.data.sport, ip.data.dport) if is_right else None
+
+
+@settings(derandomize=True, max_examples=1000)
+@given(damaged_packets() | st.binary(max_size=80))
+@example(b"")
+def test_decoding_equals_dpkt_on_damaged_packets(raw):
+    # An unexpected exception would end the task that forwards all packets.
+    try:
+        expected = fields_by_dpkt(raw)
+    except (dpkt.UnpackError, ValueError, IndexError):
+        expected = None
+    try:
+        packet = decode(raw)
+    except PacketError:
+        assert expected is None
+        return
+    found = (packet.source.ip, packet.source.port, packet.destination.port)
+    if isinstance(packet, TcpPacket):
+        found += (packet.seq, packet.ack, packet.flags, packet.payload)
+    assert found == expected
+    assert packet.key_from_caller() == packet.flow_from_caller().to_bytes()
+    assert packet.key_to_caller() == packet.flow_to_caller().to_bytes()
