Assign slots without sorting every order

Cause: the capped table sorted the scores of all slots, of which the cap rejects about 2% at 8 upstreams. Now only rejected slots look for their next.

Balance is unchanged, and the comparison with the naive matching passes.

--- a/arbutuslift/state/table.py
+++ b/arbutuslift/state/table.py
@@ -113,20 +113,19 @@
             for seed, member in zip(seeds, members, strict=True)
         ]
     )
-    order = np.argsort(-scores, axis=0, kind="stable")
     caps = slot_caps(generation)
-    slots = np.arange(SLOT_COUNT)
-    position = np.zeros(SLOT_COUNT, dtype=np.int64)
+    choice = scores.argmax(axis=0)
     while True:
-        choice = order[position, slots]
         counts = np.bincount(choice, minlength=len(members))
         overfull = np.flatnonzero(counts > caps)
         if not len(overfull):
             return choice
         for index in overfull:
-            held = slots[choice == index]
-            by_score = held[np.argsort(-scores[index, held], kind="stable")]
-            position[by_score[caps[index] :]] += 1
+            held = np.flatnonzero(choice == index)
+            excess = len(held) - caps[index]
+            rejected = held[np.argsort(scores[index, held])[:excess]]
+            scores[index, rejected] = -np.inf
+            choice[rejected] = scores[:, rejected].argmax(axis=0)
 
 
 def slot_caps(generation: Generation) -> np.ndarray:
