--- a/arbutuslift/state/table.py
+++ b/arbutuslift/state/table.py
@@ -1,11 +1,21 @@
 """Slot table of a service: order of preference over upstreams for each slot."""
 
+import math
+from collections.abc import Iterator
+
 import numpy as np
 from attrs import frozen
 
 from .hashing import hash_64
 
 SLOT_COUNT = 4096
+# Room beyond an upstream's exact share. Without it a change moves 8% more slots
+# than it has to at 8 upstreams, with 0.05 the busiest has 1.05 times its share.
+CAP_SPARE = 0.02
+MASK_64 = 2**64 - 1
+GOLDEN_GAMMA = 0x9E3779B97F4A7C15
+MIX_1 = 0xBF58476D1CE4E5B9
+MIX_2 = 0x94D049BB133111EB
 
 
 @frozen(order=True)
@@ -21,7 +31,7 @@
     weight: int
 
 
-@frozen
+@frozen(cache_hash=True)
 class Generation:
     """A set of upstreams that was eligible for new flows, sorted by identity."""
 
@@ -34,11 +44,16 @@
 
 
 class SlotTable:
-    """Weighted rendezvous hashing over a fixed number of slots.
+    """Weighted rendezvous hashing over a fixed number of slots, with a cap.
+
+    The scores of a slot depend only on the service, the slot and each upstream's
+    identity and weight. The cap evens out the load: at 8 upstreams the busiest has
+    1.02 times its share instead of 1.07, and a change moves 3 to 5% more slots
+    than it has to (``measure/balance.py``).
 
-    The order of a slot depends only on the service, the slot and each upstream's
-    identity and weight, so adding or removing an upstream moves no slot between
-    two others.
+    Only the primaries are stored, in 4 KB or 8 KB per table: thousands of services
+    with several generations each wouldn't fit otherwise. The rest of an order is
+    computed when a flow spills over.
 
     Args:
         service: Name of the service.
@@ -48,31 +63,96 @@
     def __init__(self, service: str, generation: Generation) -> None:
         self.generation = generation
         self._ids = [member.upstream_id for member in generation.members]
-        self._order = self._compute_order(service)
-
-    def preference(self, slot: int) -> list[str]:
-        """Return upstream identities of a slot, preferred first."""
-        return [self._ids[index] for index in self._order[slot]]
+        self._seeds = [
+            hash_64(service.encode(), upstream_id.encode()) for upstream_id in self._ids
+        ]
+        self._primaries: bytes | np.ndarray | None = None
+
+    def preference(self, slot: int) -> Iterator[str]:
+        """Yield upstream identities of a slot: the primary, then by score."""
+        primary = self.primary(slot)
+        if primary is None:
+            return
+        yield primary
+        scores = {
+            member.upstream_id: _score(seed, slot, member.weight)
+            for seed, member in zip(self._seeds, self.generation.members, strict=True)
+        }
+        del scores[primary]
+        yield from sorted(scores, key=scores.__getitem__, reverse=True)
 
     def primary(self, slot: int) -> str | None:
         """Return the preferred upstream of a slot."""
-        return self._ids[self._order[slot, 0]] if self._ids else None
-
-    def _compute_order(self, service: str) -> np.ndarray:
         if not self._ids:
-            return np.empty((SLOT_COUNT, 0), dtype=np.uint16)
-        scores = np.empty((SLOT_COUNT, len(self._ids)))
-        for index, member in enumerate(self.generation.members):
-            seed = hash_64(service.encode(), member.upstream_id.encode())
-            scores[:, index] = np.log(_uniform(seed)) / member.weight
-        return np.argsort(-scores, axis=1, kind="stable").astype(np.uint16)
+            return None
+        if self._primaries is None:
+            self._primaries = self._pack(assign_slots(self._seeds, self.generation))
+        return self._ids[self._primaries[slot]]
+
+    def _pack(self, primaries: np.ndarray) -> bytes | np.ndarray:
+        if len(self._ids) <= 256:
+            return primaries.astype(np.uint8).tobytes()
+        return primaries.astype(np.uint16)
+
+
+def assign_slots(seeds: list[int], generation: Generation) -> np.ndarray:
+    """Return the index of the primary of each slot.
+
+    Every slot proposes to the upstreams in the order of its scores. An upstream
+    beyond its cap rejects the slots with the lowest scores, which propose to their
+    next. The result (a stable matching) doesn't depend on the order of proposals.
+
+    Args:
+        seeds: One seed per member.
+        generation: The upstreams.
+    """
+    members = generation.members
+    scores = np.stack(
+        [
+            slot_scores(seed, member.weight)
+            for seed, member in zip(seeds, members, strict=True)
+        ]
+    )
+    caps = slot_caps(generation)
+    choice = scores.argmax(axis=0)
+    while True:
+        counts = np.bincount(choice, minlength=len(members))
+        overfull = np.flatnonzero(counts > caps)
+        if not len(overfull):
+            return choice
+        for index in overfull:
+            held = np.flatnonzero(choice == index)
+            excess = len(held) - caps[index]
+            rejected = held[np.argsort(scores[index, held])[:excess]]
+            scores[index, rejected] = -np.inf
+            choice[rejected] = scores[:, rejected].argmax(axis=0)
+
+
+def slot_caps(generation: Generation) -> np.ndarray:
+    """Return the number of slots that each upstream may have."""
+    weights = np.array([member.weight for member in generation.members], dtype=float)
+    return np.ceil(weights / weights.sum() * SLOT_COUNT * (1 + CAP_SPARE)).astype(int)
+
+
+def slot_scores(seed: int, weight: int) -> np.ndarray:
+    """Return the score of an upstream in every slot; the highest is preferred."""
+    return np.log(_uniform(seed)) / weight
 
 
 def _uniform(seed: int) -> np.ndarray:
     """Return one number in (0, 1) per slot with the splitmix64 finalizer."""
     slots = np.arange(1, SLOT_COUNT + 1, dtype=np.uint64)
-    value = np.uint64(seed) + slots * np.uint64(0x9E3779B97F4A7C15)
-    value = (value ^ (value >> np.uint64(30))) * np.uint64(0xBF58476D1CE4E5B9)
-    value = (value ^ (value >> np.uint64(27))) * np.uint64(0x94D049BB133111EB)
+    value = np.uint64(seed) + slots * np.uint64(GOLDEN_GAMMA)
+    value = (value ^ (value >> np.uint64(30))) * np.uint64(MIX_1)
+    value = (value ^ (value >> np.uint64(27))) * np.uint64(MIX_2)
     value = value ^ (value >> np.uint64(31))
     return ((value >> np.uint64(11)).astype(np.float64) + 0.5) / 2.0**53
+
+
+def _score(seed: int, slot: int, weight: int) -> float:
+    """Return the score of one slot, as :func:`slot_scores` computes it."""
+    value = (seed + (slot + 1) * GOLDEN_GAMMA) & MASK_64
+    value = ((value ^ (value >> 30)) * MIX_1) & MASK_64
+    value = ((value ^ (value >> 27)) * MIX_2) & MASK_64
+    value ^= value >> 31
+    return math.log(((value >> 11) + 0.5) / 2.0**53) / weight
