Measure the load of an upstream that restarts without warning

Until the news of a restart reaches an instance it applies the connection limit to a process that is cold.

The simulation of failing instances moves to a module of its own.

--- a/measure/cold.py
+++ b/measure/cold.py
@@ -1,258 +1,30 @@
 """Load on an upstream in cold start against what it bears."""
 
 import random
-from collections import deque
-from collections.abc import Callable
 from ipaddress import IPv4Address
 
-from attrs import define, evolve, field, frozen
+from attrs import evolve
 
 from arbutuslift.clock import ManualClock
 from arbutuslift.state.admission import AdmissionControl
 from arbutuslift.state.flowkey import Endpoint, FlowKey
-from arbutuslift.state.shares import LimitPlan, NamedLimits, ServiceLimits
 from arbutuslift.state.upstreams import UpstreamRecord, UpstreamState, UpstreamView
 
+from .cold_faults import (
+    COLD_LIMIT,
+    GOSSIP_S,
+    INSTANCES,
+    RUN_S,
+    START_S,
+    ColdRun,
+    Faults,
+    peak_in_a_second,
+    plan_of,
+    upstream_of,
+)
 from .result import Measure
 
-COLD_LIMIT = 10
-INSTANCES = 9
-STEP_S = 0.02
-START_S = 1000.0
 SEEDS = 20
-RUN_S = 60.0
-# Longer than a run, so that the upstream is cold throughout.
-WARM_UP_S = 300.0
-PROPAGATION_S = 5.0
-GOSSIP_S = 1.0
-# A process that resumes hears what it missed within two rounds of gossip.
-CATCH_UP_S = 2.0
-
-
-def plan_of(count: int, limit: int = COLD_LIMIT) -> LimitPlan:
-    """Return a plan with ``count`` instances."""
-    limits = ServiceLimits(cold_new_flows_per_s=limit, warm_up_s=WARM_UP_S)
-    return LimitPlan(
-        instances=tuple(f"instance-{number}" for number in range(count)),
-        services=(NamedLimits("alerts", limits),),
-    )
-
-
-def upstream_of(number: int, **changes: object) -> UpstreamRecord:
-    """Return the record of a cold upstream."""
-    record = UpstreamRecord(
-        upstream_id=f"{number:032x}",
-        name="alerts-1",
-        data_centre="dc-1",
-        address=str(IPv4Address("127.20.0.0") + number % 65536),
-        port=6081,
-        service="alerts",
-        work_kinds=("alerts",),
-        state=UpstreamState.COLD,
-        sequence=1,
-        started_at_s=START_S,
-    )
-    return evolve(record, **changes)
-
-
-@frozen
-class Delivery:
-    """A call that is due at an instance."""
-
-    due_s: float
-    call: Callable[[], None]
-
-
-@define
-class SimulatedInstance:
-    """An instance with its own view, which hears news late."""
-
-    clock: ManualClock
-    name: str
-    alive_names: Callable[[], list[str]]
-    view: UpstreamView = field(init=False)
-    control: AdmissionControl = field(init=False)
-    revision: int = 0
-    away_until_s: float = 0.0
-    is_dead: bool = False
-    inbox: list[Delivery] = field(factory=list)
-
-    def start(
-        self,
-        revision: int,
-        plan: LimitPlan,
-        known: list[UpstreamRecord],
-        is_settled: bool = False,
-    ) -> None:
-        """Start a process that learns the newest plan and records from a peer."""
-        self.view = UpstreamView(self.clock)
-        self.control = AdmissionControl(
-            self.clock, self.view, self.name, self.alive_names
-        )
-        self.is_dead = False
-        self.revision = revision
-        self.control.apply(plan, is_settled)
-        for record in known:
-            self.view.merge(record)
-
-    def adopt(self, revision: int, plan: LimitPlan) -> None:
-        """Put a plan in effect unless a newer one is."""
-        if revision > self.revision:
-            self.revision = revision
-            self.control.apply(plan)
-
-    def is_away(self) -> bool:
-        """Whether the process is dead or frozen."""
-        return self.clock.monotonic_s() < self.away_until_s
-
-    def deliver(self) -> None:
-        """Take the news that is due."""
-        now_s = self.clock.monotonic_s()
-        due = [delivery for delivery in self.inbox if self._due_s(delivery) <= now_s]
-        self.inbox = [d for d in self.inbox if self._due_s(d) > now_s]
-        for delivery in sorted(due, key=lambda delivery: delivery.due_s):
-            delivery.call()
-
-    def _due_s(self, delivery: Delivery) -> float:
-        if delivery.due_s > self.away_until_s:
-            return delivery.due_s
-        return self.away_until_s + CATCH_UP_S
-
-
-@frozen(kw_only=True)
-class Faults:
-    """Rates of faults, each per second over all instances.
-
-    Attributes:
-        deaths_per_s: Processes that die and restart 0.1 to 10 s later.
-        freezes_per_s: Processes that stop for 0.2 to 20 s and resume.
-        revisions_per_s: Revisions that change the number of instances or the order.
-        replacements_per_s: Restarts of the upstream under a new identity.
-        stale_instances: Instances that get no revision after the first.
-    """
-
-    deaths_per_s: float = 0.0
-    freezes_per_s: float = 0.0
-    revisions_per_s: float = 0.0
-    replacements_per_s: float = 0.0
-    stale_instances: int = 0
-
-
-class ColdRun:
-    """One seeded run of instances in front of one cold upstream.
-
-    Args:
-        faults: What goes wrong.
-        seed: Seed of the run.
-        count: Number of instances that run.
-    """
-
-    def __init__(self, faults: Faults, seed: int, count: int = INSTANCES) -> None:
-        self._faults = faults
-        self._random = random.Random(seed)
-        self._clock = ManualClock(START_S)
-        self._plan = plan_of(INSTANCES)
-        self._revision = 0
-        self._upstream = upstream_of(1 + seed * 1000)
-        self._instances = [
-            SimulatedInstance(self._clock, f"instance-{number}", list)
-            for number in range(count)
-        ]
-        for instance in self._instances:
-            instance.start(0, self._plan, [self._upstream], is_settled=True)
-        self.admitted_s: list[float] = []
-
-    def run(self) -> None:
-        """Offer more load than the upstream bears and cause faults."""
-        end_s = START_S + RUN_S
-        while self._clock.monotonic_s() < end_s:
-            self._clock.jump(STEP_S)
-            self._cause_faults()
-            self._offer_load()
-
-    def _offer_load(self) -> None:
-        for instance in self._instances:
-            if instance.is_away():
-                continue
-            if instance.is_dead:
-                instance.start(self._revision, self._plan, [self._upstream])
-            instance.deliver()
-            for record in instance.view.of_service("alerts"):
-                if instance.control.try_admit(record, "urgent"):
-                    self.admitted_s.append(self._clock.monotonic_s())
-                instance.control.note_return(record.upstream_id)
-
-    def _cause_faults(self) -> None:
-        faults = self._faults
-        if self._happens(faults.deaths_per_s):
-            instance = self._leave_for(0.1, 10.0)
-            instance.is_dead = True
-        if self._happens(faults.freezes_per_s):
-            self._leave_for(0.2, 20.0)
-        if self._happens(faults.revisions_per_s):
-            self._revise()
-        if self._happens(faults.replacements_per_s):
-            self._replace_upstream()
-
-    def _happens(self, rate_per_s: float) -> bool:
-        return self._random.random() < rate_per_s * STEP_S
-
-    def _leave_for(self, least_s: float, most_s: float) -> SimulatedInstance:
-        instance = self._random.choice(self._instances)
-        now_s = self._clock.monotonic_s()
-        away_until_s = now_s + self._random.uniform(least_s, most_s)
-        instance.away_until_s = max(instance.away_until_s, away_until_s)
-        return instance
-
-    def _revise(self) -> None:
-        names = list(plan_of(self._random.choice([9, 12, 18])).instances)
-        if self._random.random() < 0.5:
-            self._random.shuffle(names)
-        self._plan = evolve(plan_of(1), instances=tuple(names))
-        self._revision += 1
-        for instance in self._instances[self._faults.stale_instances :]:
-            adoption = _adoption(instance, self._revision, self._plan)
-            self._send(instance, PROPAGATION_S, adoption)
-
-    def _replace_upstream(self) -> None:
-        number = int(self._upstream.upstream_id, 16) + 1
-        self._upstream = upstream_of(
-            number,
-            address=self._upstream.address,
-            started_at_s=self._clock.wall_s(),
-            state=UpstreamState.READY,
-        )
-        for instance in self._instances:
-            self._send(instance, GOSSIP_S, _news(instance, self._upstream))
-
-    def _send(
-        self, instance: SimulatedInstance, within_s: float, call: Callable[[], None]
-    ) -> None:
-        due_s = self._clock.monotonic_s() + self._random.uniform(0.0, within_s)
-        instance.inbox.append(Delivery(due_s, call))
-
-
-def _adoption(
-    instance: SimulatedInstance, revision: int, plan: LimitPlan
-) -> Callable[[], None]:
-    return lambda: instance.adopt(revision, plan)
-
-
-def _news(instance: SimulatedInstance, record: UpstreamRecord) -> Callable[[], None]:
-    return lambda: instance.view.merge(record)
-
-
-def peak_in_a_second(times_s: list[float]) -> int:
-    """Return the largest number of events in any half-open second."""
-    window: deque[float] = deque()
-    peak = 0
-    for time_s in times_s:
-        window.append(time_s)
-        # Sums of steps differ from whole seconds by rounding.
-        while time_s - window[0] > 1.0 - STEP_S / 2:
-            window.popleft()
-        peak = max(peak, len(window))
-    return peak
 
 
 PEAK_CASES = {
@@ -398,9 +170,69 @@
     return results
 
 
+def peak_after_unannounced_restart(seed: int, offered_per_s: int) -> int:
+    """Return the peak load after a ready upstream restarts without warning.
+
+    Its new process announces itself at once, and the news reaches each instance
+    within a second. No instance sees a denial before.
+    """
+    rng = random.Random(seed)
+    clock = ManualClock(START_S)
+    former = upstream_of(1, state=UpstreamState.READY, started_at_s=0.0)
+    new = evolve(upstream_of(2), address=former.address)
+    views = [UpstreamView(clock) for _ in range(INSTANCES)]
+    controls = []
+    for number, view in enumerate(views):
+        view.merge(former)
+        controls.append(AdmissionControl(clock, view, f"instance-{number}"))
+        controls[-1].apply(plan_of(INSTANCES), is_settled=True)
+    heard_s = [START_S + 2.0 + rng.uniform(0.0, GOSSIP_S) for _ in views]
+    admitted_s = []
+    while clock.monotonic_s() < START_S + 6.0:
+        clock.jump(1.0 / offered_per_s)
+        number = rng.randrange(INSTANCES)
+        for view, due_s in zip(views, heard_s, strict=True):
+            if clock.monotonic_s() >= due_s:
+                view.merge(new)
+        for control in controls:
+            control.tick()
+        record = views[number].of_service("alerts")[0]
+        is_admitted = controls[number].try_admit(record, "urgent")
+        controls[number].note_return(record.upstream_id)
+        if is_admitted and clock.monotonic_s() >= START_S + 2.0:
+            admitted_s.append(clock.monotonic_s())
+    return peak_in_a_second(admitted_s)
+
+
+def measure_unannounced_restart() -> list[Measure]:
+    """Return the peak load before the news of a restart arrives."""
+    results = []
+    for factor in (1, 2, 4):
+        offered_per_s = factor * COLD_LIMIT
+        peak = max(
+            peak_after_unannounced_restart(seed, offered_per_s) for seed in range(SEEDS)
+        )
+        results.append(
+            Measure(
+                name=f"cold peak, restart without warning, {offered_per_s} offered/s",
+                figure=peak,
+                unit="new flows in any 1 s",
+                target=COLD_LIMIT,
+                passes=peak <= COLD_LIMIT,
+                note=f"{INSTANCES} instances, {SEEDS} seeds, news within {GOSSIP_S} s",
+            )
+        )
+    return results
+
+
 def measure() -> list[Measure]:
     """Return all figures."""
-    return [*measure_peaks(), *measure_missing(), *measure_relaying()]
+    return [
+        *measure_peaks(),
+        *measure_unannounced_restart(),
+        *measure_missing(),
+        *measure_relaying(),
+    ]
 
 
 if __name__ == "__main__":
