--- a/tests/coordination/test_gossip.py
+++ b/tests/coordination/test_gossip.py
@@ -171,6 +171,7 @@
     gossip.publish("upstream", upstream(2))
     await cluster.until(lambda: _agree(cluster), 5.0)
     assert [r.name for r in cluster[5].upstreams] == ["alerts-2"]
+    assert not cluster[0].task.done()
 
 
 async def test_messages_stay_small(cluster, clock):
