--- a/arbutuslift/protocol/packets.py
+++ b/arbutuslift/protocol/packets.py
@@ -122,7 +122,7 @@
     """Decode one packet.
 
     The headers are read with ``struct`` and not with dpkt, which builds three
-    objects per packet and takes about ten times as long (``measure/packets.py``).
+    objects per packet and takes 15 us instead of 3 us for a small segment.
 
     Args:
         raw: IPv4 packet from its first header byte.
--- a/tests/coordination/fakes.py
+++ b/standins/connections.py
@@ -1,4 +1,4 @@
-"""Fakes of the two ends of a connection, and a budget that refuses at random."""
+"""In-memory ends of connections, driven packet by packet."""
 
 from attrs import define, field
 
@@ -12,11 +12,18 @@
     decode,
     encode_tcp,
 )
-from arbutuslift.state.admission import Admission
 
 
 @define(eq=False)
 class FakeConnection:
+    """An upstream's state of one connection.
+
+    Attributes:
+        sent_seq: Its next sequence number.
+        received_seq: The number that it expects from the caller.
+        is_open: Whether the handshake is complete.
+    """
+
     sent_seq: int
     received_seq: int
     is_open: bool = False
@@ -24,7 +31,16 @@
 
 @define(eq=False)
 class FakeUpstream:
-    """Knows its connections and denies every other segment."""
+    """Knows its connections and denies every other segment.
+
+    Attributes:
+        record: Its newest announcement.
+        vip: Address of its service; packets for another are discarded.
+        rng: Source of initial sequence numbers.
+        connections: Its connections by the caller's end.
+        ran: Payloads that it took, in order.
+        seen: Packets that reached it.
+    """
 
     record: object
     vip: object
@@ -75,7 +91,16 @@
 
 @define(eq=False)
 class FakeCaller:
-    """One end of a connection, with the acceptance rules of TCP."""
+    """One end of a connection, with the acceptance rules of TCP.
+
+    Attributes:
+        end: Its address and port.
+        vip: Address of the service.
+        first: Its initial sequence number.
+        state: ``syn_sent``, ``open``, ``refused`` or ``closed``.
+        received_seq: The number that it expects from the upstream.
+        sent_seq: Its next sequence number that isn't acknowledged.
+    """
 
     end: object
     vip: object
@@ -85,12 +110,14 @@
     sent_seq: int = 0
 
     def syn(self):
+        """Return the SYN, which carries data as RFC 7413 allows."""
         payload = b"early"
         return encode_tcp(
             self.end, self.vip, flags=SYN, seq=self.first, payload=payload
         )
 
     def segment(self, payload=b"", flags=ACK):
+        """Return a segment with the present numbers."""
         return encode_tcp(
             self.end,
             self.vip,
@@ -120,23 +147,3 @@
         if not isinstance(packet, SynAckPacket) and packet.seq == self.received_seq:
             self.sent_seq = max(self.sent_seq, packet.ack)
         return False
-
-
-class RandomAdmission(Admission):
-    """Refuses one SYN in four and sometimes names a holder for it."""
-
-    def __init__(self, rng, names):
-        self._rng = rng
-        self._names = names
-
-    def try_admit(self, record, priority):
-        return self._rng.random() < 0.75
-
-    def note_return(self, upstream_id):
-        pass
-
-    def note_restart(self, upstream_id):
-        pass
-
-    def relay_holder(self, record, flow):
-        return self._rng.choice([None, None, *self._names])
--- a/tests/coordination/test_flow_survival.py
+++ b/tests/coordination/test_flow_survival.py
@@ -13,13 +13,14 @@
 from arbutuslift.coordination.services import ServiceTable
 from arbutuslift.protocol.document import DataCentre
 from arbutuslift.protocol.packets import RST, SynPacket, decode
+from arbutuslift.state.admission import Admission
 from arbutuslift.state.flows import FlowCache
 from arbutuslift.state.generations import GenerationRecord
 from arbutuslift.state.upstreams import UpstreamState, UpstreamView
 from arbutuslift.transport.fabric import Address
+from standins.connections import FakeCaller, FakeUpstream
 
 from .. import builders
-from .fakes import FakeCaller, FakeUpstream, RandomAdmission
 
 INSTANCES = 3
 MAX_DELAY_S = 3.0
@@ -38,6 +39,26 @@
 )
 
 
+class RandomAdmission(Admission):
+    """Refuses one SYN in four and sometimes names a holder for it."""
+
+    def __init__(self, rng, names):
+        self._rng = rng
+        self._names = names
+
+    def try_admit(self, record, priority):
+        return self._rng.random() < 0.75
+
+    def note_return(self, upstream_id):
+        pass
+
+    def note_restart(self, upstream_id):
+        pass
+
+    def relay_holder(self, record, flow):
+        return self._rng.choice([None, None, *self._names])
+
+
 class Instance:
     """One instance with its own lagging view."""
 
@@ -353,8 +374,10 @@
         assert len(ran) == len(set(ran))
 
 
-@settings(derandomize=True, deadline=None, max_examples=300)
-@given(st.integers(0, 10**6), st.lists(st.sampled_from(STEPS), max_size=60))
+@settings(derandomize=True, deadline=None, max_examples=200)
+@given(
+    st.integers(0, 10**6), st.lists(st.sampled_from(STEPS), min_size=20, max_size=90)
+)
 def test_no_change_breaks_a_flow(seed, steps):
     # Guards against resets of established flows, packets for another service, data
     # that runs at two upstreams and refusals of anything but a SYN.
--- a/tests/coordination/test_router.py
+++ b/tests/coordination/test_router.py
@@ -281,6 +281,18 @@
         assert tunnel(first) not in targets(decision)
 
 
+def test_process_before_one_that_is_gone_does_not_get_its_address_back():
+    # An instance that joins late learns of the later process only as gone.
+    services = ServiceTable(ManualClock(), UpstreamView())
+    services.apply(builders.configuration())
+    announce(services, builders.upstream(1))
+    gone = builders.upstream(
+        2, address="127.20.0.1", started_at_s=1.0, state=UpstreamState.GONE
+    )
+    announce(services, gone)
+    assert not services.may_receive(services.view.get(builders.upstream(1).upstream_id))
+
+
 def test_udp_follows_the_confirmed_upstream_and_the_budget():
     services = ServiceTable(ManualClock(), UpstreamView())
     services.apply(builders.configuration(1, [builders.service(protocol="udp")]))
