--- /dev/null
+++ b/tests/coordination/test_membership.py
@@ -0,0 +1,58 @@
+"""Handlers of an instance bear any well-formed message of a peer."""
+
+import asyncio
+
+import pytest
+from hypothesis import HealthCheck, given, reject, settings, strategies as st
+
+from arbutuslift.clock import ManualClock
+from arbutuslift.coordination.membership import Membership
+from arbutuslift.protocol import gossip
+from arbutuslift.protocol.channel import Channel
+from arbutuslift.protocol.messages import Message, encode
+from arbutuslift.state.instances import InstanceRecord
+from arbutuslift.transport.bus import MemoryNetwork
+
+from ..builders import configuration
+
+MESSAGES = [
+    value
+    for value in vars(gossip).values()
+    if isinstance(value, type) and issubclass(value, Message) and value is not Message
+]
+
+
+async def _deliver(body):
+    clock = ManualClock()
+    network = MemoryNetwork(clock)
+    bus = network.bus("left")
+    own = InstanceRecord(name="left", incarnation=1, data_centre="dc", endpoint="left")
+    membership = Membership(clock, Channel(bus), own, lambda: None)
+    membership.spread.open()
+    membership.in_force.offer(configuration(1))
+    membership.gossip.publish("instance", own)
+    await bus.handler("right", body)
+    await membership.spread.close()
+    await bus.close()
+    assert membership.in_force.revision == 1
+
+
+@pytest.mark.parametrize("message_class", MESSAGES)
+def test_any_message_is_borne(message_class):
+    """Guards against a message of a faulty peer that ends a task or a revision."""
+
+    @settings(
+        derandomize=True,
+        max_examples=30,
+        deadline=None,
+        suppress_health_check=[HealthCheck.too_slow],
+    )
+    @given(st.from_type(message_class))
+    def check(message):
+        try:
+            body = encode(message)
+        except OverflowError:
+            reject()
+        asyncio.run(_deliver(body))
+
+    check()
