Test that a revision is pushed at once

Without the push all instances of the small test still reached the revision within 5 s through the rounds, so no test failed; this one does.

--- a/tests/coordination/test_revisions.py
+++ b/tests/coordination/test_revisions.py
@@ -41,6 +41,13 @@
         assert node.revisions == sorted(set(node.revisions))
 
 
+async def test_revision_is_pushed_at_once(cluster, clock):
+    """Guards against a revision that waits for the next rounds of gossip."""
+    cluster[0].membership.in_force.offer(configuration(1))
+    await clock.advance(0.1)
+    assert sum(node.revision == 1 for node in cluster) > len(cluster.names) // 2
+
+
 async def test_reaches_everyone_reachable_despite_partition_and_death(cluster, clock):
     cluster[0].membership.in_force.offer(configuration(1))
     await clock.advance(5.0)
