--- a/arbutuslift/coordination/bootstrap.py
+++ b/arbutuslift/coordination/bootstrap.py
@@ -21,6 +21,8 @@
     member has answered that it belongs to no other cluster and has stored to
     which one it now belongs. One member that remembers a cluster is therefore
     enough to prevent a second one, and a wiped member waits for its replacement.
+    If the first member loses its disk before the first election, nothing was
+    accepted yet, and the data folders of the others must be emptied.
 
     Args:
         state: State of the member.
--- a/arbutuslift/coordination/member.py
+++ b/arbutuslift/coordination/member.py
@@ -7,6 +7,7 @@
 
 from ..clock import Clock
 from ..errors import (
+    ArbutusliftError,
     ConfigurationConflict,
     DocumentError,
     MembershipChangeError,
@@ -91,9 +92,9 @@
         self._timing = timing
         self._clock = clock
         self._channel = channel
-        self._tasks = TaskSet(self._on_task_failure)
         self._state = MemberState(name, storage, clock)
-        self._state.on_failure = self._on_storage_failure
+        self._state.on_failure = self._on_failure
+        self._tasks = TaskSet(self._state.fail)
         self._replicator = Replicator(self._state, channel, timing, self._tasks)
         self._elector = Elector(self._state, self._replicator, channel, timing, rng)
         self._follower = Follower(self._state, channel)
@@ -146,8 +147,9 @@
         self._tasks.spawn(self._bootstrapper.run())
 
     async def close(self) -> None:
-        """Stop the member's tasks."""
-        self._state.step_down()
+        """Stop the member's tasks; it answers no other member from now on."""
+        self._state.on_failure = lambda: None
+        self._state.fail(ArbutusliftError("closed", step="close member"))
         await self._tasks.close()
 
     async def submit(self, submission: Submission) -> StoredRevision:
@@ -374,14 +376,10 @@
         del peer
         return await self._replace_here(request.old_name, request.new_name)
 
-    def _on_storage_failure(self) -> None:
+    def _on_failure(self) -> None:
         _log.error("member_stopped", reason=str(self._state.failure))
         self._tasks.cancel()
 
-    def _on_task_failure(self, error: BaseException) -> None:
-        _log.error("member_task_failed", reason=str(error))
-        self._tasks.cancel()
-
 
 def _check_initial(names: tuple[str, ...]) -> None:
     if not names:
--- a/arbutuslift/coordination/memberchange.py
+++ b/arbutuslift/coordination/memberchange.py
@@ -119,14 +119,13 @@
             raise NoQuorum("no quorum confirmed the change", step=STEP)
 
     async def _catch_up(self, term: int, identity: bytes, name: str) -> None:
-        """Wait until a learner has every entry committed before this call."""
+        """Wait until a learner has every committed entry."""
         state = self._state
-        wanted = state.commit_index
 
         def caught_up() -> bool:
             peers = self._replicator.peers
             matched = [p.matched_index for p in peers if p.member.identity == identity]
-            return bool(matched) and matched[0] >= wanted
+            return bool(matched) and matched[0] >= state.commit_index
 
         def decided() -> bool:
             return caught_up() or not state.leads(term)
--- a/arbutuslift/coordination/memberstate.py
+++ b/arbutuslift/coordination/memberstate.py
@@ -14,7 +14,6 @@
     ConfigurationState,
     Decision,
     StoredRevision,
-    decode_submission,
 )
 from ..state.logstore import EntryKind, LogEntry
 from ..state.membership import Membership
@@ -87,8 +86,8 @@
         heard_s: When the leader was last heard.
         commit_index: Last entry known to be committed; all up to it are applied.
         configuration: Result of the applied entries.
-        failure: Error of the storage after which the member takes no more part.
-        on_failure: Called once with that error.
+        failure: Error after which the member takes no more part.
+        on_failure: Called when there is one.
 
     Raises:
         StorageError: The stored state can't be read.
@@ -104,7 +103,7 @@
         self.role = Role.FOLLOWER
         self.leader_name: str | None = None
         self.heard_s = float("-inf")
-        self.failure: StorageError | None = None
+        self.failure: Exception | None = None
         self.on_failure: Callable[[], None] = lambda: None
         self._terms = storage.terms
         self._record = storage.terms.load()
@@ -171,7 +170,7 @@
             MessageError: The request is for another member.
         """
         if self.failure is not None:
-            raise MessageError("storage failed", step="check target")
+            raise MessageError("takes no more part", step="check target")
         if target != self.identity:
             raise MessageError("another identity", step="check target")
         if self.cluster and cluster != self.cluster:
@@ -223,10 +222,10 @@
 
     def truncate(self, first: int) -> None:
         """Remove entries that a newer leader doesn't have."""
-        if first <= self.commit_index:
-            message = f"entry {first} is committed"
-            raise StorageError(message, step="truncate log")
         with self._storing():
+            if first <= self.commit_index:
+                message = f"entry {first} is committed"
+                raise StorageError(message, step="truncate log")
             self.log.truncate(first)
         while self._memberships[-1].index >= first:
             self._memberships.pop()
@@ -271,6 +270,12 @@
         self._report()
         self.changed.notify()
 
+    def fail(self, error: Exception) -> None:
+        """Take no more part: answer no member and lead no more."""
+        self.failure = self.failure or error
+        self.step_down()
+        self.on_failure()
+
     def on_commit(self, callback: CommitCallback) -> None:
         """Call back with the newest revision, if any, and each one that follows."""
         self._callbacks.append(callback)
@@ -283,9 +288,7 @@
         try:
             yield
         except StorageError as error:
-            self.failure = error
-            self.step_down()
-            self.on_failure()
+            self.fail(error)
             raise
 
     def _save(self, record: TermRecord) -> None:
@@ -325,7 +328,7 @@
     def _apply(self, entry: LogEntry) -> None:
         decision = None
         if entry.kind is EntryKind.SUBMISSION:
-            decision = self.configuration.apply(decode_submission(entry.body))
+            decision = self.configuration.apply_encoded(entry.body)
         self.commit_index = entry.index
         pending = self._pending.pop(entry.index, None)
         if pending is not None and not pending.decided.done():
--- a/arbutuslift/coordination/waiting.py
+++ b/arbutuslift/coordination/waiting.py
@@ -54,7 +54,7 @@
         on_failure: Called with the error of a task that failed.
     """
 
-    def __init__(self, on_failure: Callable[[BaseException], None]) -> None:
+    def __init__(self, on_failure: Callable[[Exception], None]) -> None:
         self._on_failure = on_failure
         self._tasks: set[asyncio.Task[None]] = set()
 
--- a/arbutuslift/state/configuration.py
+++ b/arbutuslift/state/configuration.py
@@ -87,16 +87,17 @@
 
 @frozen(kw_only=True)
 class _Content:
-    """What a snapshot holds; documents are compressed."""
+    """What a snapshot holds; the history consists of encoded submissions."""
 
     revision: int
-    history: tuple[StoredRevision, ...]
+    history: tuple[bytes, ...]
     answers: tuple[FirstAnswer, ...]
 
 
 def encode_submission(submission: Submission) -> bytes:
     """Return a submission as the body of a log entry, its document compressed."""
-    return encode_value(_compressed(submission))
+    document = zlib.compress(submission.document)
+    return encode_value(evolve(submission, document=document))
 
 
 def decode_submission(body: bytes) -> Submission:
@@ -105,7 +106,11 @@
     Raises:
         StorageError: The body is malformed.
     """
-    return _expanded(decode_value(body, Submission))
+    stored = decode_value(body, Submission)
+    try:
+        return evolve(stored, document=zlib.decompress(stored.document))
+    except zlib.error as error:
+        raise StorageError(str(error), step="decode Submission") from error
 
 
 class ConfigurationState:
@@ -124,7 +129,10 @@
 
     def __init__(self) -> None:
         self._revision = 0
-        self._history: deque[StoredRevision] = deque(maxlen=HISTORY_LENGTH)
+        self._newest: StoredRevision | None = None
+        # Compressed: 100 documents of the target scale take 50 MB otherwise, and
+        # compressing them for a snapshot would stop the process for a second.
+        self._history: deque[bytes] = deque(maxlen=HISTORY_LENGTH)
         self._answers: OrderedDict[str, FirstAnswer] = OrderedDict()
 
     @property
@@ -135,15 +143,17 @@
     @property
     def newest(self) -> StoredRevision | None:
         """Return the newest revision."""
-        return self._history[-1] if self._history else None
+        return self._newest
 
     def history(self, limit: int) -> list[StoredRevision]:
         """Return the newest revisions, newest first."""
-        return list(reversed(self._history))[: max(0, limit)]
+        count = min(max(0, limit), len(self._history))
+        return self.since(self._revision - count)[::-1]
 
     def since(self, revision: int) -> list[StoredRevision]:
         """Return the revisions after ``revision`` that are held, in order."""
-        return [stored for stored in self._history if stored.revision > revision]
+        oldest = max(revision, self._revision - len(self._history)) + 1
+        return [self._find(number) for number in range(oldest, self._revision + 1)]
 
     def first_decision(self, submission: Submission) -> Decision | None:
         """Return the first answer to the request, None if there was none."""
@@ -162,26 +172,36 @@
 
     def apply(self, submission: Submission) -> Decision:
         """Accept or reject a submission and remember the answer."""
+        return self.apply_encoded(encode_submission(submission))
+
+    def apply_encoded(self, body: bytes) -> Decision:
+        """Apply the submission in the body of a log entry.
+
+        Raises:
+            StorageError: The body is malformed.
+        """
+        submission = decode_submission(body)
         first = self.first_decision(submission)
         if first is not None:
             return first
         accepted = submission.expected_revision == self._revision
         if accepted:
             self._revision += 1
-            stored = StoredRevision(revision=self._revision, submission=submission)
-            self._history.append(stored)
+            self._newest = StoredRevision(
+                revision=self._revision, submission=submission
+            )
+            self._history.append(body)
         self._remember(submission, accepted)
         outcome = Outcome.ACCEPTED if accepted else Outcome.CONFLICT
         return Decision(outcome=outcome, stored=self.newest)
 
     def encode(self) -> bytes:
         """Return the state for a snapshot."""
-        history = tuple(
-            evolve(stored, submission=_compressed(stored.submission))
-            for stored in self._history
+        content = _Content(
+            revision=self._revision,
+            history=tuple(self._history),
+            answers=tuple(self._answers.values()),
         )
-        answers = tuple(self._answers.values())
-        content = _Content(revision=self._revision, history=history, answers=answers)
         return encode_value(content)
 
     @staticmethod
@@ -196,18 +216,24 @@
             return state
         content = decode_value(body, _Content)
         state._revision = content.revision
-        for stored in content.history:
-            submission = _expanded(stored.submission)
-            state._history.append(evolve(stored, submission=submission))
+        state._history.extend(content.history)
+        state._newest = state._decode(content.revision)
         for answer in content.answers:
             state._answers[answer.request_id] = answer
         return state
 
     def _find(self, revision: int) -> StoredRevision | None:
-        oldest = self._revision - len(self._history) + 1
-        if oldest <= revision <= self._revision:
-            return self._history[revision - oldest]
-        return None
+        newest = self._newest
+        if newest is not None and newest.revision == revision:
+            return newest
+        return self._decode(revision)
+
+    def _decode(self, revision: int) -> StoredRevision | None:
+        position = revision - 1 - (self._revision - len(self._history))
+        if not 0 <= position < len(self._history):
+            return None
+        submission = decode_submission(self._history[position])
+        return StoredRevision(revision=revision, submission=submission)
 
     def _remember(self, submission: Submission, accepted: bool) -> None:
         self._answers[submission.request_id] = FirstAnswer(
@@ -224,14 +250,3 @@
     hashed = hashlib.sha256(str(submission.expected_revision).encode() + b"\n")
     hashed.update(submission.document)
     return hashed.digest()[:_DIGEST_BYTES]
-
-
-def _compressed(submission: Submission) -> Submission:
-    return evolve(submission, document=zlib.compress(submission.document))
-
-
-def _expanded(submission: Submission) -> Submission:
-    try:
-        return evolve(submission, document=zlib.decompress(submission.document))
-    except zlib.error as error:
-        raise StorageError(str(error), step="decode Submission") from error
--- a/arbutuslift/state/storage.py
+++ b/arbutuslift/state/storage.py
@@ -61,9 +61,11 @@
             newest = snapshots.newest()
             log = _open_log(folder, newest, snapshots.damaged)
             stack.callback(log.close)
+            terms = DiskTermStore(folder)
+            _check_term(folder, terms, newest, log)
             return MemberStorage(
                 identity=identity,
-                terms=DiskTermStore(folder),
+                terms=terms,
                 log=log,
                 snapshots=snapshots,
                 stack=stack.pop_all(),
@@ -98,6 +100,17 @@
         raise _uncovered(folder, damaged, reason)
 
 
+def _check_term(
+    folder: Path, terms: TermStore, newest: Snapshot, log: DiskLogStore
+) -> None:
+    """Refuse a folder whose term, and with it the vote, was lost."""
+    stored = terms.load().term
+    last = log.term_at(log.last_index) if log.last_index >= log.first_index else 0
+    if stored < max(last, newest.term):
+        message = f"term {stored} is older than the entries"
+        raise StorageError(message, step="read term", peer=str(folder / "term"))
+
+
 def _uncovered(folder: Path, damaged: tuple[str, ...], reason: str) -> StorageError:
     names = ", ".join(damaged)
     message = f"damaged snapshot {names}, and the log doesn't cover it: {reason}"
--- a/tests/state/test_storage.py
+++ b/tests/state/test_storage.py
@@ -136,6 +136,7 @@
 def two_snapshots(tmp_path):
     """Return a folder with snapshots 4 and 8 and entries up to 10."""
     storage = MemberStorage.open(tmp_path)
+    storage.terms.save(TermRecord(term=1))
     previous = 0
     for index in (4, 8):
         fill(storage, index)
@@ -162,6 +163,13 @@
     storage.close()
 
 
+def test_lost_term_is_an_error(two_snapshots):
+    """Guards against a second vote in a term whose record was removed."""
+    (two_snapshots / "term").unlink()
+    with pytest.raises(StorageError, match="term 0 is older than the entries"):
+        MemberStorage.open(two_snapshots)
+
+
 @pytest.mark.parametrize("lost", ["log", "both snapshots"])
 def test_damaged_snapshot_without_its_entries_is_an_error(two_snapshots, lost):
     flip(two_snapshots / f"snapshot-{8:020d}")
