--- a/arbutuslift/coordination/memberstate.py
+++ b/arbutuslift/coordination/memberstate.py
@@ -242,6 +242,9 @@
     def commit(self, index: int) -> None:
         """Apply all entries up to ``index``; they are committed."""
         with self._storing():
+            if index > self.log.last_index:
+                message = f"entry {index} of {self.log.last_index} is committed"
+                raise StorageError(message, step="apply log")
             while self.commit_index < index:
                 batch = self.log.read(self.commit_index + 1, APPLY_BATCH_BYTES)
                 for entry in batch[: index - self.commit_index]:
