--- a/arbutuslift/coordination/election.py
+++ b/arbutuslift/coordination/election.py
@@ -3,6 +3,8 @@
 import asyncio
 import random
 
+import structlog
+
 from ..clock import Clock
 from ..errors import MessageError, PeerFailure, TransportError
 from ..protocol.agreement import VoteAnswer, VoteRequest
@@ -11,6 +13,8 @@
 from .memberstate import AgreementTiming, MemberState, Role
 from .replication import Replicator
 
+_log = structlog.get_logger()
+
 
 class Elector:
     """Campaigns after silence of the leader and answers requests for votes.
@@ -54,6 +58,7 @@
             return
         silence_s = self._clock.monotonic_s() - self._replicator.quorum_contact_s()
         if silence_s > self._timing.election_timeout_s:
+            _log.warning("quorum_lost", silence_s=silence_s)
             self._state.step_down()
 
     async def _silence(self) -> bool:
--- a/arbutuslift/coordination/memberchange.py
+++ b/arbutuslift/coordination/memberchange.py
@@ -1,5 +1,7 @@
 """Replacement of a member: learner, voter, then removal of the old one."""
 
+import structlog
+
 from ..errors import (
     ArbutusliftError,
     MembershipChangeError,
@@ -13,6 +15,8 @@
 
 STEP = "replace member"
 
+_log = structlog.get_logger()
+
 
 class MemberChanger:
     """Runs replacements on the leader, one at a time.
@@ -70,6 +74,7 @@
         # The old member stays a voter until the new one is: removing it first
         # would leave a cluster that tolerates one loss less.
         await self._change(term, state.membership.without(old.identity))
+        _log.info("member_replaced", old=old_name, new=new_name)
         if old.identity == state.identity and state.leads(term):
             state.step_down()
 
--- a/arbutuslift/coordination/replication.py
+++ b/arbutuslift/coordination/replication.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+import structlog
 from attrs import define
 
 from ..errors import MessageError, PeerFailure, TransportError
@@ -16,6 +17,8 @@
 BATCH_BYTES = 256 * 1024
 CHUNK_BYTES = 64 * 1024
 
+_log = structlog.get_logger()
+
 
 @define(kw_only=True)
 class Peer:
@@ -83,6 +86,7 @@
         state.role = Role.LEADER
         state.leader_name = state.name
         self._peers = {}
+        _log.info("leader_elected", member=state.name, term=state.term)
         self._term_start = self.propose(EntryKind.NO_OP, b"")
 
     def propose(self, kind: EntryKind, body: bytes) -> int:
@@ -238,6 +242,7 @@
             answer = await self._request(peer, chunk)
             if not state.leads(term) or answer is None or not answer.success:
                 return
+        _log.info("snapshot_sent", peer=peer.member.name, index=index)
         peer.next_index = answer.matched_index + 1
         peer.matched_index = max(peer.matched_index, answer.matched_index)
         self._advance()
--- a/tests/coordination/test_random_faults.py
+++ b/tests/coordination/test_random_faults.py
@@ -194,6 +194,8 @@
         assert len(wanted) == revision + 1
         for history in await cluster.histories():
             assert history == wanted[:100]
+        for reported in cluster.reported.values():
+            assert reported[-1] == wanted[0]
 
 
 @pytest.mark.parametrize("seed", SEEDS)
