--- a/tests/coordination/cluster.py
+++ b/tests/coordination/cluster.py
@@ -122,11 +122,11 @@
     async def run(self, duration_s):
         await self.clock.advance(duration_s)
 
-    async def until(self, condition, limit_s=LIMIT_S):
+    async def until(self, condition, limit_s=LIMIT_S, step_s=STEP_S):
         end_s = self.clock.monotonic_s() + limit_s
         while not condition():
             assert self.clock.monotonic_s() < end_s, "condition didn't come true"
-            await self.clock.advance(STEP_S)
+            await self.clock.advance(step_s)
 
     async def do(self, work, limit_s=LIMIT_S):
         """Run a coroutine while time passes; return or raise what it does."""
--- a/tests/coordination/test_member.py
+++ b/tests/coordination/test_member.py
@@ -4,16 +4,21 @@
 
 import pytest
 
+from arbutuslift.clock import ManualClock
+from arbutuslift.coordination.memberstate import MemberState
 from arbutuslift.errors import (
     DocumentError,
+    MembershipChangeError,
     NoQuorum,
     RequestReused,
     SettingsError,
     StorageError,
 )
 from arbutuslift.state.logstore import EntryKind, LogEntry
+from arbutuslift.state.snapshots import Snapshot
+from arbutuslift.state.storage import MemberStorage
 
-from .cluster import Cluster
+from .cluster import Cluster, submission
 
 
 @pytest.fixture
@@ -60,6 +65,10 @@
     cluster.freeze(name)
 
 
+def fail_storage(*args):
+    raise StorageError("injected", step="write")
+
+
 FAULTS = [kill, lose_disk, partition, freeze]
 
 
@@ -134,6 +143,23 @@
     assert (await cluster.do(read)).revision == 2
 
 
+async def test_new_leader_reads_what_its_predecessor_committed(cluster):
+    """Guards against a read before the leader's own term has a committed entry."""
+    leader, holder, lagging = await roles(cluster)
+    await cluster.fill(leader, 3)
+    cluster.network.cut([lagging], [leader, holder])
+    sent = asyncio.ensure_future(cluster.members[leader].submit(submission("r3", 3)))
+    await cluster.until(sent.done, step_s=0.0005)
+    await cluster.kill(leader)
+    assert len(await cluster.members[holder].history(9)) == 3
+    cluster.network.heal()
+    successor = cluster.members[holder]
+    await cluster.until(lambda: successor.is_leader, step_s=0.0005)
+    read = asyncio.ensure_future(successor.current())
+    await cluster.until(read.done, step_s=0.0005)
+    assert read.result().revision == 4
+
+
 async def test_leader_without_quorum_steps_down(cluster):
     leader, *_ = await roles(cluster)
     cluster.isolate(leader)
@@ -265,6 +291,28 @@
     assert (await cluster.submit(other, "r62", 62)).revision == 63
 
 
+@pytest.mark.parametrize(("term", "last_index"), [(1, 5), (2, 3)])
+def test_installed_snapshot_keeps_only_entries_that_continue_it(term, last_index):
+    """Guards against the loss of entries that were acknowledged already."""
+    storage = MemberStorage.memory()
+    kind = EntryKind.NO_OP
+    storage.log.append([LogEntry(index=n, term=1, kind=kind) for n in range(1, 6)])
+    state = MemberState("a", storage, ManualClock())
+    state.install(Snapshot(index=3, term=term))
+    assert (state.last_index, state.commit_index) == (last_index, 3)
+
+
+async def test_learner_that_doesn_t_catch_up_never_votes(cluster, monkeypatch):
+    cluster.start("d", initial=())
+    monkeypatch.setattr(cluster.storages["d"].log, "append", fail_storage)
+    replacement = cluster.members["a"].replace_member("b", "d")
+    with pytest.raises(MembershipChangeError, match="doesn't catch up"):
+        await cluster.do(replacement, 100)
+    members = await cluster.do(cluster.members["a"].members())
+    assert [m.name for m in members if m.role == "learner"] == ["d"]
+    assert [m.name for m in members if m.role != "learner"] == ["a", "b", "c"]
+
+
 async def test_submissions_that_can_t_be_stored_are_refused(cluster):
     with pytest.raises(DocumentError, match="limit"):
         await cluster.submit("a", "big", document="x" * 3_000_000)
@@ -276,12 +324,8 @@
 @pytest.mark.parametrize("store", ["log", "terms"])
 async def test_failed_storage_ends_the_member_only(cluster, monkeypatch, store):
     leader, other, _ = await roles(cluster)
-
-    def fail(*args):
-        raise StorageError("injected", step="write")
-
     broken = getattr(cluster.storages[leader], store)
-    monkeypatch.setattr(broken, "append" if store == "log" else "save", fail)
+    monkeypatch.setattr(broken, "append" if store == "log" else "save", fail_storage)
     if store == "terms":
         cluster.isolate(leader)
         await cluster.run(20)
