--- a/tests/coordination/test_random_faults.py
+++ b/tests/coordination/test_random_faults.py
@@ -181,6 +181,7 @@
             if self.wiped is not None:
                 asked = next(name for name in cluster.names if name != self.wiped)
                 await cluster.do(self.replace_wiped(cluster.members[asked]), 200)
+                await cluster.run(1)
         assert self.wiped is None
         await cluster.until(lambda: all(task.done() for task in self.tasks), 200)
         newest = await cluster.do(cluster.members["a"].current())
