--- a/tests/coordination/test_member.py
+++ b/tests/coordination/test_member.py
@@ -143,8 +143,15 @@
     assert (await cluster.do(read)).revision == 2
 
 
-async def test_new_leader_reads_what_its_predecessor_committed(cluster):
-    """Guards against a read before the leader's own term has a committed entry."""
+async def test_new_leader_reads_what_its_predecessor_committed(cluster, monkeypatch):
+    """Guards against a read before the leader's own term has a committed entry.
+
+    The quorum round is taken out, as it mostly hides the failure.
+    """
+
+    async def confirm(timeout_s):
+        return True
+
     leader, holder, lagging = await roles(cluster)
     await cluster.fill(leader, 3)
     cluster.network.cut([lagging], [leader, holder])
@@ -154,6 +161,7 @@
     assert len(await cluster.members[holder].history(9)) == 3
     cluster.network.heal()
     successor = cluster.members[holder]
+    monkeypatch.setattr(successor._replicator, "confirm", confirm)
     await cluster.until(lambda: successor.is_leader, step_s=0.0005)
     read = asyncio.ensure_future(successor.current())
     await cluster.until(read.done, step_s=0.0005)
