--- a/arbutuslift/coordination/member.py
+++ b/arbutuslift/coordination/member.py
@@ -352,7 +352,7 @@
         try:
             await self._changer.replace(old_name, new_name)
         except MembershipChangeError as error:
-            return ReplaceAnswer(reason=str(error))
+            return ReplaceAnswer(reason=error.message)
         except NoQuorum:
             return NotLeader()
         return ReplaceAnswer()
