Form a cluster only with members that stored that they belong to it

A member that didn't list the first one as initial left the request unheeded, and its answer without a cluster counted as agreement; such a member could join a second cluster. The new test failed before the change.

--- a/arbutuslift/coordination/bootstrap.py
+++ b/arbutuslift/coordination/bootstrap.py
@@ -77,6 +77,7 @@
         for name in others:
             answer = await self._ask(name, BootstrapRequest(cluster=state.cluster))
             self._check(name, answer)
+            self._check_joined(name, answer)
             members.append(MemberRecord(name=name, identity=answer.identity))
         if state.last_index == 0 and state.term == 0:
             self._write(Membership(cluster=state.cluster, members=tuple(members)))
@@ -91,6 +92,11 @@
             message = "already belongs to a cluster; replace this member instead"
             raise BootstrapError(message, step="form cluster", peer=name)
 
+    def _check_joined(self, name: str, answer: IdentityAnswer) -> None:
+        if answer.cluster != self._state.cluster:
+            message = "doesn't list this member as an initial one"
+            raise BootstrapError(message, step="form cluster", peer=name)
+
     async def _ask(self, name: str, message: Message) -> IdentityAnswer:
         timeout_s = self._timing.request_timeout_s
         answer = await self._channel.request(name, message, timeout_s)
--- a/tests/coordination/test_member.py
+++ b/tests/coordination/test_member.py
@@ -289,6 +289,16 @@
     await cluster.leader()
 
 
+async def test_bootstrap_needs_every_initial_member_to_agree(clusters):
+    """Guards against a cluster with a member that is free to join another one."""
+    cluster = clusters()
+    cluster.start("a", "b")
+    cluster.start("c", initial=())
+    await cluster.run(30)
+    assert cluster.leaders() == []
+    assert "doesn't list this member" in cluster.members["a"].fault
+
+
 @pytest.mark.parametrize("names", ["a", "ab", "aab"])
 async def test_short_list_of_initial_members_is_refused(clusters, names):
     """Guards against a wiped member that forms a cluster by itself."""
