--- a/arbutuslift/coordination/inforce.py
+++ b/arbutuslift/coordination/inforce.py
@@ -5,8 +5,12 @@
 import structlog
 
 from ..errors import ArbutusliftError, DocumentError, StorageError
-from ..protocol.delta import compute_delta, document_from_bytes, document_to_bytes
-from ..protocol.document import Configuration
+from ..protocol.delta import compute_delta
+from ..protocol.document import (
+    Configuration,
+    from_canonical_json,
+    to_canonical_json,
+)
 from ..protocol.gossip import RevisionDelta
 from ..state.revisionfile import MemoryRevisionStore, RevisionStore, SavedRevision
 
@@ -86,7 +90,7 @@
             del self._history[min(self._history)]
 
     def _save(self, configuration: Configuration) -> None:
-        document = document_to_bytes(configuration.document)
+        document = to_canonical_json(configuration.document)
         saved = SavedRevision(revision=configuration.revision, document=document)
         try:
             self._store.save(saved)
@@ -99,7 +103,7 @@
             saved = self._store.load()
             if saved is None:
                 return
-            document = document_from_bytes(saved.document)
+            document = from_canonical_json(saved.document)
         except (StorageError, DocumentError) as error:
             self.fault = error
             _log.error("saved_revision_unusable", error=str(error))
--- a/arbutuslift/coordination/revisions.py
+++ b/arbutuslift/coordination/revisions.py
@@ -14,11 +14,13 @@
 from ..protocol.channel import Channel
 from ..protocol.delta import (
     apply_delta,
-    document_from_bytes,
     document_hash,
-    document_to_bytes,
 )
-from ..protocol.document import Configuration
+from ..protocol.document import (
+    Configuration,
+    from_canonical_json,
+    to_canonical_json,
+)
 from ..protocol.gossip import (
     DocumentPage,
     DocumentPageWanted,
@@ -154,7 +156,7 @@
                 raise DocumentError("too large", step="fetch document", peer=peer)
             if len(body) == page.size_bytes:
                 break
-        document = document_from_bytes(body)
+        document = from_canonical_json(body)
         if document_hash(document) != page.result_hash:
             raise DocumentError("wrong hash", step="fetch document", peer=peer)
         self._in_force.offer(Configuration(revision=revision, document=document))
@@ -217,6 +219,6 @@
                 return b"", 0
             document = configuration.document
             self._pages = {
-                revision: (document_to_bytes(document), document_hash(document))
+                revision: (to_canonical_json(document), document_hash(document))
             }
         return self._pages[revision]
--- a/arbutuslift/coordination/services.py
+++ b/arbutuslift/coordination/services.py
@@ -8,7 +8,7 @@
 from ..state.marks import LimitMark, LimitMarks
 from ..state.table import Generation, SlotTable, WeightedUpstream
 from ..state.upstreams import UpstreamRecord, UpstreamState, UpstreamView
-from .routes import AddressOwners, ServiceRoutes
+from .routes import ServiceRoutes
 
 # Slots whose holders are remembered, about 5 MB.
 MAX_REMEMBERED_SLOTS = 16_384
@@ -40,7 +40,6 @@
         self._out_of_service: set[str] = set()
         self._marks = LimitMarks()
         self._holders_by_slot: dict[tuple[str, int], list[str]] = {}
-        self._owners = AddressOwners(view)
 
     def apply(self, configuration: Configuration) -> None:
         """Put a configuration in force; an older one than now is ignored."""
@@ -64,10 +63,8 @@
 
     def refresh_service(self, name: str) -> None:
         """Recompute the eligible upstreams after a change of one service's records."""
-        records = [record for record in self.view if record.service == name]
-        affected = {name} | self._owners.note(records)
-        for affected_name in affected & self._routes.keys():
-            self._refresh_generation(self._routes[affected_name])
+        if name in self._routes:
+            self._refresh_generation(self._routes[name])
 
     def expire(self) -> None:
         """Forget generations and marks older than the retention time."""
@@ -87,7 +84,6 @@
             record is not None
             and record.is_alive
             and record.data_centre not in self._out_of_service
-            and self._owners.owns_address(record)
         )
 
     def may_admit(self, record: UpstreamRecord | None) -> bool:
@@ -134,7 +130,7 @@
         for upstream_id in ids:
             record = self.view.get(upstream_id)
             if record is not None and not self.may_receive(record):
-                record = self._owners.successor(record)
+                record = self.view.holder_of(record.address)
             if self.may_receive(record) and record.service == routes.service.name:
                 records[record.upstream_id] = record
         return list(records.values())
--- a/arbutuslift/protocol/delta.py
+++ b/arbutuslift/protocol/delta.py
@@ -1,4 +1,4 @@
-"""Differences between documents, and the byte form in which documents travel."""
+"""Changes from one configuration to the next, as instances send them."""
 
 import json
 from collections.abc import Callable, Sequence
@@ -10,7 +10,7 @@
 
 from ..errors import DocumentError
 from ..state.hashing import hash_64
-from .document import Configuration, DataCentre, Document, Service, structure_document
+from .document import Configuration, DataCentre, Document, Service
 from .gossip import DataCentreChange, RevisionDelta, ServiceChange
 
 # Holds every entry of the largest expected document (2,100 services) twice.
@@ -19,26 +19,6 @@
 _converter = cattrs.Converter()
 
 
-def document_to_bytes(document: Document) -> bytes:
-    """Return the document as JSON; equal documents give equal bytes."""
-    return _to_json(document)
-
-
-def document_from_bytes(body: bytes) -> Document:
-    """Return the document in ``body``.
-
-    Raises:
-        DocumentError: Malformed.
-    """
-    try:
-        content = json.loads(body)
-    except (ValueError, RecursionError) as error:
-        raise DocumentError(str(error), step="decode document") from error
-    if not isinstance(content, dict):
-        raise DocumentError("not an object", step="decode document")
-    return structure_document(content)
-
-
 def document_hash(document: Document) -> int:
     """Return a 64-bit hash of the whole document."""
     entries = (*document.services, *document.data_centres)
--- a/measure/population.py
+++ b/measure/population.py
@@ -11,8 +11,7 @@
 from arbutuslift.clock import ManualClock
 from arbutuslift.coordination.membership import Membership
 from arbutuslift.protocol.channel import Channel
-from arbutuslift.protocol.delta import document_to_bytes
-from arbutuslift.protocol.document import Document
+from arbutuslift.protocol.document import Document, to_canonical_json
 from arbutuslift.state.instances import InstanceRecord, RevisionMark
 from arbutuslift.state.registers import UpstreamRegister
 from arbutuslift.state.revisionfile import MemoryRevisionStore, SavedRevision
@@ -176,7 +175,7 @@
 
 def _store_with_first_revision() -> MemoryRevisionStore:
     store = MemoryRevisionStore()
-    document = document_to_bytes(Document())
+    document = to_canonical_json(Document())
     store.save(SavedRevision(revision=FIRST_REVISION, document=document))
     return store
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -11,8 +11,8 @@
     Document,
     Service,
 )
-from arbutuslift.protocol.packets import SYN, encode_tcp
-from arbutuslift.state.flowkey import Endpoint
+from arbutuslift.protocol.packets import PROTOCOL_TCP, SYN, encode_tcp
+from arbutuslift.state.flowkey import Endpoint, FlowKey
 from arbutuslift.state.upstreams import UpstreamRecord, UpstreamState
 
 SERVICE_ADDRESS = "127.10.0.1"
@@ -24,6 +24,7 @@
 
 
 SERVICE = endpoint(SERVICE_ADDRESS, SERVICE_PORT)
+SERVICE_KEY = FlowKey(SERVICE, SERVICE, PROTOCOL_TCP).to_bytes()[6:]
 
 
 def caller(number: int = 1) -> Endpoint:
--- a/tests/coordination/test_registrar.py
+++ b/tests/coordination/test_registrar.py
@@ -29,7 +29,7 @@
 
 
 def eligible(services):
-    routes = services.at(builders.SERVICE, 6)
+    routes = services.at(builders.SERVICE_KEY)
     members = routes.history.current.generation.members
     return [member.upstream_id for member in members]
 
--- a/tests/protocol/test_delta.py
+++ b/tests/protocol/test_delta.py
@@ -9,11 +9,15 @@
 from arbutuslift.protocol.delta import (
     apply_delta,
     compute_delta,
-    document_from_bytes,
     document_hash,
-    document_to_bytes,
 )
-from arbutuslift.protocol.document import Configuration, DataCentre, Document
+from arbutuslift.protocol.document import (
+    Configuration,
+    DataCentre,
+    Document,
+    from_canonical_json,
+    to_canonical_json,
+)
 from arbutuslift.protocol.messages import decode, encode
 
 from ..builders import service
@@ -55,7 +59,7 @@
         target = Configuration(revision=revision + 1, document=document)
         delta = decode(encode(compute_delta(base, target)))
         assert apply_delta(base, delta) == target
-        assert document_from_bytes(document_to_bytes(document)) == document
+        assert from_canonical_json(to_canonical_json(document)) == document
 
 
 def test_moved_entries_need_the_whole_document():
@@ -91,4 +95,4 @@
 @pytest.mark.parametrize("body", [b"", b"{", b"[]", b'{"a":1}', b"[" * 100000, b"\xff"])
 def test_malformed_documents_are_refused(body):
     with pytest.raises(DocumentError):
-        document_from_bytes(body)
+        from_canonical_json(body)
