--- a/arbutuslift/state/registers.py
+++ b/arbutuslift/state/registers.py
@@ -1,7 +1,7 @@
 """Mergeable sets of records that gossip keeps alike on all instances."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from enum import IntEnum
 from functools import singledispatch
 from typing import Any
@@ -78,6 +78,52 @@
     return Priority.REST
 
 
+class FunctionRegister(Register):
+    """Register over a set that is kept elsewhere, such as generations.
+
+    Args:
+        kind: Name of the kind in messages.
+        record_class: Class of the records; needs ``record_key`` and
+            ``record_version``.
+        records: Returns all records.
+        merge: Takes a record and returns whether the set changed.
+        is_local: Whether records stay inside the data centre.
+    """
+
+    def __init__(
+        self,
+        kind: str,
+        record_class: type,
+        records: Callable[[], Iterable[Any]],
+        merge: Callable[[Any], bool],
+        *,
+        is_local: bool = False,
+    ) -> None:
+        self.kind = kind
+        self.record_class = record_class
+        self.is_local = is_local
+        self._records = records
+        self._merge = merge
+        self._known: dict[str, Any] = {}
+
+    def records(self) -> Iterable[Any]:
+        """Return all records."""
+        self._known = {record_key(record): record for record in self._records()}
+        return list(self._known.values())
+
+    def get(self, key: str) -> Any | None:
+        """Return the record of a key as of the last merge or listing."""
+        return self._known.get(key)
+
+    def merge(self, record: Any) -> bool:
+        """Pass a record to the set."""
+        changed = self._merge(record)
+        # The set may have known it before this register, as it changes elsewhere.
+        if changed or self._known.get(record_key(record)) != record:
+            self.records()
+        return changed
+
+
 class UpstreamRegister(Register):
     """Upstream records; load and sequence alone are no change.
 
--- a/tests/state/test_registers.py
+++ b/tests/state/test_registers.py
@@ -15,6 +15,7 @@
 from arbutuslift.state.loads import LoadRegister, UpstreamLoad
 from arbutuslift.state.recordindex import FANOUT, RecordIndex, differing
 from arbutuslift.state.registers import (
+    FunctionRegister,
     UpstreamRegister,
     record_key,
     record_version,
@@ -76,6 +77,23 @@
     ]
 
 
+def _function_register():
+    view = RevisionView()
+    return FunctionRegister("mark", RevisionMark, view.records, view.merge)
+
+
+def test_function_register_sees_what_the_set_had_before():
+    """Guards against a published record that is taken for removed."""
+    view = RevisionView()
+    register = FunctionRegister("mark", RevisionMark, view.records, view.merge)
+    mark = RevisionMark(name="entry-1", revision=4)
+    view.merge(mark)
+    assert not register.merge(mark)
+    assert register.get("entry-1") == mark
+    assert not register.merge(evolve(mark, revision=3))
+    assert register.get("entry-1") == mark
+
+
 @pytest.mark.parametrize("seed", range(5))
 @pytest.mark.parametrize(
     ("make", "records"),
@@ -84,8 +102,9 @@
         (lambda: UpstreamRegister(UpstreamView()), _upstreams),
         (RevisionView, _marks),
         (LoadRegister, _loads),
+        (_function_register, _marks),
     ],
-    ids=["instances", "upstreams", "revisions", "loads"],
+    ids=["instances", "upstreams", "revisions", "loads", "functions"],
 )
 def test_any_order_with_repeats_converges(make, records, seed):
     rng = random.Random(seed)
