--- a/arbutuslift/state/registers.py
+++ b/arbutuslift/state/registers.py
@@ -117,11 +117,14 @@
 
     def merge(self, record: Any) -> bool:
         """Pass a record to the set."""
-        changed = self._merge(record)
+        key = record_key(record)
+        if self._merge(record):
+            self._known[key] = record
+            return True
         # The set may have known it before this register, as it changes elsewhere.
-        if changed or self._known.get(record_key(record)) != record:
+        if self._known.get(key) != record:
             self.records()
-        return changed
+        return False
 
 
 class UpstreamRegister(Register):
