Run all parts in the daemon: agreement, gossip, admission, operators

Cause: the daemon read a static document and routed packets, while the replicated log, gossip, shares and the operators' service ran in tests only.

The instance now builds its parts in one place (instance.py and coordination/controlplane.py), with an exit stack that owns all that closes. Health checks succeed once a configuration is in effect, so an instance that starts gets no packets before. Load and the sequence of announcements reach the instances of a data centre that don't hear an upstream themselves; without that they would find it silent after 60 s. Merging a record no longer invents a sequence number, which could have ended a lapse.

Ruled out: spreading the sequence with each announcement (16,000 records a second at the target size).

--- /dev/null
+++ b/arbutuslift/coordination/controlplane.py
@@ -0,0 +1,222 @@
+"""Control side of one instance: membership, gossip, agreement, operators."""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+from contextlib import AsyncExitStack
+
+import structlog
+
+from ..clock import Clock
+from ..protocol.channel import Channel
+from ..protocol.document import Configuration, from_canonical_json
+from ..protocol.operators import InstanceStatus
+from ..settings import Settings
+from ..state.configuration import StoredRevision
+from ..state.generations import GenerationRecord
+from ..state.instances import InstanceRecord
+from ..state.loads import LoadRegister, UpstreamLoad
+from ..state.marks import LimitMark
+from ..state.registers import FunctionRegister, UpstreamRegister
+from ..state.revisionfile import DiskRevisionStore
+from ..state.storage import MemberStorage
+from ..state.upstreams import UpstreamRecord
+from ..transport.bus import Bus
+from .directory import Directory
+from .join import Seed
+from .member import Member
+from .membership import Membership
+from .operators import OperatorsService, upstream_statuses
+from .services import ServiceTable
+
+GENERATION = "generation"
+MARK = "mark"
+UPSTREAM = "upstream"
+LOAD = "load"
+JOIN_POLL_S = 0.1
+
+_log = structlog.get_logger()
+
+
+class ControlPlane:
+    """What an instance does besides forwarding packets.
+
+    Attributes:
+        channel: Reaches other instances.
+        directory: The alive instances.
+
+    Args:
+        settings: Checked settings.
+        clock: Source of time.
+        bus: Opened bus.
+        own: Record of this instance.
+        services: Services and upstreams.
+        on_superseded: Called when another process took over the name.
+        rng: Source of randomness.
+
+    Raises:
+        StorageError: The data folder can't be used.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        bus: Bus,
+        own: InstanceRecord,
+        services: ServiceTable,
+        *,
+        on_superseded: Callable[[], None],
+        rng: random.Random,
+    ) -> None:
+        self.channel = Channel(bus)
+        self._settings = settings
+        self._clock = clock
+        self._services = services
+        self._stack = AsyncExitStack()
+        self._loads = LoadRegister(services.view)
+        seeds = [
+            Seed(seed.name, f"tcp://{seed.address.ip}:{seed.address.port}")
+            for seed in settings.seeds
+        ]
+        for seed in seeds:
+            self.channel.connect(seed.name, seed.endpoint)
+        self._membership = Membership(
+            clock,
+            self.channel,
+            own,
+            on_superseded,
+            registers=self._registers(),
+            store=self._revision_store(),
+            seeds=seeds,
+            members=lambda: settings.members,
+            rng=rng,
+        )
+        self.directory = Directory(own.name, self._membership.instances)
+        self._member = self._make_member(rng) if settings.is_member else None
+        self._operators = OperatorsService(
+            self.channel,
+            clock,
+            store=self._member,
+            members=self._member_names,
+            instances=self._instance_statuses,
+            upstreams=lambda: upstream_statuses(services.view),
+        )
+        self._follow_state()
+
+    def on_configuration(self, listener: Callable[[Configuration], None]) -> None:
+        """Call ``listener`` with every configuration that takes effect."""
+        self._membership.in_force.on_change(listener)
+
+    async def run(self) -> None:
+        """Join, then take part until cancelled."""
+        if self._member is not None:
+            self._member.on_commit(self._offer)
+            self._member.start()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._membership.run())
+            group.create_task(self._await_history())
+
+    def leave(self) -> None:
+        """Tell the others that this instance stops."""
+        if self._membership.join.is_joined:
+            self._membership.probing.leave()
+
+    async def close(self) -> None:
+        """Release the data folder."""
+        await self._stack.aclose()
+
+    async def _await_history(self) -> None:
+        """Note when the generations that others used have been learned."""
+        while not self._membership.join.is_joined:
+            await self._clock.sleep(JOIN_POLL_S)
+        self._services.history_known = True
+        _log.info("joined", revision=self._membership.in_force.revision)
+
+    def _make_member(self, rng: random.Random) -> Member:
+        storage = MemberStorage.open(self._settings.data_folder)
+        self._stack.callback(storage.close)
+        member = Member(
+            name=self._settings.name,
+            storage=storage,
+            channel=self.channel,
+            clock=self._clock,
+            rng=rng,
+            initial_names=self._settings.members,
+        )
+        self._stack.push_async_callback(member.close)
+        return member
+
+    def _offer(self, stored: StoredRevision) -> None:
+        document = from_canonical_json(stored.submission.document)
+        configuration = Configuration(revision=stored.revision, document=document)
+        self._membership.in_force.offer(configuration)
+
+    def _registers(self) -> list[object]:
+        services = self._services
+        return [
+            UpstreamRegister(services.view),
+            self._loads,
+            FunctionRegister(
+                GENERATION,
+                GenerationRecord,
+                services.generation_records,
+                services.merge_generation,
+            ),
+            FunctionRegister(
+                MARK, LimitMark, services.mark_records, services.merge_mark
+            ),
+        ]
+
+    def _revision_store(self) -> DiskRevisionStore | None:
+        folder = self._settings.data_folder
+        return DiskRevisionStore(folder) if folder else None
+
+    def _follow_state(self) -> None:
+        """Spread what arises here, and keep one place for each kind of record."""
+        gossip = self._membership.gossip
+        view = self._services.view
+
+        def tell(change: GenerationRecord | LimitMark) -> None:
+            kind = MARK if isinstance(change, LimitMark) else GENERATION
+            gossip.publish(kind, change)
+
+        def note_load(record: UpstreamRecord) -> None:
+            if record.data_centre != self._settings.data_centre:
+                return
+            if record.is_alive:
+                gossip.publish(LOAD, UpstreamLoad.of(record))
+            else:
+                self._loads.remove(record.upstream_id)
+                gossip.changed(LOAD, record.upstream_id)
+
+        self._services.on_change.append(tell)
+        view.on_change(note_load)
+        view.on_eligibility_change(
+            lambda record: gossip.changed(UPSTREAM, record.upstream_id)
+        )
+
+    def _member_names(self) -> Iterable[str]:
+        leader = self._member.leader_name if self._member else None
+        names = [record.name for record in self._membership.instances.members()]
+        known = dict.fromkeys([*names, *self._settings.members])
+        return [leader, *known] if leader else list(known)
+
+    def _instance_statuses(self) -> list[InstanceStatus]:
+        return [
+            InstanceStatus(
+                name=record.name,
+                data_centre=record.data_centre,
+                endpoint=record.endpoint,
+                state=record.status.name.lower(),
+                revision=self._revision_of(record.name),
+            )
+            for record in self._membership.instances.records()
+        ]
+
+    def _revision_of(self, name: str) -> int:
+        """Return the revision in effect at an instance, 0 if it isn't known here."""
+        if name == self._settings.name:
+            return self._membership.in_force.revision
+        mark = self._membership.marks.get(name)
+        return mark.revision if mark else 0
--- a/arbutuslift/coordination/forwarding.py
+++ b/arbutuslift/coordination/forwarding.py
@@ -2,6 +2,8 @@
 
 from collections import Counter
 
+import structlog
+
 from ..errors import PacketError
 from ..protocol.packets import decode
 from ..transport.fabric import Address, Datagram, Fabric
@@ -9,6 +11,8 @@
 
 BAD_PACKET = "bad_packet"
 
+_log = structlog.get_logger()
+
 
 class Forwarder:
     """Receives, routes and sends packets until cancelled.
@@ -34,8 +38,9 @@
         """Forward one packet."""
         try:
             packet = decode(datagram.data)
-        except PacketError:
+        except PacketError as error:
             self.counts[BAD_PACKET] += 1
+            _log.warning(BAD_PACKET, peer=datagram.source.ip, reason=error.message)
             return
         decision = self._router.route(packet, datagram.source)
         self.counts[decision.verdict] += 1
--- a/arbutuslift/daemon.py
+++ b/arbutuslift/daemon.py
@@ -7,58 +7,53 @@
 
 from absl import app
 
+from . import logs
 from .clock import SystemClock
-from .coordination.forwarding import Forwarder
-from .coordination.registrar import Registrar
-from .coordination.router import Router
-from .coordination.services import ServiceTable
 from .errors import ArbutusliftError
-from .protocol.document import Configuration, load_document
+from .instance import Instance
 from .settings import Settings, read_settings
-from .state.flows import FlowCache
-from .state.upstreams import UpstreamView
-from .transport.announcements import AnnouncementEndpoint
-from .transport.fabric import UdpFabric
 
-DRAIN_S = 1.0
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 async def serve(settings: Settings) -> None:
-    """Run an instance until SIGTERM or SIGINT.
+    """Run an instance until a signal or a newer process of its name stops it.
 
     Args:
         settings: Checked settings.
 
     Raises:
-        ArbutusliftError: A port or file can't be used.
+        ArbutusliftError: A port or file can't be used, or a task failed.
     """
     clock = SystemClock()
-    services = ServiceTable(clock, UpstreamView())
-    services.apply(Configuration(revision=1, document=load_document(settings.document)))
+    limiter = logs.configure(
+        instance=settings.name, level=settings.log_level, clock=clock
+    )
+    stopped = asyncio.Event()
     async with AsyncExitStack() as stack:
-        fabric = await UdpFabric.open(settings.listen)
-        stack.callback(fabric.close)
-        endpoint = AnnouncementEndpoint(Registrar(services).accept)
-        stack.push_async_callback(endpoint.close)
-        await endpoint.open(settings.announcements)
-        forwarder = Forwarder(fabric, Router(services, FlowCache()), settings.fabric)
-        task = asyncio.create_task(forwarder.run())
-        stack.callback(task.cancel)
-        await _stop_signal()
-        await clock.sleep(DRAIN_S)
-
-
-async def _stop_signal() -> None:
-    """Wait for the first signal; a second one ends the process at once."""
+        report = asyncio.create_task(logs.report_suppressed(limiter, clock))
+        stack.callback(report.cancel)
+        instance = Instance(settings, clock, stack, on_stop=stopped.set)
+        await instance.open()
+        _set_on_signal(stopped)
+        await stopped.wait()
+        await instance.stop()
+        if instance.failure is not None:
+            raise instance.failure
+
+
+def _set_on_signal(stopped: asyncio.Event) -> None:
+    """Set the event on the first signal; a second one ends the process at once."""
     loop = asyncio.get_running_loop()
-    stopped = asyncio.Event()
-    numbers = (signal.SIGTERM, signal.SIGINT)
-    for number in numbers:
-        loop.add_signal_handler(number, stopped.set)
-    await stopped.wait()
-    for number in numbers:
-        loop.remove_signal_handler(number)
-        signal.signal(number, signal.SIG_DFL)
+
+    def stop() -> None:
+        stopped.set()
+        for number in STOP_SIGNALS:
+            loop.remove_signal_handler(number)
+            signal.signal(number, signal.SIG_DFL)
+
+    for number in STOP_SIGNALS:
+        loop.add_signal_handler(number, stop)
 
 
 def main(argv: list[str]) -> int:
--- a/arbutuslift/errors.py
+++ b/arbutuslift/errors.py
@@ -145,3 +145,7 @@
 
 class StorageError(ArbutusliftError):
     """A file of the data folder can't be read or written; the peer is its path."""
+
+
+class TaskFailed(ArbutusliftError):
+    """A task of the process ended with an error that nothing handled."""
--- /dev/null
+++ b/arbutuslift/instance.py
@@ -0,0 +1,242 @@
+"""One instance: builds its parts, connects them and runs their tasks."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Coroutine
+from contextlib import AsyncExitStack
+from typing import Any
+
+from . import logs
+from .clock import Clock
+from .coordination.controlplane import ControlPlane
+from .coordination.denials import Denials
+from .coordination.forwarding import Forwarder
+from .coordination.lapse import LapseDetector
+from .coordination.limits import limit_plan_of
+from .coordination.registrar import Registrar
+from .coordination.router import Router
+from .coordination.services import ServiceTable
+from .coordination.tracedforwarding import TracedForwarder
+from .errors import TaskFailed
+from .metrics import Reporter, open_metrics
+from .protocol.document import Configuration, load_document
+from .settings import Settings
+from .state.admission import AdmissionControl
+from .state.flows import FlowCache
+from .state.instances import InstanceRecord
+from .state.upstreams import UpstreamView
+from .traces import open_traces
+from .transport.announcements import AnnouncementEndpoint, Refusal
+from .transport.fabric import UdpFabric
+from .transport.keys import AllowedKeys, load_key_pair
+from .transport.zmqbus import Security, ZmqBus
+
+INITIAL_REVISION = 1
+EXPIRE_INTERVAL_S = 60.0
+QUEUE_POLL_S = 0.1
+
+_log = logs.get_logger()
+
+
+class Instance:
+    """An entry instance, and a control member if the settings say so.
+
+    Args:
+        settings: Checked settings.
+        clock: Source of time.
+        stack: Owns everything that has to be closed.
+        on_stop: Called when the process has to stop, because another process took
+            over the name or because a task failed.
+
+    Attributes:
+        failure: Why a task failed, if one did.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        stack: AsyncExitStack,
+        on_stop: Callable[[], None],
+    ) -> None:
+        self.failure: TaskFailed | None = None
+        self._settings = settings
+        self._clock = clock
+        self._stack = stack
+        self._on_stop = on_stop
+        self._view = UpstreamView(clock)
+        self._services = ServiceTable(clock, self._view)
+        self._registrar = Registrar(self._services, clock)
+        self._control: ControlPlane | None = None
+        self._fabric: UdpFabric | None = None
+        self._endpoint = AnnouncementEndpoint(
+            self._registrar.accept,
+            key=self._announcement_key(),
+            on_refusal=_log_refusal,
+        )
+        self._endpoint.is_serving = False
+        self._admission = AdmissionControl(
+            clock, self._view, settings.name, self._alive_instances
+        )
+
+    async def open(self) -> None:
+        """Take ports and files and start all tasks.
+
+        Raises:
+            ArbutusliftError: A port or file can't be used.
+        """
+        self._fabric = await UdpFabric.open(self._settings.listen)
+        self._stack.callback(self._fabric.close)
+        if self._settings.bus is not None:
+            await self._open_control()
+        forwarder = self._make_forwarder()
+        self._stack.push_async_callback(self._endpoint.close)
+        await self._endpoint.open(self._settings.announcements)
+        lapse = LapseDetector(
+            self._view, self._registrar, self._clock, self._settings.data_centre
+        )
+        self._start(forwarder.run())
+        self._start(self._admission.run())
+        self._start(lapse.run())
+        self._start(self._expire())
+        self._start(self._report(forwarder))
+        self._start_configuration()
+        _log.info("started", listen=self._settings.listen.port)
+
+    async def stop(self) -> None:
+        """Drain: tell the fabric, forward what still arrives, then return."""
+        self._endpoint.is_serving = False
+        _log.info("draining", drain_s=self._settings.drain_s)
+        if self._control is not None:
+            self._control.leave()
+        await self._clock.sleep(self._settings.drain_s)
+        while self._fabric.queue_fill() > 0:
+            await self._clock.sleep(QUEUE_POLL_S)
+
+    def apply(self, configuration: Configuration) -> None:
+        """Put a configuration in effect."""
+        self._services.apply(configuration)
+        self._admission.apply(limit_plan_of(configuration.document))
+        self._endpoint.is_serving = True
+        _log.info("configuration_in_effect", revision=configuration.revision)
+
+    def _start_configuration(self) -> None:
+        if self._control is not None:
+            self._control.on_configuration(self.apply)
+            self._start(self._control.run())
+        elif self._settings.document is not None:
+            document = load_document(self._settings.document)
+            self._services.history_known = True
+            self.apply(Configuration(revision=INITIAL_REVISION, document=document))
+
+    async def _open_control(self) -> None:
+        settings = self._settings
+        bus = ZmqBus(
+            settings.name, self._security(), allow_plain=settings.curve == "off"
+        )
+        self._stack.push_async_callback(bus.close)
+        await bus.open(f"tcp://{settings.bus.ip}:{settings.bus.port}")
+        own = InstanceRecord(
+            name=settings.name,
+            incarnation=time.time_ns(),
+            data_centre=settings.data_centre,
+            endpoint=bus.endpoint,
+            fabric_address=f"{settings.listen.ip}:{settings.listen.port}",
+            is_member=settings.is_member,
+        )
+        self._control = ControlPlane(
+            settings,
+            self._clock,
+            bus,
+            own,
+            self._services,
+            on_superseded=self._on_stop,
+            rng=random.Random(),
+        )
+        self._stack.push_async_callback(self._control.close)
+
+    def _security(self) -> Security | None:
+        settings = self._settings
+        if not settings.uses_curve:
+            return None
+        return Security(
+            keys=load_key_pair(settings.curve_key_file),
+            allowed=AllowedKeys(settings.authorized_keys_folder),
+        )
+
+    def _make_forwarder(self) -> Forwarder:
+        settings = self._settings
+        flows = FlowCache(settings.max_flows)
+        fabric = self._fabric
+        control = self._control
+        denials = Denials(
+            self._services,
+            flows,
+            lambda data: fabric.send(data, settings.fabric),
+            alive_instances=self._alive_instances,
+            channel=control.channel if control else None,
+        )
+        self._stack.callback(denials.close)
+        self._start(denials.run())
+        lookups = {}
+        if control is not None:
+            lookups = {
+                "instance_address": control.directory.address_of,
+                "is_instance": control.directory.is_instance,
+            }
+        router = Router(
+            self._services,
+            flows,
+            admission=self._admission,
+            denials=denials,
+            queue_fill=fabric.queue_fill,
+            **lookups,
+        )
+        traces = open_traces(
+            settings.trace, settings.trace_file, settings.trace_ratio, settings.name
+        )
+        self._stack.callback(traces.close)
+        if traces.is_enabled:
+            return TracedForwarder(fabric, router, settings.fabric, traces=traces)
+        return Forwarder(fabric, router, settings.fabric)
+
+    async def _report(self, forwarder: Forwarder) -> None:
+        metrics = open_metrics(self._settings.statsd, self._settings.name)
+        self._stack.callback(metrics.close)
+        reporter = Reporter(metrics, self._clock)
+        reporter.add_counter("packets", forwarder.counts)
+        reporter.add_counter("announcements", self._endpoint.counts)
+        reporter.add_counter("upstreams", self._registrar.counts)
+        await reporter.run()
+
+    async def _expire(self) -> None:
+        while True:
+            await self._clock.sleep(EXPIRE_INTERVAL_S)
+            self._services.expire()
+
+    def _alive_instances(self) -> list[str]:
+        if self._control is None:
+            return [self._settings.name]
+        return self._control.directory.alive_names
+
+    def _announcement_key(self) -> bytes | None:
+        path = self._settings.announcement_key_file
+        return path.read_bytes().strip() if path else None
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        task.add_done_callback(self._note_end)
+        self._stack.callback(task.cancel)
+
+    def _note_end(self, task: asyncio.Task[None]) -> None:
+        """Stop the process if a task failed: a stopped part would go unnoticed."""
+        if task.cancelled() or task.exception() is None:
+            return
+        self.failure = TaskFailed(repr(task.exception()), step=task.get_name())
+        _log.error("task_failed", reason=str(self.failure), exc_info=task.exception())
+        self._on_stop()
+
+
+def _log_refusal(refusal: Refusal) -> None:
+    _log.warning("announcement_refused", peer=refusal.peer, reason=refusal.reason)
--- a/arbutuslift/protocol/operators.py
+++ b/arbutuslift/protocol/operators.py
@@ -186,7 +186,8 @@
         data_centre: Its data centre.
         endpoint: Where its bus listens.
         state: ``alive``, ``suspect`` or ``dead``.
-        revision: The revision in effect there.
+        revision: The revision in effect there, 0 if the answering instance doesn't
+            know it; instances know those of their own data centre.
     """
 
     name: str
--- a/arbutuslift/state/generations.py
+++ b/arbutuslift/state/generations.py
@@ -4,12 +4,15 @@
 
 from attrs import frozen
 
+from .hashing import hash_64
+from .registers import record_key, record_version
 from .table import Generation, SlotTable, WeightedUpstream
 
 RETENTION_S = 26 * 3600.0
 # Each generation costs a table of 4 KB and, per packet of an unknown flow, one
 # look-up. A service of 8 upstreams that all restart once a day makes 16.
 MAX_GENERATIONS = 32
+VERSION_STEP_S = 3600.0
 
 
 @frozen(kw_only=True)
@@ -30,6 +33,19 @@
     covers_every_slot: bool = False
 
 
+@record_key.register
+def _(record: GenerationRecord) -> str:
+    members = repr(record.members).encode()
+    flag = b"every slot" if record.covers_every_slot else b""
+    return f"{record.service} {hash_64(members, flag):016x}"
+
+
+@record_version.register
+def _(record: GenerationRecord) -> int:
+    # The time of the last use grows; an hour of the 26 kept is precise enough.
+    return hash_64(str(int(record.last_used_at_s // VERSION_STEP_S)).encode())
+
+
 class GenerationHistory:
     """The current slot table and the tables that open flows may stem from.
 
--- a/arbutuslift/state/loads.py
+++ b/arbutuslift/state/loads.py
@@ -2,14 +2,18 @@
 
 from collections.abc import Iterable
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from .hashing import hash_64
 from .registers import Register, record_key, record_version
-from .upstreams import UpstreamRecord
+from .upstreams import UpstreamRecord, UpstreamView
 
 # A sixteenth of the 2,000 connections that one upstream bears.
 CONNECTIONS_STEP = 125
+# Instances to which an upstream doesn't announce itself hear of it through its load.
+# At one announcement a second this is often enough for the 60 s after which they
+# would find it silent.
+SEQUENCE_STEP = 16
 
 
 @frozen(kw_only=True)
@@ -47,13 +51,17 @@
 @record_version.register
 def _(record: UpstreamLoad) -> int:
     step = record.open_connections // CONNECTIONS_STEP
-    return hash_64(f"{step} {record.busy_slots}".encode())
+    news = record.sequence // SEQUENCE_STEP
+    return hash_64(f"{step} {record.busy_slots} {news}".encode())
 
 
 class LoadRegister(Register):
     """Newest known load of the upstreams of this data centre.
 
     Load isn't pushed: it changes all the time, and only the newest report counts.
+
+    Args:
+        view: Takes the load and the sequence of each upstream.
     """
 
     kind = "load"
@@ -61,7 +69,8 @@
     is_local = True
     is_pushed = False
 
-    def __init__(self) -> None:
+    def __init__(self, view: UpstreamView) -> None:
+        self._view = view
         self._loads: dict[str, UpstreamLoad] = {}
 
     def records(self) -> Iterable[UpstreamLoad]:
@@ -78,6 +87,16 @@
         if known and record.sequence <= known.sequence:
             return False
         self._loads[record.upstream_id] = record
+        known_record = self._view.get(record.upstream_id)
+        if known_record and known_record.sequence < record.sequence:
+            self._view.merge(
+                evolve(
+                    known_record,
+                    sequence=record.sequence,
+                    open_connections=record.open_connections,
+                    busy_slots=record.busy_slots,
+                )
+            )
         return True
 
     def remove(self, upstream_id: str) -> None:
--- a/arbutuslift/state/marks.py
+++ b/arbutuslift/state/marks.py
@@ -3,6 +3,8 @@
 from attrs import frozen
 
 from .generations import RETENTION_S
+from .hashing import hash_64
+from .registers import record_key, record_version
 
 # A mark is renewed at most this often, so that an upstream at its limit doesn't
 # fill the control traffic of all instances.
@@ -22,6 +24,16 @@
     marked_at_s: float
 
 
+@record_key.register
+def _(record: LimitMark) -> str:
+    return record.upstream_id
+
+
+@record_version.register
+def _(record: LimitMark) -> int:
+    return hash_64(str(int(record.marked_at_s // RENEWAL_S)).encode())
+
+
 class LimitMarks:
     """The newest mark of every upstream."""
 
--- a/arbutuslift/state/registers.py
+++ b/arbutuslift/state/registers.py
@@ -6,8 +6,6 @@
 from functools import singledispatch
 from typing import Any
 
-from attrs import evolve
-
 from .hashing import hash_64
 from .upstreams import UpstreamRecord, UpstreamState, UpstreamView
 
@@ -149,14 +147,7 @@
         return self._view.get(key)
 
     def merge(self, record: UpstreamRecord) -> bool:
-        """Take a record; a later state wins even with a lower sequence.
-
-        An instance marks a silent upstream gone under the last sequence that it
-        has seen, which may be lower than the sequence known elsewhere.
-        """
-        known = self._view.get(record.upstream_id)
-        if known and record.state > known.state and record.sequence <= known.sequence:
-            record = evolve(record, sequence=known.sequence + 1)
+        """Take what is newer in a record."""
         return self._view.merge(record)
 
 
@@ -167,7 +158,7 @@
 
 @record_version.register
 def _(record: UpstreamRecord) -> int:
-    # Instances may mark an upstream gone under different sequences; the rest of
+    # Instances may find an upstream silent under different sequences; the rest of
     # such a record no longer matters and needn't become alike.
     if not record.is_alive:
         return 0
--- a/arbutuslift/transport/announcements.py
+++ b/arbutuslift/transport/announcements.py
@@ -41,6 +41,10 @@
 class AnnouncementEndpoint:
     """Accepts ``POST /v1/announcements`` with a JSON object, answers health checks.
 
+    Attributes:
+        is_serving: Whether health checks succeed, so that the fabric sprays to this
+            instance.
+
     Args:
         accept: Called with the decoded object; raises AnnouncementError to refuse.
         key: Shared key of signed announcements, or None to accept unsigned ones.
@@ -56,7 +60,7 @@
         self._accept = accept
         self._key = key
         self._on_refusal = on_refusal
-        self.stopping = False
+        self.is_serving = True
         self.counts: Counter[str] = Counter()
         application = web.Application(client_max_size=MAX_BODY_BYTES)
         application.router.add_post(ANNOUNCEMENTS_PATH, self._post)
@@ -113,7 +117,7 @@
         return self.handle(body, request.headers.get(SIGNATURE_HEADER, ""), peer)
 
     async def _health(self, request: web.Request) -> web.Response:
-        return web.Response(status=503 if self.stopping else 200)
+        return web.Response(status=200 if self.is_serving else 503)
 
     def _refuse(self, peer: str, status: int, reason: str) -> web.Response:
         self.counts[f"refused_{status}"] += 1
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -7,8 +7,10 @@
 from attrs import asdict, define, field
 
 from .addresses import parse_address
+from .fabric import OPENED, REFUSED
 
 ANSWER_TIMEOUT_S = 10.0
+REFUSED_RETRY_S = 0.5
 
 flags.DEFINE_string("target", None, "ip:port of the service.")
 flags.DEFINE_integer("connections", 20, "Connections held at a time.")
@@ -32,7 +34,8 @@
     Attributes:
         sent: Requests sent.
         answered: Requests answered with their own identifier.
-        refused: Connections refused, so that nothing was run.
+        refused: Connections refused, so that nothing was run; they are retried.
+        not_opened: Connections without an answer to their SYN.
         unknown: Requests without an answer.
         crossed: Answers to another request.
         broken_flows: Established connections that ended too early.
@@ -42,6 +45,7 @@
     sent: int = 0
     answered: int = 0
     refused: int = 0
+    not_opened: int = 0
     unknown: int = 0
     crossed: int = 0
     broken_flows: int = 0
@@ -67,10 +71,15 @@
     """Hold one connection and count what happens on it."""
     settings = flags.FLAGS
     loop = asyncio.get_running_loop()
-    try:
-        reader, writer = await asyncio.open_connection(*parse_address(settings.target))
-    except OSError:
+    reader, writer = await asyncio.open_connection(*parse_address(settings.target))
+    while (handshake := await reader.readline()) == REFUSED:
         counts.refused += 1
+        writer.close()
+        await asyncio.sleep(REFUSED_RETRY_S)
+        reader, writer = await asyncio.open_connection(*parse_address(settings.target))
+    if handshake != OPENED:
+        counts.not_opened += 1
+        writer.close()
         return
     for request in range(settings.requests):
         request_id = f"{label}-{request}"
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -11,6 +11,7 @@
     "sent",
     "answered",
     "refused",
+    "not_opened",
     "unknown",
     "crossed",
     "doubled",
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -9,7 +9,9 @@
 import urllib.request
 from collections import Counter
 from contextlib import ExitStack
+from http import HTTPStatus
 from pathlib import Path
+from typing import Any
 
 import yaml
 from attrs import define, field, frozen
@@ -19,6 +21,13 @@
 SERVICE_PORT = 8443
 LISTEN_PORT = 7100
 ANNOUNCEMENT_PORT = 7200
+BUS_PORT = 7300
+MEMBER_COUNT = 3
+ANNOUNCEMENTS_PER_UPSTREAM = 2
+COMMAND_TIMEOUT_S = 60.0
+
+# Longer than the warm-up time: the upstreams ran before the instances started.
+UPSTREAM_AGE_S = 3600.0
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 15.0
 
@@ -72,6 +81,11 @@
         """Its address for packets."""
         return f"127.0.0.1:{LISTEN_PORT + self.number}"
 
+    @property
+    def bus(self) -> str:
+        """Name and address of its bus, as settings and the client take it."""
+        return f"{self.name}=127.0.0.1:{BUS_PORT + self.number}"
+
     @property
     def url(self) -> str:
         """Base URL of its HTTP endpoint."""
@@ -102,19 +116,41 @@
     stack: ExitStack
     instances: list[Instance] = field(factory=list)
     upstreams: list[Upstream] = field(factory=list)
+    processes: list[subprocess.Popen] = field(factory=list)
 
     def start(self) -> None:
         """Start instances, fabric and upstreams, and wait until they serve."""
-        document = self.write_document()
         for number in range(self._instance_count()):
-            self.instances.append(self.start_instance(number, document))
+            self.instances.append(self.start_instance(number))
+        for instance in self.instances:
+            self._await_answer(instance.url + "/v1/health")
+        document = self.write_document()
+        self.control("apply", str(document), "--expected_revision=0")
         for instance in self.instances:
-            self._await_http(instance.url + "/v1/announcements")
+            self._await_answer(instance.url + "/v1/health", HTTPStatus.OK)
         self._start_fabric(document)
         for group, service in enumerate(self.size.services):
             for number in range(service.upstream_count):
                 self.upstreams.append(self.start_upstream(group, service, number))
 
+    def control(self, *arguments: str) -> dict[str, Any]:
+        """Run ``arbutusliftctl`` and return its JSON answer.
+
+        Raises:
+            RuntimeError: The command failed.
+        """
+        servers = ",".join(instance.bus for instance in self.instances[:MEMBER_COUNT])
+        command = [sys.executable, "-m", "arbutuslift.ctl", *arguments]
+        done = subprocess.run(
+            [*command, f"--servers={servers}", "--output=json"],
+            capture_output=True,
+            text=True,
+            timeout=COMMAND_TIMEOUT_S,
+        )
+        if done.returncode:
+            raise RuntimeError(f"{arguments}: {done.stdout}{done.stderr}")
+        return json.loads(done.stdout)
+
     def write_document(self) -> Path:
         """Write the configuration and return its path."""
         services = [
@@ -136,10 +172,13 @@
         path.write_text(yaml.safe_dump(content))
         return path
 
-    def start_instance(self, number: int, document: Path) -> Instance:
-        """Start one entry instance."""
-        centre = self.size.data_centres[number // self.size.instances_per_data_centre]
-        name = self._names_in(centre)[number % self.size.instances_per_data_centre]
+    def start_instance(self, number: int) -> Instance:
+        """Start one entry instance; the first of each data centre is a member."""
+        name, centre = self._place(number)
+        options = {}
+        if name in self._member_names():
+            options["data_folder"] = self.folder / f"{name}.data"
+            options["data_folder"].mkdir(exist_ok=True)
         process = self.start_process(
             name,
             "arbutuslift.daemon",
@@ -148,7 +187,10 @@
             listen=f"127.0.0.1:{LISTEN_PORT + number}",
             fabric=FABRIC,
             announcements=f"127.0.0.1:{ANNOUNCEMENT_PORT + number}",
-            document=document,
+            bus=f"127.0.0.1:{BUS_PORT + number}",
+            seeds=",".join(self._member_buses()),
+            members=",".join(self._member_names()),
+            **options,
         )
         return Instance(name, centre, number, process)
 
@@ -156,7 +198,12 @@
         """Start one stand-in upstream."""
         name = f"{service.name}-{number}"
         centre = self.size.data_centres[number % len(self.size.data_centres)]
-        urls = [f"{instance.url}/v1/announcements" for instance in self.instances]
+        local = [i for i in self.instances if i.data_centre == centre]
+        heard = [local[(number + n) % len(local)] for n in range(len(local))]
+        urls = [
+            f"{instance.url}/v1/announcements"
+            for instance in heard[:ANNOUNCEMENTS_PER_UPSTREAM]
+        ]
         process = self.start_process(
             name,
             "standins.upstream",
@@ -168,6 +215,7 @@
             work_kinds=service.name,
             announce=",".join(urls),
             return_path=RETURNS,
+            age_s=UPSTREAM_AGE_S,
         )
         return Upstream(name, centre, process)
 
@@ -178,6 +226,25 @@
         process = self.start_process(label, "standins.caller", target=target, **options)
         return Callers(process, self.folder / f"{label}.log")
 
+    def last_packet_s(self, centre: str, start_s: float, end_s: float) -> float:
+        """Return the last second in which an upstream of a data centre got a packet.
+
+        Args:
+            centre: The data centre.
+            start_s: Returned if there was none later, seconds since the Unix epoch.
+            end_s: Later packets don't count.
+        """
+        seconds = [start_s]
+        for upstream in self.upstreams:
+            if upstream.data_centre == centre:
+                log = (self.folder / f"{upstream.name}.log").read_text()
+                seconds += [
+                    float(line.removeprefix("received "))
+                    for line in log.splitlines()
+                    if line.startswith("received ")
+                ]
+        return max(second for second in seconds if second <= end_s)
+
     def doubled_requests(self) -> int:
         """Return how many requests ran more than once, at any upstream."""
         runs: Counter[str] = Counter()
@@ -199,9 +266,22 @@
         process = subprocess.Popen(
             [sys.executable, "-m", module, *arguments], stdout=log, stderr=log
         )
-        self.stack.callback(_end, process)
+        if not self.processes:
+            self.stack.callback(self._end_all)
+        self.processes.append(process)
         return process
 
+    def _end_all(self) -> None:
+        """End all processes; terminated together, they drain at the same time."""
+        for process in self.processes:
+            process.terminate()
+        for process in self.processes:
+            try:
+                process.wait(STOP_TIMEOUT_S)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
     def _start_fabric(self, document: Path) -> None:
         self.start_process(
             "fabric",
@@ -216,15 +296,33 @@
     def _instance_count(self) -> int:
         return len(self.size.data_centres) * self.size.instances_per_data_centre
 
+    def _place(self, number: int) -> tuple[str, str]:
+        """Return the name and data centre of an instance.
+
+        Numbers go round the data centres, so the members are in different ones.
+        """
+        centres = self.size.data_centres
+        centre = centres[number % len(centres)]
+        return self._names_in(centre)[number // len(centres)], centre
+
+    def _member_names(self) -> list[str]:
+        return [self._place(number)[0] for number in range(MEMBER_COUNT)]
+
+    def _member_buses(self) -> list[str]:
+        return [
+            f"{name}=127.0.0.1:{BUS_PORT + number}"
+            for number, name in enumerate(self._member_names())
+        ]
+
     def _names_in(self, centre: str) -> list[str]:
         count = self.size.instances_per_data_centre
         return [f"{centre}-{number}" for number in range(count)]
 
-    def _await_http(self, url: str) -> None:
+    def _await_answer(self, url: str, status: int | None = None) -> None:
         deadline_s = time.monotonic() + START_TIMEOUT_S
-        while not _answers(url):
+        while (answer := _status_of(url)) is None or status not in (None, answer):
             if time.monotonic() > deadline_s:
-                raise SystemExit(f"no answer from {url}; logs are in {self.folder}")
+                raise RuntimeError(f"{url} answers {answer}; logs: {self.folder}")
             time.sleep(0.1)
 
 
@@ -256,20 +354,12 @@
     instance.process.kill()
 
 
-def _end(process: subprocess.Popen) -> None:
-    process.terminate()
-    try:
-        process.wait(STOP_TIMEOUT_S)
-    except subprocess.TimeoutExpired:
-        process.kill()
-        process.wait()
-
-
-def _answers(url: str) -> bool:
+def _status_of(url: str) -> int | None:
+    """Return the status of an HTTP answer, None without one."""
     try:
-        urllib.request.urlopen(url, timeout=1.0)
-    except urllib.error.HTTPError:
-        return True
+        with urllib.request.urlopen(url, timeout=1.0) as answer:
+            return answer.status
+    except urllib.error.HTTPError as error:
+        return error.code
     except OSError:
-        return False
-    return True
+        return None
--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -25,6 +25,12 @@
 HEALTH_TIMEOUT_S = 0.5
 READ_BYTES = 65536
 
+# First line that a caller gets: its own TCP connection ends at the stand-in, so it
+# can't see otherwise what became of the handshake with an upstream.
+OPENED = b"opened\n"
+REFUSED = b"refused\n"
+LOST = b"lost\n"
+
 flags.DEFINE_string("fabric_listen", None, "ip:port that takes packets for callers.")
 flags.DEFINE_string("returns", None, "ip:port that takes packets of upstreams.")
 flags.DEFINE_list("instances", [], "ip:port of each entry instance.")
@@ -137,11 +143,18 @@
         connection = Connection(caller, target, self._callers.send, is_active=True)
         self._connections[caller, target] = connection
         connection.connect()
-        upward = asyncio.create_task(_carry_up(reader, connection))
         try:
-            await _carry_down(connection, writer)
+            await connection.opened
+            writer.write(OPENED)
+            upward = asyncio.create_task(_carry_up(reader, connection))
+            try:
+                await _carry_down(connection, writer)
+            finally:
+                upward.cancel()
+        except ConnectionLost:
+            writer.write(REFUSED if connection.was_refused else LOST)
+            writer.close()
         finally:
-            upward.cancel()
             del self._connections[caller, target]
 
     async def watch_health(self, urls: list[str]) -> None:
@@ -174,7 +187,6 @@
 
 
 async def _carry_up(reader: asyncio.StreamReader, connection: Connection) -> None:
-    await connection.opened
     while data := await reader.read(READ_BYTES):
         connection.write(data)
     connection.finish()
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -37,6 +37,7 @@
 flags.DEFINE_string("service", None, "Name of the service.")
 flags.DEFINE_string("service_address", None, "ip:port of the service.")
 flags.DEFINE_list("work_kinds", [], "Kinds of work.")
+flags.DEFINE_float("age_s", 0.0, "Announces a start this long ago.")
 flags.DEFINE_list("announce", [], "URLs that take announcements.")
 flags.DEFINE_string("announce_key", None, "Shared key of signed announcements.")
 flags.DEFINE_float("cold_s", 0.0, "Announces the state cold for this time.")
@@ -232,7 +233,7 @@
                 "service": settings.service,
                 "work_kinds": settings.work_kinds,
                 "weight": 100,
-                "started_at_s": time.time(),
+                "started_at_s": time.time() - settings.age_s,
             },
             key=settings.announce_key.encode() if settings.announce_key else None,
             cold_s=settings.cold_s,
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -51,7 +51,7 @@
         self.name = name
         self.data_centre = data_centre
         self.upstreams = UpstreamView()
-        self.loads = LoadRegister()
+        self.loads = LoadRegister(self.upstreams)
         self.superseded = []
         self.revisions = []
         self.bus = cluster.network.bus(name)
--- a/tests/state/test_registers.py
+++ b/tests/state/test_registers.py
@@ -101,7 +101,7 @@
         (InstanceView, _instances),
         (lambda: UpstreamRegister(UpstreamView()), _upstreams),
         (RevisionView, _marks),
-        (LoadRegister, _loads),
+        (lambda: LoadRegister(UpstreamView()), _loads),
         (_function_register, _marks),
     ],
     ids=["instances", "upstreams", "revisions", "loads", "functions"],
--- a/tests/transport/test_announcements.py
+++ b/tests/transport/test_announcements.py
@@ -125,7 +125,7 @@
             large = b" " * (MAX_BODY_BYTES + 1)
             assert await status_of("POST", path, data=large) == 400
             assert await status_of("GET", "/health") == 200
-            receiver.endpoint.stopping = True
+            receiver.endpoint.is_serving = False
             assert await status_of("GET", "/health") == 503
     finally:
         await receiver.endpoint.close()
