Let the client reach servers over the real ZeroMQ bus

Cause: the client passed its clock where ZmqBus takes its security, so every command that asks a server ended with an AttributeError. Tests didn't show it, since they replace the bus by the memory version. The client also had no way to give keys, although servers on other addresses than loopback use CURVE.

Ruled out: a random bus name with CURVE. A server drops messages whose sender isn't the owner of the key in its folder of authorized keys. Clear text to servers on other addresses, with or without a flag that permits it.

With a key file the bus has the name of that file and is encrypted. Without one, only loopback servers are asked.

--- /dev/null
+++ b/arbutuslift/commands/clientbus.py
@@ -0,0 +1,69 @@
+"""Bus of an operators' client, encrypted if a key file is given."""
+
+import ipaddress
+import secrets
+from pathlib import Path
+
+from ..errors import TransportError, UsageError
+from ..settingvalues import Seed, parse_seeds
+from ..transport.bus import Bus
+from .options import Options
+
+_STEP = "open bus"
+
+
+def open_zmq_bus(options: Options) -> Bus:
+    """Return a bus for a client; the imports wait until a command needs one.
+
+    Raises:
+        UsageError: The servers can't be asked with the given keys or without keys.
+    """
+    from ..transport.zmqbus import ZmqBus
+
+    servers = parse_seeds(",".join(options.servers))
+    if options.curve_key_file is None:
+        _check_clear_text(options, servers)
+        return ZmqBus(f"operator-{secrets.token_hex(8)}")
+    return _open_curve_bus(options.curve_key_file, options.server_keys_folder, servers)
+
+
+def _check_clear_text(options: Options, servers: tuple[Seed, ...]) -> None:
+    if options.server_keys_folder is not None:
+        raise UsageError("--server_keys_folder needs --curve_key_file", step=_STEP)
+    remote = [
+        seed.name
+        for seed in servers
+        if not ipaddress.IPv4Address(seed.address.ip).is_loopback
+    ]
+    if remote:
+        raise UsageError(
+            f"--curve_key_file is missing: {', '.join(remote)} can't be asked in "
+            "clear text, which is for loopback addresses only",
+            step=_STEP,
+        )
+
+
+def _open_curve_bus(
+    key_file: Path, folder: Path | None, servers: tuple[Seed, ...]
+) -> Bus:
+    from ..transport.keys import AllowedKeys, key_name, load_key_pair
+    from ..transport.zmqbus import Security, ZmqBus
+
+    if folder is None:
+        reason = "--server_keys_folder is missing; --curve_key_file needs it"
+        raise UsageError(reason, step=_STEP)
+    if not folder.is_dir():
+        raise UsageError(f"--server_keys_folder={folder} isn't a folder", step=_STEP)
+    try:
+        # A server drops messages whose sender isn't the name of the client's key.
+        name = key_name(key_file)
+        security = Security(keys=load_key_pair(key_file), allowed=AllowedKeys(folder))
+    except TransportError as error:
+        raise UsageError(str(error), step=_STEP) from error
+    unknown = [
+        seed.name for seed in servers if security.allowed.key_of(seed.name) is None
+    ]
+    if unknown:
+        reason = f"--server_keys_folder={folder} has no key of {', '.join(unknown)}"
+        raise UsageError(reason, step=_STEP)
+    return ZmqBus(name, security)
--- a/arbutuslift/commands/environment.py
+++ b/arbutuslift/commands/environment.py
@@ -12,16 +12,10 @@
 from ..errors import UsageError
 from ..protocol.channel import Channel
 from ..transport.bus import Bus
+from .clientbus import open_zmq_bus
 from .options import Options
 
 
-def open_zmq_bus(clock: Clock) -> Bus:
-    """Return a bus for a client; the import waits until a command needs one."""
-    from ..transport.zmqbus import ZmqBus
-
-    return ZmqBus(f"operator-{secrets.token_hex(8)}", clock)
-
-
 def new_request_id() -> str:
     """Return an unused request identifier."""
     return secrets.token_hex(16)
@@ -37,7 +31,7 @@
 
     Attributes:
         clock: Source of time.
-        open_bus: Returns a bus.
+        open_bus: Returns a bus; raises UsageError.
         write: Shows the outcome.
         note: Shows a remark while a command runs.
         ask: Asks on the terminal and returns the answer; raises EOFError at its end.
@@ -45,7 +39,7 @@
     """
 
     clock: Clock
-    open_bus: Callable[[Clock], Bus] = open_zmq_bus
+    open_bus: Callable[[Options], Bus] = open_zmq_bus
     write: Callable[[str], None] = print
     note: Callable[[str], None] = _note
     ask: Callable[[str], str] = input
@@ -64,11 +58,11 @@
     """Open a session with the servers of the command line.
 
     Raises:
-        UsageError: No servers are given.
+        UsageError: No servers are given, or their keys are missing.
     """
     if not options.servers:
         raise UsageError("--servers is missing", step="open session")
-    bus = environment.open_bus(environment.clock)
+    bus = environment.open_bus(options)
     try:
         channel = Channel(bus)
         for server in options.servers:
--- a/arbutuslift/commands/options.py
+++ b/arbutuslift/commands/options.py
@@ -3,13 +3,17 @@
 import getpass
 import os
 from collections.abc import Mapping
+from pathlib import Path
 
 from absl import flags
 from attrs import frozen
 
 from ..errors import UsageError
+from ..settingvalues import parse_seeds
 
 SERVERS_VARIABLE = "ARBUTUSLIFT_SERVERS"
+KEY_FILE_VARIABLE = "ARBUTUSLIFT_CURVE_KEY_FILE"
+SERVER_KEYS_VARIABLE = "ARBUTUSLIFT_SERVER_KEYS_FOLDER"
 OUTPUTS = ("text", "json")
 
 
@@ -23,6 +27,8 @@
         output: ``text`` or ``json``.
         help: Whether help was asked for.
         servers: Instances to ask in turn, each as ``name=ip:port``.
+        curve_key_file: Secret key of the operator; None sends in clear text.
+        server_keys_folder: Public keys of the servers.
         timeout_s: How long to wait for an answer.
         author: Name of the operator.
         expected_revision: Revision on which a document is based.
@@ -33,7 +39,7 @@
         limit: At most so many entries of a list.
         service: Only upstreams of this service.
         data_centre: Only this data centre.
-        overwrite: Whether a form may replace a file.
+        overwrite: Whether form and create-key may replace files.
     """
 
     command: str = ""
@@ -41,6 +47,8 @@
     output: str = "text"
     help: bool = False
     servers: tuple[str, ...] = ()
+    curve_key_file: Path | None = None
+    server_keys_folder: Path | None = None
     timeout_s: float = 10.0
     author: str = ""
     expected_revision: int | None = None
@@ -78,6 +86,16 @@
         upper_bound=600.0,
         flag_values=values,
     )
+    text(
+        "curve_key_file",
+        "",
+        f"Secret key of the operator, NAME.key_secret; else {KEY_FILE_VARIABLE}.",
+    )
+    text(
+        "server_keys_folder",
+        "",
+        f"Public keys of the servers, NAME.key each; else {SERVER_KEYS_VARIABLE}.",
+    )
     text("author", "", "Name of the operator; else the name of the account.")
     number("expected_revision", None, "Revision on which the document is based.")
     text("request_id", "", "Identifier of the change; the same for a resend.")
@@ -87,7 +105,7 @@
     number("limit", 100, "At most so many entries of a list.")
     text("service", "", "Only upstreams of this service.")
     text("data_centre", "", "Only this data centre.")
-    switch("overwrite", False, "Let a form replace a file.")
+    switch("overwrite", False, "Let form and create-key replace files.")
     switch("help", False, "Show the commands and flags.")
     return values
 
@@ -109,8 +127,14 @@
         raise UsageError(str(error), step="parse flags") from error
     fields = values.flag_values_dict()
     listed = fields.pop("servers") or environment.get(SERVERS_VARIABLE, "").split(",")
-    servers = tuple(server for server in listed if server)
+    servers = tuple(server.strip() for server in listed if server.strip())
     _check(fields, servers)
+    for name, variable in (
+        ("curve_key_file", KEY_FILE_VARIABLE),
+        ("server_keys_folder", SERVER_KEYS_VARIABLE),
+    ):
+        path = fields[name] or environment.get(variable, "")
+        fields[name] = Path(path) if path else None
     fields["author"] = fields["author"] or _account()
     return Options(
         command=words[0] if words else "",
@@ -140,11 +164,10 @@
 
 
 def _check(fields: dict[str, object], servers: tuple[str, ...]) -> None:
-    for server in servers:
-        name, _, address = server.partition("=")
-        ip, _, port = address.rpartition(":")
-        if not (name and ip and port.isdecimal() and 0 < int(port) < 65536):
-            raise UsageError(f"{server} is not name=ip:port", step="parse flags")
+    try:
+        parse_seeds(",".join(servers))
+    except ValueError as error:
+        raise UsageError(f"--servers: {error}", step="parse flags") from error
     for name in ("expected_revision", "revision", "from_revision", "to_revision"):
         if (fields[name] or 0) < 0:
             raise UsageError(f"--{name} must not be negative", step="parse flags")
--- a/arbutuslift/ctl.py
+++ b/arbutuslift/ctl.py
@@ -7,6 +7,7 @@
 from .commands import documents, operations
 from .commands.environment import Environment
 from .commands.form import form
+from .commands.keys import create_key
 from .commands.options import Options, define_flags, parse, wants_json
 from .commands.outcome import ExitCode, Outcome, outcome_of
 from .errors import ArbutusliftError, UsageError
@@ -25,6 +26,7 @@
     "bring-back": operations.bring_back,
     "replace-member": operations.replace_member,
     "form": form,
+    "create-key": create_key,
 }
 
 
--- a/arbutuslift/settings.py
+++ b/arbutuslift/settings.py
@@ -50,7 +50,7 @@
         document: Path of the initial document; None if it comes from others.
         curve: ``auto``, ``on`` or ``off``.
         curve_key_file: Secret key of this instance.
-        authorized_keys_folder: Public keys of all peers.
+        authorized_keys_folder: Public keys of all instances and operators.
         announcement_key_file: Key by which announcements are signed.
         drain_s: How long to forward after the first stop signal.
         max_flows: Entries of the flow cache.
@@ -201,7 +201,10 @@
         "curve_key_file", "path", "Secret key of this instance.", parse_key_file
     ),
     SettingFlag(
-        "authorized_keys_folder", "path", "Public keys of peers.", parse_folder
+        "authorized_keys_folder",
+        "path",
+        "Public keys of instances and operators, NAME.key each.",
+        parse_folder,
     ),
     SettingFlag(
         "announcement_key_file",
--- a/arbutuslift/transport/keys.py
+++ b/arbutuslift/transport/keys.py
@@ -39,6 +39,19 @@
         ) from error
 
 
+def key_name(path: Path) -> str:
+    """Return the name under which peers know the owner of a secret key file.
+
+    Raises:
+        TransportError: The file isn't called ``NAME.key_secret``.
+    """
+    name = path.name.removesuffix(SECRET_SUFFIX)
+    if name in ("", path.name):
+        reason = f"must be called NAME{SECRET_SUFFIX}"
+        raise TransportError(reason, step="load key", peer=str(path))
+    return name
+
+
 def load_key_pair(path: Path) -> KeyPair:
     """Read the keys of this process.
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -122,8 +122,8 @@
             upstreams=lambda: upstream_statuses(self.view),
         )
 
-    def _open_bus(self, clock):
-        del clock
+    def _open_bus(self, options):
+        del options
         self.clients.append(f"operator-{len(self.clients)}")
         return self.network.bus(self.clients[-1])
 
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -1,6 +1,7 @@
 """Command line: exit codes, JSON shape, retries and the form."""
 
 import json
+from pathlib import Path
 
 import pytest
 import yaml
@@ -68,6 +69,7 @@
     (no_quorum, "show", ExitCode.NOT_ACCEPTED),
     (nothing_answers, "show", ExitCode.UNREACHABLE),
     (nothing, "show --servers=bad", ExitCode.USAGE),
+    (nothing, "show --servers=m1=localhost:1", ExitCode.USAGE),
     (nothing, "show extra", ExitCode.USAGE),
     (nothing, "history --limit=1", ExitCode.DONE),
     (nothing, "history --limit=0", ExitCode.USAGE),
@@ -87,6 +89,10 @@
     (answer_gets_lost, "replace-member m2 m3", ExitCode.UNKNOWN),
     (nothing, "form {path}", ExitCode.USAGE),
     (nothing, "form {path}.new", ExitCode.USAGE),
+    (nothing, "create-key ana {folder}", ExitCode.DONE),
+    (nothing, "create-key ana {folder}/none", ExitCode.USAGE),
+    (nothing, "create-key ../ana {folder}", ExitCode.USAGE),
+    (nothing, "create-key ana", ExitCode.USAGE),
     (nothing, "nonsense", ExitCode.USAGE),
     (nothing, "--unknown_flag", ExitCode.USAGE),
     (nothing, "help", ExitCode.DONE),
@@ -97,7 +103,7 @@
 async def test_exit_code_and_shape_of_json(site, path, trouble, line, code):
     assert await site.run("apply", path, "--expected_revision=0") == ExitCode.DONE
     trouble(site)
-    words = line.format(path=path).split()
+    words = line.format(path=path, folder=Path(path).parent).split()
     assert await site.run(*words, "--output=json") == code
     shown = json.loads(site.output[-1])
     assert set(shown) == FIELDS
