Refuse a second message class of one name, and fields that are no map

Cause: messages are decoded by the name of their class, and a second class of the same name silently took the place of the first. A body such as ["VoteRequest", []] raised AttributeError in the generated converter, which only knows maps, so the receiver got an unexpected error instead of MessageError.

Ruled out: catching AttributeError around the converter, which would also hide a fault in the code of a message class. Module names on the wire, which cost bytes in every message.

Change: register raises MessageError when the name belongs to another class, thus when the second module is imported; registering one class again does nothing. decode checks that the fields are a map before it calls the converter.

--- a/arbutuslift/protocol/messages.py
+++ b/arbutuslift/protocol/messages.py
@@ -36,8 +36,16 @@
 
 
 def register(message_class: M) -> M:
-    """Class decorator: make a message class known to the codec."""
-    _classes[message_class.__name__] = message_class
+    """Class decorator: make a message class known to the codec.
+
+    Raises:
+        MessageError: Another class has the same name, by which messages are decoded.
+    """
+    name = message_class.__name__
+    known = _classes.setdefault(name, message_class)
+    if known is not message_class:
+        reason = f"{name} of {message_class.__module__} is also in {known.__module__}"
+        raise MessageError(reason, step="register message")
     return message_class
 
 
@@ -60,6 +68,9 @@
         raise MessageError(f"{len(body)} bytes", step="decode message")
     try:
         name, fields = msgpack.unpackb(body)
+        if not isinstance(fields, dict):
+            # The converter would raise AttributeError.
+            raise TypeError(f"{type(fields).__name__} instead of dict")
         return _converter.structure(fields, _classes[name])
     except (
         cattrs.BaseValidationError,
