Refuse malformed CURVE keys when their file is loaded

Cause: only the form of a key file was checked, not the key in it. A truncated key was accepted and raised ZMQError at the first message to its owner; the client ended with a traceback.

Ruled out: catching ZMQError at the socket, which names no file and comes after the process has started.

Change: loading a key file checks that its keys are Z85 text of 32 bytes.

Conclusion: the daemon and the client name the file at their start; to the client it's a usage error.

--- a/arbutuslift/transport/keys.py
+++ b/arbutuslift/transport/keys.py
@@ -1,14 +1,17 @@
 """CURVE key files: one secret file per process, one public file per allowed peer."""
 
+import struct
 from pathlib import Path
 
 import zmq.auth
 from attrs import field, frozen
+from zmq.utils import z85
 
 from ..errors import TransportError
 
 PUBLIC_SUFFIX = ".key"
 SECRET_SUFFIX = ".key_secret"
+KEY_BYTES = 32
 
 
 @frozen(kw_only=True)
@@ -107,6 +110,16 @@
 
 def _load(path: Path) -> tuple[bytes, bytes | None]:
     try:
-        return zmq.auth.load_certificate(path)
+        public, secret = zmq.auth.load_certificate(path)
     except (OSError, ValueError) as error:
         raise TransportError(str(error), step="load key", peer=str(path)) from error
+    if not _is_key(public) or (secret is not None and not _is_key(secret)):
+        raise TransportError("malformed key", step="load key", peer=str(path))
+    return public, secret
+
+
+def _is_key(text: bytes) -> bool:
+    try:
+        return len(z85.decode(text)) == KEY_BYTES
+    except (KeyError, ValueError, struct.error):
+        return False
