Create the file of a secret key for its owner only

Cause: the library wrote the secret key with the default mode, and the mode was restricted afterwards. Meanwhile other accounts could read it.

Ruled out: changing the umask, which concerns every thread of the process.

Change: the file is created empty with its mode before the library writes to it.

Conclusion: a new secret is never readable by others, also when it replaces a file that was. The test failed before the change.

--- a/arbutuslift/transport/keys.py
+++ b/arbutuslift/transport/keys.py
@@ -11,6 +11,7 @@
 
 PUBLIC_SUFFIX = ".key"
 SECRET_SUFFIX = ".key_secret"
+SECRET_MODE = 0o600
 KEY_BYTES = 32
 
 
@@ -34,8 +35,11 @@
         TransportError: The files can't be written.
     """
     try:
-        _, secret = zmq.auth.create_certificates(folder, name)
-        Path(secret).chmod(0o600)
+        # The library writes with the default mode; an existing file keeps its own.
+        secret = folder / f"{name}{SECRET_SUFFIX}"
+        secret.touch(mode=SECRET_MODE)
+        secret.chmod(SECRET_MODE)
+        zmq.auth.create_certificates(folder, name)
     except OSError as error:
         raise TransportError(
             str(error), step="create key files", peer=str(folder)
--- a/tests/transport/test_keys.py
+++ b/tests/transport/test_keys.py
@@ -1,6 +1,10 @@
-"""Key files: malformed keys."""
+"""Key files: malformed keys, and who can read a new secret."""
+
+import stat
+from pathlib import Path
 
 import pytest
+import zmq.auth
 
 from arbutuslift.errors import TransportError
 from arbutuslift.transport.keys import AllowedKeys, create_key_files, load_key_pair
@@ -21,3 +25,20 @@
         (tmp_path / "ana.key").write_text(f'{field} = "{key}"')
         with pytest.raises(TransportError, match="ana.key"):
             AllowedKeys(tmp_path)
+
+
+def test_a_new_secret_is_never_readable_by_others(tmp_path, monkeypatch):
+    """Guards against the moment between writing the secret and restricting it."""
+    modes = []
+    create = zmq.auth.create_certificates
+
+    def create_and_note_mode(folder, name):
+        paths = create(folder, name)
+        modes.append(stat.S_IMODE(Path(paths[1]).stat().st_mode))
+        return paths
+
+    monkeypatch.setattr(zmq.auth, "create_certificates", create_and_note_mode)
+    create_key_files(tmp_path, "ana")
+    (tmp_path / "ana.key_secret").chmod(0o644)
+    create_key_files(tmp_path, "ana")
+    assert modes == [0o600, 0o600]
