--- a/arbutuslift/transport/keys.py
+++ b/arbutuslift/transport/keys.py
@@ -1,14 +1,18 @@
 """CURVE key files: one secret file per process, one public file per allowed peer."""
 
+import struct
 from pathlib import Path
 
 import zmq.auth
 from attrs import field, frozen
+from zmq.utils import z85
 
 from ..errors import TransportError
 
 PUBLIC_SUFFIX = ".key"
 SECRET_SUFFIX = ".key_secret"
+SECRET_MODE = 0o600
+KEY_BYTES = 32
 
 
 @frozen(kw_only=True)
@@ -31,14 +35,30 @@
         TransportError: The files can't be written.
     """
     try:
-        _, secret = zmq.auth.create_certificates(folder, name)
-        Path(secret).chmod(0o600)
+        # The library writes with the default mode; an existing file keeps its own.
+        secret = folder / f"{name}{SECRET_SUFFIX}"
+        secret.touch(mode=SECRET_MODE)
+        secret.chmod(SECRET_MODE)
+        zmq.auth.create_certificates(folder, name)
     except OSError as error:
         raise TransportError(
             str(error), step="create key files", peer=str(folder)
         ) from error
 
 
+def key_name(path: Path) -> str:
+    """Return the name under which peers know the owner of a secret key file.
+
+    Raises:
+        TransportError: The file isn't called ``NAME.key_secret``.
+    """
+    name = path.name.removesuffix(SECRET_SUFFIX)
+    if name in ("", path.name):
+        reason = f"must be called NAME{SECRET_SUFFIX}"
+        raise TransportError(reason, step="load key", peer=str(path))
+    return name
+
+
 def load_key_pair(path: Path) -> KeyPair:
     """Read the keys of this process.
 
@@ -94,6 +114,16 @@
 
 def _load(path: Path) -> tuple[bytes, bytes | None]:
     try:
-        return zmq.auth.load_certificate(path)
+        public, secret = zmq.auth.load_certificate(path)
     except (OSError, ValueError) as error:
         raise TransportError(str(error), step="load key", peer=str(path)) from error
+    if not _is_key(public) or (secret is not None and not _is_key(secret)):
+        raise TransportError("malformed key", step="load key", peer=str(path))
+    return public, secret
+
+
+def _is_key(text: bytes) -> bool:
+    try:
+        return len(z85.decode(text)) == KEY_BYTES
+    except (KeyError, ValueError, struct.error):
+        return False
