Keep unsampled packets off the traced path

Cause: with traces on, every packet passed the wrappers of fabric and router.

Only sampled packets now pass the wrappers.

--- a/arbutuslift/coordination/tracedforwarding.py
+++ b/arbutuslift/coordination/tracedforwarding.py
@@ -1,7 +1,5 @@
 """Forwarding with a span per hop; used instead of the plain one if traces are on."""
 
-from typing import Any
-
 from ..protocol.packets import Packet
 from ..traces import RECEIVE, ROUTE, SEND, Traces
 from ..transport.fabric import Address, Datagram, Fabric
@@ -27,9 +25,6 @@
 
     def send(self, data: bytes, destination: Address) -> None:
         """Send one datagram."""
-        if not self._traces.in_packet:
-            self._fabric.send(data, destination)
-            return
         with self._traces.hop(SEND) as hop:
             hop.note("destination", f"{destination.ip}:{destination.port}")
             self._fabric.send(data, destination)
@@ -43,7 +38,7 @@
         self._fabric.close()
 
 
-class TracedRouter:
+class TracedRouter(Router):
     """Records the decisions about traced packets.
 
     Args:
@@ -55,13 +50,8 @@
         self._router = router
         self._traces = traces
 
-    def __getattr__(self, name: str) -> Any:
-        return getattr(self._router, name)
-
     def route(self, packet: Packet, source: Address) -> Decision:
         """Decide about one packet."""
-        if not self._traces.in_packet:
-            return self._router.route(packet, source)
         with self._traces.hop(ROUTE) as hop:
             decision = self._router.route(packet, source)
             hop.note("verdict", str(decision.verdict))
@@ -69,31 +59,24 @@
 
 
 class TracedForwarder(Forwarder):
-    """Records every hop of traced packets.
+    """Records every hop of sampled packets; others take the plain path.
 
     Args:
         fabric: Where packets come from and go to.
         router: Decides about each packet.
-        arguments: Other arguments of :class:`Forwarder`.
+        fabric_address: Takes packets for callers.
         traces: Records hops.
-        options: Other keyword arguments of :class:`Forwarder`.
     """
 
     def __init__(
-        self,
-        fabric: Fabric,
-        router: Router,
-        *arguments: Any,
-        traces: Traces,
-        **options: Any,
+        self, fabric: Fabric, router: Router, fabric_address: Address, traces: Traces
     ) -> None:
-        super().__init__(
-            TracedFabric(fabric, traces),
-            TracedRouter(router, traces),
-            *arguments,
-            **options,
-        )
+        super().__init__(fabric, router, fabric_address)
         self._traces = traces
+        self._sampled = Forwarder(
+            TracedFabric(fabric, traces), TracedRouter(router, traces), fabric_address
+        )
+        self._sampled.counts = self.counts
 
     def forward(self, datagram: Datagram) -> None:
         """Forward one packet."""
@@ -102,4 +85,4 @@
             return
         with self._traces.packet_hop(RECEIVE, datagram.data) as hop:
             hop.note("source", f"{datagram.source.ip}:{datagram.source.port}")
-            super().forward(datagram)
+            self._sampled.forward(datagram)
--- a/arbutuslift/spans.py
+++ b/arbutuslift/spans.py
@@ -60,12 +60,8 @@
     @contextmanager
     def packet_hop(self, name: str, data: bytes) -> Iterator[Hop]:
         """Record the first hop of a packet at this instance."""
-        self.in_packet = True
-        try:
-            with self._start(name, _context_of(flow_of(data))) as hop:
-                yield hop
-        finally:
-            self.in_packet = False
+        with self._start(name, _context_of(flow_of(data))) as hop:
+            yield hop
 
     @contextmanager
     def hop(self, name: str) -> Iterator[Hop]:
--- a/arbutuslift/traces.py
+++ b/arbutuslift/traces.py
@@ -29,11 +29,9 @@
     Attributes:
         is_enabled: Whether anything is recorded. Packets should take a path without
             any call of this class if not.
-        in_packet: Whether a hop of a packet is under way.
     """
 
     is_enabled = True
-    in_packet = False
 
     @abstractmethod
     def samples(self, data: bytes) -> bool:
