Measure faults one after another with real processes

Under 40 held connections: three instances restarted in turn, an upstream drained, an instance frozen for 6 s, a member killed while a document is accepted, a member's disk wiped and the member replaced, another member killed right after, and two operators racing with the same revision.

--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -1,6 +1,7 @@
 """A whole deployment as separate processes on loopback addresses."""
 
 import json
+import shutil
 import signal
 import subprocess
 import sys
@@ -139,19 +140,24 @@
         Raises:
             RuntimeError: The command failed.
         """
+        command = self.start_control(*arguments)
+        output, errors = command.communicate(timeout=COMMAND_TIMEOUT_S)
+        if command.returncode:
+            raise RuntimeError(f"{arguments}: {output}{errors}")
+        return json.loads(output)
+
+    def start_control(self, *arguments: str) -> subprocess.Popen:
+        """Start ``arbutusliftctl`` with JSON output."""
         servers = ",".join(instance.bus for instance in self.instances[:MEMBER_COUNT])
         command = [sys.executable, "-m", "arbutuslift.ctl", *arguments]
-        done = subprocess.run(
+        return subprocess.Popen(
             [*command, f"--servers={servers}", "--output=json"],
-            capture_output=True,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
             text=True,
-            timeout=COMMAND_TIMEOUT_S,
         )
-        if done.returncode:
-            raise RuntimeError(f"{arguments}: {done.stdout}{done.stderr}")
-        return json.loads(done.stdout)
 
-    def write_document(self) -> Path:
+    def write_document(self, warm_up_s: float = 30.0) -> Path:
         """Write the configuration and return its path."""
         services = [
             {
@@ -160,6 +166,7 @@
                 "port": SERVICE_PORT,
                 "kind": service.name,
                 "priority": service.priority,
+                "warm_up_s": warm_up_s,
             }
             for service in self.size.services
         ]
@@ -194,6 +201,15 @@
         )
         return Instance(name, centre, number, process)
 
+    def restart_instance(self, number: int) -> None:
+        """Start an instance again and wait until it serves."""
+        self.instances[number] = self.start_instance(number)
+        self._await_answer(self.instances[number].url + "/v1/health", HTTPStatus.OK)
+
+    def wipe(self, number: int) -> None:
+        """Remove the data folder of a stopped member."""
+        shutil.rmtree(self.folder / f"{self.instances[number].name}.data")
+
     def start_upstream(self, group: int, service: ServiceSize, number: int) -> Upstream:
         """Start one stand-in upstream."""
         name = f"{service.name}-{number}"
@@ -274,6 +290,7 @@
     def _end_all(self) -> None:
         """End all processes; terminated together, they drain at the same time."""
         for process in self.processes:
+            process.send_signal(signal.SIGCONT)
             process.terminate()
         for process in self.processes:
             try:
@@ -339,6 +356,16 @@
         return json.loads(self.log.read_text().splitlines()[-1])
 
 
+def freeze(instance: Instance) -> None:
+    """Stop an instance without its knowledge."""
+    instance.process.send_signal(signal.SIGSTOP)
+
+
+def resume(instance: Instance) -> None:
+    """Let a frozen instance go on."""
+    instance.process.send_signal(signal.SIGCONT)
+
+
 def drain(upstream: Upstream) -> None:
     """Make a stand-in upstream announce that it drains."""
     upstream.process.send_signal(signal.SIGUSR1)
