Let operators' keys send operators' requests only

Cause: every authorized key could send any message on the bus, so the owner of an operator's key could vote, gossip or relay as an instance. With CURVE a name is bound to a key; names that begin with operator- are now refused for everything but the operators' messages, the client insists on such a name, and no instance may have one.

Ruled out: a second folder of keys, which the authenticator of one socket can't tell apart without the same lookup by name.

The test of the channel was seen failing first.

--- a/arbutuslift/commands/clientbus.py
+++ b/arbutuslift/commands/clientbus.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 from ..errors import TransportError, UsageError
+from ..protocol.channel import OPERATOR_PREFIX
 from ..settingvalues import Seed, parse_seeds
 from ..transport.bus import Bus
 from .options import Options
@@ -23,7 +24,7 @@
     servers = parse_seeds(",".join(options.servers))
     if options.curve_key_file is None:
         _check_clear_text(options, servers)
-        return ZmqBus(f"operator-{secrets.token_hex(8)}")
+        return ZmqBus(f"{OPERATOR_PREFIX}{secrets.token_hex(8)}")
     return _open_curve_bus(options.curve_key_file, options.server_keys_folder, servers)
 
 
@@ -60,6 +61,9 @@
         security = Security(keys=load_key_pair(key_file), allowed=AllowedKeys(folder))
     except TransportError as error:
         raise UsageError(str(error), step=_STEP) from error
+    if not name.startswith(OPERATOR_PREFIX):
+        reason = f"key {name}: the name of an operator's key begins with "
+        raise UsageError(reason + OPERATOR_PREFIX, step=_STEP)
     unknown = [
         seed.name for seed in servers if security.allowed.key_of(seed.name) is None
     ]
--- a/arbutuslift/coordination/operators.py
+++ b/arbutuslift/coordination/operators.py
@@ -111,7 +111,7 @@
         self._upstreams = upstreams
         self._traces = traces or NoTraces()
         for message_class in _REQUESTS:
-            channel.on(message_class, self._answer)
+            channel.on(message_class, self._answer, for_operators=True)
 
     async def _answer(self, peer: str, request: OperatorRequest) -> Message:
         del peer
--- a/arbutuslift/protocol/channel.py
+++ b/arbutuslift/protocol/channel.py
@@ -7,6 +7,10 @@
 from ..transport.bus import Bus
 from .messages import Failure, Message, decode, encode
 
+# Names of operators' clients begin like this. With CURVE a name is bound to a key,
+# so the owner of an operator's key can't act as an instance.
+OPERATOR_PREFIX = "operator-"
+
 MessageHandler = Callable[[str, Any], Awaitable[Message | None]]
 
 
@@ -20,6 +24,7 @@
     def __init__(self, bus: Bus) -> None:
         self._bus = bus
         self._handlers: dict[type[Message], MessageHandler] = {}
+        self._open_to_operators: set[type[Message]] = set()
         bus.handler = self._handle
 
     @property
@@ -27,9 +32,23 @@
         """Name of this process."""
         return self._bus.name
 
-    def on(self, message_class: type[Message], handler: MessageHandler) -> None:
-        """Set the handler of a message class."""
+    def on(
+        self,
+        message_class: type[Message],
+        handler: MessageHandler,
+        *,
+        for_operators: bool = False,
+    ) -> None:
+        """Set the handler of a message class.
+
+        Args:
+            message_class: Class of the messages.
+            handler: Called with the sender's name and the message.
+            for_operators: Whether operators may send such messages.
+        """
         self._handlers[message_class] = handler
+        if for_operators:
+            self._open_to_operators.add(message_class)
 
     def connect(self, peer: str, endpoint: str) -> None:
         """Set the endpoint of a peer."""
@@ -59,7 +78,17 @@
             if handler is None:
                 name = type(message).__name__
                 raise MessageError(f"no handler for {name}", step="handle message")
+            self._check_permission(peer, type(message))
             answer = await handler(peer, message)
         except ArbutusliftError as error:
             answer = Failure(step=error.step, reason=error.message)
         return encode(answer) if answer is not None else None
+
+    def _check_permission(self, peer: str, message_class: type[Message]) -> None:
+        is_operator = peer.startswith(OPERATOR_PREFIX)
+        if is_operator and message_class not in self._open_to_operators:
+            raise MessageError(
+                f"operators may not send {message_class.__name__}",
+                step="handle message",
+                peer=peer,
+            )
--- a/arbutuslift/settings.py
+++ b/arbutuslift/settings.py
@@ -18,6 +18,7 @@
     parse_data_folder,
     parse_file,
     parse_folder,
+    parse_instance_name,
     parse_key_file,
     parse_members,
     parse_name,
@@ -144,7 +145,13 @@
 
 _ADDRESS = "ip:port"
 SETTING_FLAGS = (
-    SettingFlag("name", "name", "Name of this instance.", parse_name, required=True),
+    SettingFlag(
+        "name",
+        "name",
+        "Name of this instance.",
+        parse_instance_name,
+        required=True,
+    ),
     SettingFlag(
         "data_centre",
         "name",
--- a/arbutuslift/settingvalues.py
+++ b/arbutuslift/settingvalues.py
@@ -8,6 +8,7 @@
 
 from attrs import frozen
 
+from .protocol.channel import OPERATOR_PREFIX
 from .transport.fabric import Address
 
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
@@ -28,6 +29,13 @@
     address: Address
 
 
+def parse_instance_name(text: str) -> str:
+    """Parse the name of an instance, which mustn't look like an operator's."""
+    if text.startswith(OPERATOR_PREFIX):
+        raise ValueError(f"names that begin with {OPERATOR_PREFIX} are operators'")
+    return parse_name(text)
+
+
 def parse_name(text: str) -> str:
     """Parse a name."""
     if not NAME_PATTERN.fullmatch(text):
--- a/tests/protocol/test_channel.py
+++ b/tests/protocol/test_channel.py
@@ -69,3 +69,20 @@
 def test_malformed_messages_are_rejected(body):
     with pytest.raises(MessageError):
         decode(body)
+
+
+@pytest.mark.parametrize(("is_open", "is_answered"), [(True, True), (False, False)])
+async def test_operator_may_send_only_what_is_open_to_operators(
+    clock, network, is_open, is_answered
+):
+    # An operator's key must not let its owner vote or gossip as an instance.
+    operator = Channel(network.bus("operator-anna"))
+    right = Channel(network.bus("right"))
+    right.on(Echo, _echo, for_operators=is_open)
+    task = asyncio.create_task(operator.request("right", Echo(text="a"), 1.0))
+    await clock.advance(0.1)
+    if is_answered:
+        assert await task == Echo(text="a")
+    else:
+        with pytest.raises(PeerFailure, match="operator"):
+            await task
--- a/tests/test_ctl_over_zmq.py
+++ b/tests/test_ctl_over_zmq.py
@@ -39,9 +39,9 @@
             (folder / name).mkdir()
         create_key_files(folder / "server", "m1")
         self._copy("m1", "server", "client")
-        for name in ("ana", "unknown"):
+        for name in ("operator-ana", "operator-unknown"):
             create_key_files(folder / "client", name)
-        self._copy("ana", "client", "server")
+        self._copy("operator-ana", "client", "server")
         security = None
         if kind == "curve":
             security = Security(
@@ -67,7 +67,7 @@
 
         self.bus.handler = note_sender
 
-    async def run(self, *words, key="ana"):
+    async def run(self, *words, key="operator-ana"):
         words = [*words, f"--servers=m1={self.bus.endpoint.removeprefix('tcp://')}"]
         if self.kind == "curve":
             words.append(f"--curve_key_file={self.folder}/client/{key}.key_secret")
@@ -106,21 +106,21 @@
     assert shown["revision"] == 1
     assert shown["document"]["services"][0]["name"] == "alerts"
     if server.kind == "curve":
-        assert server.senders == {"ana"}
+        assert server.senders == {"operator-ana"}
 
 
 @pytest.mark.parametrize("server", ["curve"], indirect=True)
 async def test_an_unknown_key_gets_nothing(server, path):
     """Guards against a client without an allowed key that is served."""
     words = ("apply", path, "--expected_revision=0", "--timeout_s=0.3")
-    assert await server.run(*words, key="unknown") == ExitCode.UNREACHABLE
+    assert await server.run(*words, key="operator-unknown") == ExitCode.UNREACHABLE
     assert server.senders == set()
     assert server.store.revisions == []
     assert await server.run("status") == ExitCode.DONE
 
 
 REMOTE = "--servers=m1=192.0.2.1:7300"
-KEY = "--curve_key_file={0}/ana.key_secret"
+KEY = "--curve_key_file={0}/operator-ana.key_secret"
 KEYS = "--server_keys_folder={0}"
 USAGE_ERRORS = [
     ([REMOTE], "--curve_key_file is missing: m1 can't be asked in clear text"),
@@ -129,7 +129,10 @@
     ([REMOTE, KEY, KEYS + "/none"], "isn't a folder"),
     ([REMOTE, KEY, KEYS], "has no key of m1"),
     ([REMOTE, "--curve_key_file={0}/none.key_secret", KEYS], "none.key_secret"),
-    ([REMOTE, "--curve_key_file={0}/ana.key", KEYS], "must be called NAME.key_secret"),
+    (
+        [REMOTE, "--curve_key_file={0}/operator-ana.key", KEYS],
+        "must be called NAME.key_secret",
+    ),
     ([REMOTE, "--curve_key_file={0}/open.key_secret", KEYS], "readable by others"),
 ]
 
@@ -139,7 +142,7 @@
     """Guards against clear text to remote servers, and timeouts for wrong flags."""
     monkeypatch.delenv("ARBUTUSLIFT_CURVE_KEY_FILE", raising=False)
     monkeypatch.delenv("ARBUTUSLIFT_SERVER_KEYS_FOLDER", raising=False)
-    for name in ("ana", "open"):
+    for name in ("operator-ana", "open"):
         create_key_files(tmp_path, name)
     (tmp_path / "open.key_secret").chmod(0o644)
     output = []
@@ -160,10 +163,10 @@
 
 async def test_create_key_keeps_an_existing_key(tmp_path):
     """Guards against a second run that locks the owner of the first key out."""
-    words = ["create-key", "ana", str(tmp_path)]
+    words = ["create-key", "operator-ana", str(tmp_path)]
     assert await run(words, []) == ExitCode.DONE
-    secret = (tmp_path / "ana.key_secret").read_bytes()
+    secret = (tmp_path / "operator-ana.key_secret").read_bytes()
     assert await run(words, []) == ExitCode.USAGE
-    assert (tmp_path / "ana.key_secret").read_bytes() == secret
+    assert (tmp_path / "operator-ana.key_secret").read_bytes() == secret
     assert await run([*words, "--overwrite"], []) == ExitCode.DONE
-    assert (tmp_path / "ana.key_secret").read_bytes() != secret
+    assert (tmp_path / "operator-ana.key_secret").read_bytes() != secret
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -83,6 +83,7 @@
 REMOTE = {"bus": "10.0.0.1:7300", "seeds": "a=10.0.0.2:7300"}
 FAULTY = [
     ({"name": "a b"}, "--name=a b: must be letters"),
+    ({"name": "operator-1"}, "operators'"),
     ({"listen": "localhost:1"}, "dotted IPv4"),
     ({"listen": "127.0.0.1"}, "dotted IPv4"),
     ({"listen": "127.0.0.1:0"}, "from 1 to 65535"),
