--- a/arbutuslift/instance.py
+++ b/arbutuslift/instance.py
@@ -51,6 +51,9 @@
 
     Attributes:
         failure: Why a task failed, if one did.
+        fabric: Socket for packets, once opened.
+        endpoint: Takes announcements and answers health checks.
+        registrar: Takes announcements into the view.
     """
 
     def __init__(
@@ -67,15 +70,15 @@
         self._on_stop = on_stop
         self._view = UpstreamView(clock)
         self._services = ServiceTable(clock, self._view)
-        self._registrar = Registrar(self._services, clock)
+        self.registrar = Registrar(self._services, clock)
         self._control: ControlPlane | None = None
-        self._fabric: UdpFabric | None = None
-        self._endpoint = AnnouncementEndpoint(
-            self._registrar.accept,
+        self.fabric: UdpFabric | None = None
+        self.endpoint = AnnouncementEndpoint(
+            self.registrar.accept,
             key=self._announcement_key(),
             on_refusal=_log_refusal,
         )
-        self._endpoint.is_serving = False
+        self.endpoint.is_serving = False
         self._admission = AdmissionControl(
             clock, self._view, settings.name, self._alive_instances
         )
@@ -86,15 +89,15 @@
         Raises:
             ArbutusliftError: A port or file can't be used.
         """
-        self._fabric = await UdpFabric.open(self._settings.listen)
-        self._stack.callback(self._fabric.close)
+        self.fabric = await UdpFabric.open(self._settings.listen)
+        self._stack.callback(self.fabric.close)
         if self._settings.bus is not None:
             await self._open_control()
         forwarder = self._make_forwarder()
-        self._stack.push_async_callback(self._endpoint.close)
-        await self._endpoint.open(self._settings.announcements)
+        self._stack.push_async_callback(self.endpoint.close)
+        await self.endpoint.open(self._settings.announcements)
         lapse = LapseDetector(
-            self._view, self._registrar, self._clock, self._settings.data_centre
+            self._view, self.registrar, self._clock, self._settings.data_centre
         )
         self._start(forwarder.run())
         self._start(self._admission.run())
@@ -106,19 +109,19 @@
 
     async def stop(self) -> None:
         """Drain: tell the fabric, forward what still arrives, then return."""
-        self._endpoint.is_serving = False
+        self.endpoint.is_serving = False
         _log.info("draining", drain_s=self._settings.drain_s)
         if self._control is not None:
             self._control.leave()
         await self._clock.sleep(self._settings.drain_s)
-        while self._fabric.queue_fill() > 0:
+        while self.fabric.queue_fill() > 0:
             await self._clock.sleep(QUEUE_POLL_S)
 
     def apply(self, configuration: Configuration) -> None:
         """Put a configuration in effect."""
         self._services.apply(configuration)
         self._admission.apply(limit_plan_of(configuration.document))
-        self._endpoint.is_serving = True
+        self.endpoint.is_serving = True
         _log.info("configuration_in_effect", revision=configuration.revision)
 
     def _start_configuration(self) -> None:
@@ -168,7 +171,7 @@
     def _make_forwarder(self) -> Forwarder:
         settings = self._settings
         flows = FlowCache(settings.max_flows)
-        fabric = self._fabric
+        fabric = self.fabric
         control = self._control
         denials = Denials(
             self._services,
@@ -206,8 +209,8 @@
         self._stack.callback(metrics.close)
         reporter = Reporter(metrics, self._clock)
         reporter.add_counter("packets", forwarder.counts)
-        reporter.add_counter("announcements", self._endpoint.counts)
-        reporter.add_counter("upstreams", self._registrar.counts)
+        reporter.add_counter("announcements", self.endpoint.counts)
+        reporter.add_counter("upstreams", self.registrar.counts)
         await reporter.run()
 
     async def _expire(self) -> None:
--- a/measure/restart.py
+++ b/measure/restart.py
@@ -153,11 +153,22 @@
     follower = min(sent.values()) / changes
     note = f"{label}: document of {len(document)} bytes, changes {done} to {count}"
     syncs = synced.count / changes / len(members)
+    size = f"{label}, {count} changes"
     return [
-        Measure(name="time per change", figure=change_s * 1e3, unit="ms", note=note),
-        Measure(name="syncs per change, member", figure=syncs, unit="", note=note),
         Measure(
-            name="bytes per change, follower", figure=follower, unit="B", note=note
+            name=f"time per change, {size}", figure=change_s * 1e3, unit="ms", note=note
+        ),
+        Measure(
+            name=f"syncs per change and member, {size}",
+            figure=syncs,
+            unit="",
+            note=note,
+        ),
+        Measure(
+            name=f"bytes per change and follower, {size}",
+            figure=follower,
+            unit="B",
+            note=note,
         ),
     ]
 
@@ -193,16 +204,19 @@
     log_bytes = storage.log.bytes_read
     storage.close()
     note = f"{label}: after {count} changes"
+    size = f"{label}, {count} changes"
     return [
-        Measure(name="restart time", figure=restart_s * 1e3, unit="ms", note=note),
         Measure(
-            name="restart bytes read",
+            name=f"restart time, {size}", figure=restart_s * 1e3, unit="ms", note=note
+        ),
+        Measure(
+            name=f"restart bytes read, {size}",
             figure=snapshot_bytes + log_bytes,
             unit="B",
             note=f"{note}, snapshot {snapshot_bytes}, log {log_bytes}",
         ),
         Measure(
-            name="restart entries read",
+            name=f"restart entries read, {size}",
             figure=entries,
             unit="",
             target=SNAPSHOT_ENTRIES,
--- /dev/null
+++ b/tests/test_instance.py
@@ -0,0 +1,74 @@
+"""Instance: the parts together, and the graceful stop."""
+
+import asyncio
+from contextlib import AsyncExitStack
+
+import pytest
+import yaml
+
+from arbutuslift.clock import ManualClock
+from arbutuslift.errors import TransportError
+from arbutuslift.instance import Instance
+from arbutuslift.protocol.packets import SynPacket, decode
+from arbutuslift.settings import Settings
+from arbutuslift.transport.fabric import Address, UdpFabric
+
+from . import builders
+
+ANY_PORT = Address("127.0.0.1", 0)
+
+
+@pytest.fixture
+def settings(tmp_path):
+    path = tmp_path / "document.yaml"
+    path.write_text(yaml.safe_dump(builders.plain_document()))
+    return Settings(
+        name="dc-1-1",
+        data_centre="dc-1",
+        listen=ANY_PORT,
+        fabric=ANY_PORT,
+        announcements=ANY_PORT,
+        document=path,
+    )
+
+
+async def test_packets_are_forwarded_while_the_instance_drains(settings):
+    # A stop that ends forwarding at once would lose what the fabric still sends.
+    clock = ManualClock(start_s=100_000.0)
+    async with AsyncExitStack() as stack:
+        instance = Instance(settings, clock, stack, on_stop=lambda: None)
+        await instance.open()
+        upstream = await UdpFabric.open(ANY_PORT)
+        stack.callback(upstream.close)
+        address = upstream.address
+        instance.registrar.accept(
+            builders.announcement(address=address.ip, port=address.port)
+        )
+        assert instance.endpoint.is_serving
+        stop = asyncio.create_task(instance.stop())
+        await clock.settle()
+        assert not instance.endpoint.is_serving
+        assert not stop.done()
+        upstream.send(builders.syn(), instance.fabric.address)
+        datagram = await upstream.receive()
+        assert isinstance(decode(datagram.data), SynPacket)
+        assert not stop.done()
+        await clock.advance(settings.drain_s)
+        await stop
+
+
+async def test_port_in_use_is_reported(settings):
+    async with AsyncExitStack() as stack:
+        other = await UdpFabric.open(ANY_PORT)
+        stack.callback(other.close)
+        taken = Settings(
+            name="dc-1-1",
+            data_centre="dc-1",
+            listen=other.address,
+            fabric=ANY_PORT,
+            announcements=ANY_PORT,
+            document=settings.document,
+        )
+        instance = Instance(taken, ManualClock(), stack, on_stop=lambda: None)
+        with pytest.raises(TransportError, match="can't bind"):
+            await instance.open()
