Keep draining when a configuration arrives during a planned stop

Cause: putting a configuration in effect made health checks succeed, also while the instance drained, so the fabric would have sprayed to it until it was gone. The test was seen failing first. The status command now says that a revision is unknown instead of 0, as found when following the README.

--- a/arbutuslift/commands/operations.py
+++ b/arbutuslift/commands/operations.py
@@ -8,6 +8,8 @@
 from .options import Options
 from .outcome import Outcome, outcome_of
 
+UNKNOWN = "unknown"
+
 
 async def status(options: Options, environment: Environment) -> Outcome:
     """List instances and upstreams as the first server that answers knows them."""
@@ -111,7 +113,7 @@
 def _instance_line(instance: InstanceStatus) -> str:
     return (
         f"instance {instance.name} {instance.data_centre} {instance.state} "
-        f"revision={instance.revision} endpoint={instance.endpoint}"
+        f"revision={instance.revision or UNKNOWN} endpoint={instance.endpoint}"
     )
 
 
--- a/arbutuslift/instance.py
+++ b/arbutuslift/instance.py
@@ -68,6 +68,7 @@
         self._clock = clock
         self._stack = stack
         self._on_stop = on_stop
+        self._is_stopping = False
         self._view = UpstreamView(clock)
         self._services = ServiceTable(clock, self._view)
         self.registrar = Registrar(self._services, clock)
@@ -109,6 +110,7 @@
 
     async def stop(self) -> None:
         """Drain: tell the fabric, forward what still arrives, then return."""
+        self._is_stopping = True
         self.endpoint.is_serving = False
         _log.info("draining", drain_s=self._settings.drain_s)
         if self._control is not None:
@@ -121,7 +123,7 @@
         """Put a configuration in effect."""
         self._services.apply(configuration)
         self._admission.apply(limit_plan_of(configuration.document))
-        self.endpoint.is_serving = True
+        self.endpoint.is_serving = not self._is_stopping
         _log.info("configuration_in_effect", revision=configuration.revision)
 
     def _start_configuration(self) -> None:
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -57,6 +57,20 @@
         await stop
 
 
+async def test_new_configuration_does_not_end_the_drain(settings):
+    # The fabric would spray to the instance again, and its packets would be lost.
+    clock = ManualClock(start_s=100_000.0)
+    async with AsyncExitStack() as stack:
+        instance = Instance(settings, clock, stack, on_stop=lambda: None)
+        await instance.open()
+        stop = asyncio.create_task(instance.stop())
+        await clock.settle()
+        instance.apply(builders.configuration(revision=2))
+        assert not instance.endpoint.is_serving
+        await clock.advance(settings.drain_s)
+        await stop
+
+
 async def test_port_in_use_is_reported(settings):
     async with AsyncExitStack() as stack:
         other = await UdpFabric.open(ANY_PORT)
