--- a/arbutuslift/coordination/routes.py
+++ b/arbutuslift/coordination/routes.py
@@ -1,4 +1,4 @@
-"""Routes of one service, and the owners of upstreams' addresses."""
+"""Routes of one service: its slot tables and the slot of each flow."""
 
 import ipaddress
 
