Record spans of the replication and application of a change

Cause: only submissions had a span; the control side wasn't given the traces. The leader now records the replication of a change, once also if it is sent again, and each member its application. Ruled out for now: spans at instances that aren't members, which learn a revision without its request identifier.

--- a/arbutuslift/coordination/controlplane.py
+++ b/arbutuslift/coordination/controlplane.py
@@ -21,6 +21,7 @@
 from ..state.revisionfile import DiskRevisionStore
 from ..state.storage import MemberStorage
 from ..state.upstreams import UpstreamRecord
+from ..traces import APPLY, Traces
 from ..transport.bus import Bus
 from .directory import Directory
 from .join import Seed
@@ -53,6 +54,7 @@
         services: Services and upstreams.
         on_superseded: Called when another process took over the name.
         rng: Source of randomness.
+        traces: Records the hops of changes.
 
     Raises:
         StorageError: The data folder can't be used.
@@ -68,11 +70,13 @@
         *,
         on_superseded: Callable[[], None],
         rng: random.Random,
+        traces: Traces,
     ) -> None:
         self.channel = Channel(bus)
         self._settings = settings
         self._clock = clock
         self._services = services
+        self._traces = traces
         self._stack = AsyncExitStack()
         self._loads = LoadRegister(services.view)
         seeds = [
@@ -101,6 +105,7 @@
             members=self._member_names,
             instances=self._instance_statuses,
             upstreams=lambda: upstream_statuses(services.view),
+            traces=traces,
         )
         self._follow_state()
 
@@ -143,6 +148,7 @@
             clock=self._clock,
             rng=rng,
             initial_names=self._settings.members,
+            traces=self._traces,
         )
         self._stack.push_async_callback(member.close)
         return member
@@ -150,7 +156,8 @@
     def _offer(self, stored: StoredRevision) -> None:
         document = from_canonical_json(stored.submission.document)
         configuration = Configuration(revision=stored.revision, document=document)
-        self._membership.in_force.offer(configuration)
+        with self._traces.change_hop(APPLY, stored.submission.request_id):
+            self._membership.in_force.offer(configuration)
 
     def _registers(self) -> list[object]:
         services = self._services
--- a/arbutuslift/coordination/member.py
+++ b/arbutuslift/coordination/member.py
@@ -40,6 +40,7 @@
 )
 from ..state.logstore import EntryKind
 from ..state.storage import MemberStorage
+from ..traces import REPLICATE, NoTraces, Traces
 from .bootstrap import Bootstrapper
 from .election import Elector
 from .following import Follower
@@ -70,6 +71,7 @@
         initial_names: The initial members, the same list on all of them; empty on
             a member that joins as a replacement.
         timing: Intervals.
+        traces: Records the replication of changes.
 
     Raises:
         SettingsError: The list of initial members can't be used.
@@ -86,12 +88,14 @@
         rng: random.Random,
         initial_names: tuple[str, ...] = (),
         timing: AgreementTiming | None = None,
+        traces: Traces | None = None,
     ) -> None:
         _check_initial(initial_names)
         timing = timing or AgreementTiming()
         self._timing = timing
         self._clock = clock
         self._channel = channel
+        self._traces = traces or NoTraces()
         self._state = MemberState(name, storage, clock)
         self._state.on_failure = self._on_failure
         self._tasks = TaskSet(self._state.fail)
@@ -299,10 +303,11 @@
         body = encode_submission(submission)
         index = state.last_index + 1
         decided = state.expect(index)
-        self._replicator.propose(EntryKind.SUBMISSION, body)
-        await state.changed.wait_for(
-            lambda: decided.done() or not state.leads(term), timeout_s
-        )
+        with self._traces.change_hop(REPLICATE, submission.request_id):
+            self._replicator.propose(EntryKind.SUBMISSION, body)
+            await state.changed.wait_for(
+                lambda: decided.done() or not state.leads(term), timeout_s
+            )
         if not decided.done() or decided.result() is None:
             return NotLeader()
         return SubmitAnswer(decision=decided.result())
--- a/arbutuslift/instance.py
+++ b/arbutuslift/instance.py
@@ -26,7 +26,7 @@
 from .state.flows import FlowCache
 from .state.instances import InstanceRecord
 from .state.upstreams import UpstreamView
-from .traces import open_traces
+from .traces import NoTraces, Traces, open_traces
 from .transport.announcements import AnnouncementEndpoint, Refusal
 from .transport.fabric import UdpFabric
 from .transport.keys import AllowedKeys, load_key_pair
@@ -69,6 +69,7 @@
         self._stack = stack
         self._on_stop = on_stop
         self._is_stopping = False
+        self._traces: Traces = NoTraces()
         self._view = UpstreamView(clock)
         self._services = ServiceTable(clock, self._view)
         self.registrar = Registrar(self._services, clock)
@@ -90,15 +91,20 @@
         Raises:
             ArbutusliftError: A port or file can't be used.
         """
-        self.fabric = await UdpFabric.open(self._settings.listen)
+        settings = self._settings
+        self._traces = open_traces(
+            settings.trace, settings.trace_file, settings.trace_ratio, settings.name
+        )
+        self._stack.callback(self._traces.close)
+        self.fabric = await UdpFabric.open(settings.listen)
         self._stack.callback(self.fabric.close)
-        if self._settings.bus is not None:
+        if settings.bus is not None:
             await self._open_control()
         forwarder = self._make_forwarder()
         self._stack.push_async_callback(self.endpoint.close)
-        await self.endpoint.open(self._settings.announcements)
+        await self.endpoint.open(settings.announcements)
         lapse = LapseDetector(
-            self._view, self.registrar, self._clock, self._settings.data_centre
+            self._view, self.registrar, self._clock, settings.data_centre
         )
         self._start(forwarder.run())
         self._start(self._admission.run())
@@ -106,7 +112,7 @@
         self._start(self._expire())
         self._start(self._report(forwarder))
         self._start_configuration()
-        _log.info("started", listen=self._settings.listen.port)
+        _log.info("started", listen=settings.listen.port)
 
     async def stop(self) -> None:
         """Drain: tell the fabric, forward what still arrives, then return."""
@@ -158,6 +164,7 @@
             self._services,
             on_superseded=self._on_stop,
             rng=random.Random(),
+            traces=self._traces,
         )
         self._stack.push_async_callback(self._control.close)
 
@@ -198,12 +205,8 @@
             queue_fill=fabric.queue_fill,
             **lookups,
         )
-        traces = open_traces(
-            settings.trace, settings.trace_file, settings.trace_ratio, settings.name
-        )
-        self._stack.callback(traces.close)
-        if traces.is_enabled:
-            return TracedForwarder(fabric, router, settings.fabric, traces=traces)
+        if self._traces.is_enabled:
+            return TracedForwarder(fabric, router, settings.fabric, self._traces)
         return Forwarder(fabric, router, settings.fabric)
 
     async def _report(self, forwarder: Forwarder) -> None:
--- a/tests/coordination/cluster.py
+++ b/tests/coordination/cluster.py
@@ -9,6 +9,7 @@
 from arbutuslift.protocol.channel import Channel
 from arbutuslift.state.configuration import Submission
 from arbutuslift.state.storage import MemberStorage
+from arbutuslift.traces import NoTraces
 from arbutuslift.transport.bus import MemoryNetwork
 
 STEP_S = 0.05
@@ -25,6 +26,17 @@
     )
 
 
+class RecordingTraces(NoTraces):
+    """Keeps the hops of changes."""
+
+    def __init__(self):
+        self.hops = []
+
+    def change_hop(self, name, request_id):
+        self.hops.append((name, request_id))
+        return super().change_hop(name, request_id)
+
+
 class PruningClock(ManualClock):
     """Skips sleeps that were cancelled, such as timeouts of answered requests."""
 
@@ -61,6 +73,7 @@
         self.network = MemoryNetwork(self.clock)
         self.names = tuple(names)
         self.rng = random.Random(seed)
+        self.traces = RecordingTraces()
         self.members = {}
         self.storages = {}
         self.reported = {}
@@ -81,6 +94,7 @@
                 clock=clock,
                 rng=random.Random(self.rng.random()),
                 initial_names=self.names if initial is None else initial,
+                traces=self.traces,
             )
             self._freeze_handler(channel, clock)
             self.reported[name] = []
--- a/tests/coordination/test_member.py
+++ b/tests/coordination/test_member.py
@@ -365,6 +365,13 @@
         await cluster.submit("b", "r0", document="another")
 
 
+async def test_replication_of_a_change_is_traced_at_the_leader_once(cluster):
+    _, follower, _ = await roles(cluster)
+    await cluster.submit(follower, "r0")
+    await cluster.submit(follower, "r0")
+    assert cluster.traces.hops == [("replicate", "r0")]
+
+
 @pytest.mark.parametrize("store", ["log", "terms"])
 async def test_failed_storage_ends_the_member_only(cluster, monkeypatch, store):
     leader, other, _ = await roles(cluster)
