Pass the slots of a service from the document to admission

Cause: the limits of a service were built before the document had slots, so admission always took 2. A document with another number was accepted and had no effect. The test was seen failing first. With the default nothing changes.

--- a/arbutuslift/coordination/limits.py
+++ b/arbutuslift/coordination/limits.py
@@ -20,6 +20,7 @@
 def _limits_of(service: Service) -> ServiceLimits:
     return ServiceLimits(
         max_connections=service.max_connections,
+        slots=service.slots,
         cold_new_flows_per_s=service.cold_new_flows_per_s,
         warm_up_s=service.warm_up_s,
     )
--- /dev/null
+++ b/tests/coordination/test_limits.py
@@ -0,0 +1,18 @@
+"""Limits: every limit of the document reaches admission."""
+
+from arbutuslift.coordination.limits import limit_plan_of
+
+from .. import builders
+
+
+def test_limits_of_a_service_are_those_of_the_document():
+    # A limit that isn't passed on would be replaced by a default, unnoticed.
+    limits = {
+        "max_connections": 1500,
+        "slots": 5,
+        "cold_new_flows_per_s": 7,
+        "warm_up_s": 12.0,
+    }
+    document = builders.document(services=(builders.service(**limits),))
+    (service,) = limit_plan_of(document).services
+    assert {name: getattr(service.limits, name) for name in limits} == limits
