Use one directory of instances with and without a bus

The instance told the two cases apart in two places; without a bus a directory that knows this instance alone gives the same answers. The kinds of the load and upstream records stand in their registers only.

--- a/arbutuslift/coordination/controlplane.py
+++ b/arbutuslift/coordination/controlplane.py
@@ -32,8 +32,6 @@
 
 GENERATION = "generation"
 MARK = "mark"
-UPSTREAM = "upstream"
-LOAD = "load"
 JOIN_POLL_S = 0.1
 
 _log = structlog.get_logger()
@@ -192,15 +190,15 @@
             if record.data_centre != self._settings.data_centre:
                 return
             if record.is_alive:
-                gossip.publish(LOAD, UpstreamLoad.of(record))
+                gossip.publish(LoadRegister.kind, UpstreamLoad.of(record))
             else:
                 self._loads.remove(record.upstream_id)
-                gossip.changed(LOAD, record.upstream_id)
+                gossip.changed(LoadRegister.kind, record.upstream_id)
 
         self._services.on_change.append(tell)
         view.on_change(note_load)
         view.on_eligibility_change(
-            lambda record: gossip.changed(UPSTREAM, record.upstream_id)
+            lambda record: gossip.changed(UpstreamRegister.kind, record.upstream_id)
         )
 
     def _member_names(self) -> Iterable[str]:
--- a/arbutuslift/instance.py
+++ b/arbutuslift/instance.py
@@ -11,6 +11,7 @@
 from .clock import Clock
 from .coordination.controlplane import ControlPlane
 from .coordination.denials import Denials
+from .coordination.directory import Directory
 from .coordination.forwarding import Forwarder
 from .coordination.lapse import LapseDetector
 from .coordination.limits import limit_plan_of
@@ -24,7 +25,7 @@
 from .settings import Settings
 from .state.admission import AdmissionControl
 from .state.flows import FlowCache
-from .state.instances import InstanceRecord
+from .state.instances import InstanceRecord, InstanceView
 from .state.upstreams import UpstreamView
 from .traces import NoTraces, Traces, open_traces
 from .transport.announcements import AnnouncementEndpoint, Refusal
@@ -74,6 +75,7 @@
         self._services = ServiceTable(clock, self._view)
         self.registrar = Registrar(self._services, clock)
         self._control: ControlPlane | None = None
+        self._directory = Directory(settings.name, InstanceView())
         self.fabric: UdpFabric | None = None
         self.endpoint = AnnouncementEndpoint(
             self.registrar.accept,
@@ -167,6 +169,7 @@
             traces=self._traces,
         )
         self._stack.push_async_callback(self._control.close)
+        self._directory = self._control.directory
 
     def _security(self) -> Security | None:
         settings = self._settings
@@ -191,19 +194,14 @@
         )
         self._stack.callback(denials.close)
         self._start(denials.run())
-        lookups = {}
-        if control is not None:
-            lookups = {
-                "instance_address": control.directory.address_of,
-                "is_instance": control.directory.is_instance,
-            }
         router = Router(
             self._services,
             flows,
             admission=self._admission,
             denials=denials,
+            instance_address=self._directory.address_of,
+            is_instance=self._directory.is_instance,
             queue_fill=fabric.queue_fill,
-            **lookups,
         )
         if self._traces.is_enabled:
             return TracedForwarder(fabric, router, settings.fabric, self._traces)
@@ -224,9 +222,7 @@
             self._services.expire()
 
     def _alive_instances(self) -> list[str]:
-        if self._control is None:
-            return [self._settings.name]
-        return self._control.directory.alive_names
+        return self._directory.alive_names
 
     def _announcement_key(self) -> bytes | None:
         path = self._settings.announcement_key_file
