--- /dev/null
+++ b/arbutuslift/control.py
@@ -0,0 +1,245 @@
+"""A control instance: agreement, starts of upstreams, and the feed of both."""
+
+import asyncio
+import random
+import secrets
+from collections.abc import Callable, Coroutine
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import Any
+
+import structlog
+from attrs import frozen
+
+from .clock import Clock
+from .coordination.enrolment import Enrolment
+from .coordination.feedserver import FeedServer
+from .coordination.keeper import KeeperPolicy
+from .coordination.member import Member
+from .coordination.memberstate import AgreementTiming
+from .coordination.orderdesk import OrderDesk
+from .errors import StorageError, TaskFailed
+from .protocol.channel import Channel
+from .state.agreed import AgreedState, Order
+from .state.configuration import StoredRevision
+from .state.routing import RoutingTable
+from .state.starts import UpstreamStart
+from .state.storage import MemberStorage
+from .transport.zmqbus import ZmqBus
+
+# Control instances are a few ms apart; a change has to be in force within seconds of
+# a leader's loss.
+TIMING = AgreementTiming(
+    heartbeat_s=0.2,
+    election_timeout_s=0.8,
+    request_timeout_s=0.6,
+    submit_timeout_s=3.5,
+    catch_up_timeout_s=10.0,
+    retry_s=0.05,
+)
+REOPEN_S = 0.5
+CHECK_S = 0.2
+_EPOCH_BITS = 62
+
+TableReader = Callable[[int, AgreedState], RoutingTable]
+
+_log = structlog.get_logger()
+
+
+@frozen(kw_only=True)
+class ControlSettings:
+    """Settings of a control instance.
+
+    Attributes:
+        name: ``ip:port`` of its bus, by which others reach it.
+        data_centre: Where it runs.
+        data_folder: Its part of the agreed state.
+        seeds: Names of control instances to begin with.
+        forms_cluster: Whether the whole system starts for the first time.
+        voters: Members that vote.
+        announcement_interval_s: Time between two announcements of an upstream.
+    """
+
+    name: str
+    data_centre: str
+    data_folder: Path
+    seeds: tuple[str, ...]
+    forms_cluster: bool
+    voters: int
+    announcement_interval_s: float
+
+
+class ControlInstance:
+    """Takes orders and announcements, and tells entry instances.
+
+    Args:
+        settings: Checked settings.
+        read_table: Returns the routing table of an agreed state.
+        clock: Source of time.
+        stack: Owns everything that has to be closed.
+        on_failure: Called when a task failed and the process has to end.
+
+    Attributes:
+        failure: Why a task failed, if one did.
+        feed: Feed of entry instances.
+    """
+
+    def __init__(
+        self,
+        settings: ControlSettings,
+        read_table: TableReader,
+        clock: Clock,
+        stack: AsyncExitStack,
+        on_failure: Callable[[], None],
+    ) -> None:
+        self.failure: TaskFailed | None = None
+        self.feed: FeedServer | None = None
+        self._settings = settings
+        self._read_table = read_table
+        self._clock = clock
+        self._stack = stack
+        self._on_failure = on_failure
+        self._bus = ZmqBus(settings.name, allow_plain=True, endpoint_of=_endpoint_of)
+        self._channel = Channel(self._bus)
+        self._seeds = settings.seeds
+        self._known: tuple[str, ...] = settings.seeds
+        self._enrolment: Enrolment | None = None
+        self._desk: OrderDesk | None = None
+        self._table: RoutingTable | None = None
+
+    @property
+    def table(self) -> RoutingTable | None:
+        """Return the newest routing table known here."""
+        return self._table
+
+    async def open(self) -> None:
+        """Take ports and start all tasks.
+
+        Raises:
+            TransportError: A port can't be used.
+        """
+        settings = self._settings
+        self._stack.push_async_callback(self._bus.close)
+        self.feed = FeedServer(
+            self._channel,
+            self._clock,
+            secrets.randbits(_EPOCH_BITS) or 1,
+            settings.announcement_interval_s,
+            self._other_controls,
+        )
+        await self._bus.open(_endpoint_of(settings.name))
+        self._start(self._keep_member())
+        self._start(self.feed.run())
+        _log.info("started", name=settings.name, seeds=",".join(settings.seeds))
+
+    async def submit(self, order: Order) -> int:
+        """Accept an order; see ``OrderDesk.submit``.
+
+        Raises:
+            StorageError: The disk can't be used now.
+        """
+        return await self._open_desk().submit(order)
+
+    async def current(self) -> AgreedState:
+        """Return the agreed state; see ``OrderDesk.current``.
+
+        Raises:
+            StorageError: The disk can't be used now.
+        """
+        return await self._open_desk().current()
+
+    def announce(self, start: UpstreamStart) -> None:
+        """Take in what an upstream says of itself."""
+        self.feed.registry.announce(start)
+
+    def leave(self, upstream_id: str) -> None:
+        """Take in that an upstream ends."""
+        self.feed.registry.leave(upstream_id)
+
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take new seeds from changed settings."""
+        self._seeds = seeds
+        if self._enrolment is not None:
+            self._enrolment.set_seeds(seeds)
+
+    def _open_desk(self) -> OrderDesk:
+        if self._desk is None:
+            raise StorageError("the data folder is closed", step="reach agreement")
+        return self._desk
+
+    def _other_controls(self) -> tuple[str, ...]:
+        if self._enrolment is not None:
+            self._known = self._enrolment.known
+        return self._known
+
+    async def _keep_member(self) -> None:
+        """Run a member; after a fault of the disk, open a new one from the disk."""
+        while True:
+            try:
+                async with AsyncExitStack() as stack:
+                    member = await self._open_member(stack)
+                    while member.fault is None:
+                        await self._clock.sleep(CHECK_S)
+                    _log.error("member_reopens", reason=member.fault)
+            except StorageError as error:
+                _log.error("data_folder_unusable", reason=str(error))
+            self._desk = None
+            await self._clock.sleep(REOPEN_S)
+
+    async def _open_member(self, stack: AsyncExitStack) -> Member:
+        settings = self._settings
+        storage = MemberStorage.open(settings.data_folder)
+        stack.callback(storage.close)
+        initial = tuple(sorted(settings.seeds)) if settings.forms_cluster else ()
+        member = Member(
+            name=settings.name,
+            storage=storage,
+            channel=self._channel,
+            clock=self._clock,
+            rng=random.Random(),
+            initial_names=initial if settings.name in initial else (),
+            timing=TIMING,
+            keeper_policy=KeeperPolicy(voters=settings.voters),
+        )
+        stack.push_async_callback(member.close)
+        member.on_commit(self._on_commit)
+        member.start()
+        self._enrolment = Enrolment(
+            member, self._channel, self._clock, settings.data_centre, self._seeds
+        )
+        self._desk = OrderDesk(member, self._clock)
+        for work in (self._enrolment.run(), self._desk.run()):
+            stack.callback(self._start(work).cancel)
+        return member
+
+    def _on_commit(self, stored: StoredRevision) -> None:
+        state = AgreedState.decode(stored.submission.document)
+        table = self._read_table(stored.revision, state)
+        if self._table is not None and table.revision <= self._table.revision:
+            return
+        self._table = table
+        self.feed.publish(table)
+        _log.info(
+            "configuration_in_effect",
+            revision=table.revision,
+            version=table.version,
+            routes=len(table.routes),
+            out_of_service=",".join(sorted(table.out_of_service)),
+        )
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.create_task(work)
+        task.add_done_callback(self._note_end)
+        self._stack.callback(task.cancel)
+        return task
+
+    def _note_end(self, task: asyncio.Task[None]) -> None:
+        if task.cancelled() or task.exception() is None:
+            return
+        self.failure = TaskFailed(repr(task.exception()), step=task.get_name())
+        _log.error("task_failed", reason=str(self.failure), exc_info=task.exception())
+        self._on_failure()
+
+
+def _endpoint_of(name: str) -> str:
+    return f"tcp://{name}"
--- /dev/null
+++ b/arbutuslift/coordination/enrolment.py
@@ -0,0 +1,90 @@
+"""A control instance tells the leader that it is there, and learns of the others."""
+
+import structlog
+
+from ..clock import Clock
+from ..errors import MessageError, PeerFailure, TransportError
+from ..protocol.channel import Channel
+from ..protocol.feed import EnrolAnswer, EnrolRequest
+from .member import Member
+
+ENROL_INTERVAL_S = 0.5
+ENROL_TIMEOUT_S = 0.5
+MAX_KNOWN = 64
+
+_log = structlog.get_logger()
+
+
+class Enrolment:
+    """Enrols with the leader, or with any instance that may know it.
+
+    Args:
+        member: Part in the agreement.
+        channel: Reaches the other control instances.
+        clock: Source of time.
+        data_centre: Where this instance runs.
+        seeds: Names of control instances to begin with.
+    """
+
+    def __init__(
+        self,
+        member: Member,
+        channel: Channel,
+        clock: Clock,
+        data_centre: str,
+        seeds: tuple[str, ...],
+    ) -> None:
+        self._member = member
+        self._channel = channel
+        self._clock = clock
+        self._data_centre = data_centre
+        self._seeds = seeds
+        self._known: dict[str, None] = dict.fromkeys(seeds)
+        self._leader_hint = ""
+
+    @property
+    def known(self) -> tuple[str, ...]:
+        """Return the names of the other control instances."""
+        names = {*self._known, *self._seeds, *self._member.control_names}
+        return tuple(sorted(names - {self._channel.name}))
+
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take new seeds from changed settings."""
+        self._seeds = seeds
+        self._known.update(dict.fromkeys(seeds))
+
+    async def run(self) -> None:
+        """Enrol until cancelled."""
+        turn = 0
+        while True:
+            if not self._member.is_leader:
+                await self._enrol(turn)
+                turn += 1
+            await self._clock.sleep(ENROL_INTERVAL_S)
+
+    async def _enrol(self, turn: int) -> None:
+        names = self.known
+        target = self._member.leader_name or self._leader_hint
+        if not target or target == self._channel.name:
+            if not names:
+                return
+            target = names[turn % len(names)]
+        request = EnrolRequest(
+            identity=self._member.identity, data_centre=self._data_centre
+        )
+        self._leader_hint = ""
+        try:
+            answer = await self._channel.request(target, request, ENROL_TIMEOUT_S)
+        except (TransportError, PeerFailure, MessageError) as error:
+            _log.debug("enrolment_failed", peer=target, reason=str(error))
+            return
+        if isinstance(answer, EnrolAnswer):
+            self._leader_hint = answer.leader_name
+            self._learn(answer.controls)
+
+    def _learn(self, names: tuple[str, ...]) -> None:
+        for name in names:
+            self._known.pop(name, None)
+            self._known[name] = None
+        while len(self._known) > MAX_KNOWN:
+            del self._known[next(iter(self._known))]
--- /dev/null
+++ b/arbutuslift/coordination/feedserver.py
@@ -0,0 +1,112 @@
+"""Control side of the feed: answers entry instances, shares with other controls."""
+
+from collections.abc import Callable
+
+import structlog
+
+from ..clock import Clock
+from ..protocol.channel import Channel
+from ..protocol.feed import FeedAnswer, FeedRequest, StartUpdate
+from ..state.routing import RoutingTable, encode_table
+from .startregistry import StartRegistry
+from .waiting import Signal
+
+MAX_HOLD_S = 2.0
+SHARE_INTERVAL_S = 0.5
+# Heartbeats of sharing: a full list repairs what an update that was lost left out.
+FULL_SHARE_INTERVAL_S = 3.0
+
+_log = structlog.get_logger()
+
+
+class FeedServer:
+    """Answers feed requests as soon as there is something new.
+
+    Args:
+        channel: Its handlers are set here.
+        clock: Source of time.
+        epoch: Number of this process, which no other process of its name has.
+        interval_s: Time between two announcements of an upstream.
+        controls: Returns the names of the other control instances.
+
+    Attributes:
+        registry: Starts of upstreams.
+    """
+
+    def __init__(
+        self,
+        channel: Channel,
+        clock: Clock,
+        epoch: int,
+        interval_s: float,
+        controls: Callable[[], tuple[str, ...]],
+    ) -> None:
+        self._channel = channel
+        self._clock = clock
+        self._epoch = epoch
+        self._controls = controls
+        self._changed = Signal(clock)
+        self._revision = 0
+        self._table = b""
+        self._full_share_s = float("-inf")
+        self.registry = StartRegistry(clock, interval_s, self._changed.notify)
+        channel.on(FeedRequest, self._on_request)
+        channel.on(StartUpdate, self._on_update)
+
+    def publish(self, table: RoutingTable) -> None:
+        """Offer a newer routing table."""
+        if table.revision > self._revision:
+            self._table = encode_table(table)
+            self._revision = table.revision
+            self._changed.notify()
+
+    async def run(self) -> None:
+        """Check for silence and share with the other controls until cancelled."""
+        while True:
+            await self._changed.wait_for(
+                lambda: self.registry.has_unshared, SHARE_INTERVAL_S
+            )
+            self.registry.check_silence()
+            await self._share()
+
+    async def _share(self) -> None:
+        now_s = self._clock.monotonic_s()
+        news = self.registry.take_unshared()
+        if now_s - self._full_share_s >= FULL_SHARE_INTERVAL_S:
+            self._full_share_s = now_s
+            news = self.registry.all_news()
+        update = StartUpdate(news=news, heard=self.registry.take_heard())
+        if not update.news and not update.heard:
+            return
+        for name in self._controls():
+            await self._channel.send(name, update)
+
+    async def _on_update(self, peer: str, update: StartUpdate) -> None:
+        del peer
+        self.registry.receive(update.news, update.heard)
+
+    async def _on_request(self, peer: str, request: FeedRequest) -> FeedAnswer:
+        del peer
+        hold_s = min(request.hold_ms / 1000, MAX_HOLD_S)
+        await self._changed.wait_for(lambda: self._has_news(request), hold_s)
+        known = request.epoch == self._epoch
+        registry = self.registry
+        news = registry.news_after(request.position) if known else registry.all_news()
+        newer = request.wants_table and self._revision > request.revision
+        return FeedAnswer(
+            epoch=self._epoch,
+            position=registry.position,
+            is_complete=not known,
+            is_settled=registry.is_settled,
+            news=news,
+            revision=self._revision,
+            table=self._table if newer else b"",
+            controls=(self._channel.name, *self._controls()),
+        )
+
+    def _has_news(self, request: FeedRequest) -> bool:
+        if request.epoch != self._epoch:
+            return True
+        if request.wants_table and self._revision > request.revision:
+            return True
+        return self.registry.position > request.position
--- /dev/null
+++ b/arbutuslift/coordination/flowrouter.py
@@ -0,0 +1,241 @@
+"""Decides where each packet of a caller goes, by the flow tag that it carries."""
+
+from collections import OrderedDict
+from enum import StrEnum
+
+from attrs import define, frozen
+
+from ..clock import Clock
+from ..state.routing import Route, RoutingTable
+from ..transport.callerpackets import CallerPacket
+from .judge import Judge
+from .picker import Picker
+from .upstreamdirectory import KnownStart, UpstreamDirectory
+
+# Callers repeat a SYN after 200 ms; a copy that follows sooner went another way.
+UNANSWERED_S = 0.15
+MAX_FLOWS = 200_000
+
+
+class Verdict(StrEnum):
+    """What becomes of a packet."""
+
+    NEW_FLOW = "new_flow"
+    SYN_REPEATED = "syn_repeated"
+    SYN_MOVED = "syn_moved"
+    FORWARDED = "forwarded"
+    REFUSED_NO_ROUTE = "refused_no_route"
+    REFUSED_NO_UPSTREAM = "refused_no_upstream"
+    RESET_ROUTE_REMOVED = "reset_route_removed"
+    RESET_UPSTREAM_GONE = "reset_upstream_gone"
+    DROPPED_UNKNOWN_TAG = "dropped_unknown_tag"
+    DROPPED_NO_TABLE = "dropped_no_table"
+    DROPPED_MALFORMED = "dropped_malformed"
+    DROPPED_STALE = "dropped_stale"
+
+
+RESETS = frozenset(
+    {
+        Verdict.REFUSED_NO_ROUTE,
+        Verdict.REFUSED_NO_UPSTREAM,
+        Verdict.RESET_ROUTE_REMOVED,
+        Verdict.RESET_UPSTREAM_GONE,
+    }
+)
+
+
+@frozen
+class Decision:
+    """Decision about one packet.
+
+    Attributes:
+        verdict: What becomes of it.
+        upstream: Where it goes, if it is forwarded.
+    """
+
+    verdict: Verdict
+    upstream: KnownStart | None = None
+
+
+@define(eq=False)
+class Flow:
+    """A flow as this instance has seen it.
+
+    Attributes:
+        upstream: The start that holds it.
+        seen_s: When its last packet came.
+        opened_s: When its SYN was forwarded.
+        is_open: Whether a packet after the SYN came.
+        ack: Last acknowledgement of the caller.
+        sent_seq: Sequence number of the newest data.
+        sent_s: When that data was first forwarded.
+        is_counted: Whether it counts as load of the upstream.
+        is_unanswered: Whether it was taken as evidence against the upstream since
+            the last answer.
+    """
+
+    upstream: KnownStart
+    seen_s: float
+    opened_s: float
+    is_open: bool = False
+    ack: int = -1
+    sent_seq: int = -1
+    sent_s: float = 0.0
+    is_counted: bool = True
+    is_unanswered: bool = False
+
+
+class FlowRouter:
+    """Routes packets; a packet of an open flow goes to its own upstream or nowhere.
+
+    Args:
+        clock: Source of time.
+        directory: Known upstreams.
+        judge: Takes the evidence that flows give.
+        picker: Chooses upstreams of new flows.
+
+    Attributes:
+        table: Routing table in force; None before the first.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        directory: UpstreamDirectory,
+        judge: Judge,
+        picker: Picker,
+    ) -> None:
+        self.table: RoutingTable | None = None
+        self._clock = clock
+        self._directory = directory
+        self._judge = judge
+        self._picker = picker
+        self._routes: dict[tuple[bytes, int], Route] = {}
+        self._flows: OrderedDict[bytes, Flow] = OrderedDict()
+
+    @property
+    def flow_count(self) -> int:
+        """Return the number of flows seen lately."""
+        return len(self._flows)
+
+    def apply(self, table: RoutingTable) -> bool:
+        """Put a routing table in force unless a newer one is; return whether it is."""
+        if self.table is not None and table.revision <= self.table.revision:
+            return False
+        self.table = table
+        self._routes = {(route.ip, route.port): route for route in table.routes}
+        return True
+
+    def route(self, packet: CallerPacket) -> Decision:
+        """Return what becomes of a packet."""
+        if self.table is None:
+            return Decision(Verdict.DROPPED_NO_TABLE)
+        route = self._routes.get((packet.service_ip, packet.service_port))
+        if packet.is_syn:
+            return self._open(packet, route)
+        return self._continue(packet, route)
+
+    def expire(self) -> None:
+        """Forget flows that carry nothing any more."""
+        if self.table is None:
+            return
+        oldest_s = self._clock.monotonic_s() - self.table.idle_timeout_s
+        while self._flows:
+            key, flow = next(iter(self._flows.items()))
+            if flow.seen_s > oldest_s:
+                return
+            self._remove(key, flow)
+
+    def _open(self, packet: CallerPacket, route: Route | None) -> Decision:
+        if route is None:
+            return Decision(Verdict.REFUSED_NO_ROUTE)
+        now_s = self._clock.monotonic_s()
+        flow = self._flows.get(packet.flow)
+        avoid = None
+        verdict = Verdict.NEW_FLOW
+        if flow is not None and not flow.is_open and not flow.upstream.is_gone:
+            if now_s - flow.opened_s < UNANSWERED_S:
+                return Decision(Verdict.SYN_REPEATED, flow.upstream)
+            avoid = flow.upstream
+            self._judge.unanswered(avoid.start.key)
+            verdict = Verdict.SYN_MOVED
+        upstream = self._picker.pick(route, self.table, avoid)
+        if upstream is None:
+            return Decision(Verdict.REFUSED_NO_UPSTREAM)
+        if flow is not None:
+            self._remove(packet.flow, flow)
+        self._add(packet.flow, Flow(upstream, now_s, now_s))
+        return Decision(verdict, upstream)
+
+    def _continue(self, packet: CallerPacket, route: Route | None) -> Decision:
+        flow = self._flows.get(packet.flow)
+        upstream = self._directory.find(packet.tag) if packet.tag else None
+        if upstream is None:
+            if flow is None:
+                return Decision(Verdict.DROPPED_UNKNOWN_TAG)
+            upstream = flow.upstream
+        if upstream.is_gone:
+            self._close(packet.flow)
+            return Decision(Verdict.RESET_UPSTREAM_GONE, upstream)
+        if route is None:
+            self._close(packet.flow)
+            return Decision(Verdict.RESET_ROUTE_REMOVED, upstream)
+        if packet.is_reset:
+            self._close(packet.flow)
+            return Decision(Verdict.FORWARDED, upstream)
+        self._observe(packet, flow, upstream)
+        return Decision(Verdict.FORWARDED, upstream)
+
+    def _observe(
+        self, packet: CallerPacket, flow: Flow | None, upstream: KnownStart
+    ) -> None:
+        """Keep the flow and take the evidence that the packet gives."""
+        now_s = self._clock.monotonic_s()
+        if flow is None or flow.upstream is not upstream:
+            self._close(packet.flow)
+            # Taken over from another instance: its first packet proves nothing.
+            flow = Flow(upstream, now_s, now_s, ack=packet.ack)
+            self._add(packet.flow, flow)
+        flow.seen_s = now_s
+        flow.is_open = True
+        self._flows.move_to_end(packet.flow)
+        if packet.ack != flow.ack:
+            flow.ack = packet.ack
+            flow.is_unanswered = False
+            self._judge.answered(upstream.start.key)
+        elif self._is_overdue(packet, flow, now_s):
+            flow.is_unanswered = True
+            self._judge.unanswered(upstream.start.key)
+        if packet.data_length_bytes and packet.seq != flow.sent_seq:
+            flow.sent_seq = packet.seq
+            flow.sent_s = now_s
+        if packet.is_fin:
+            self._discount(flow)
+
+    @staticmethod
+    def _is_overdue(packet: CallerPacket, flow: Flow, now_s: float) -> bool:
+        """Return whether the caller repeats data that should have an answer."""
+        if flow.is_unanswered or not packet.data_length_bytes:
+            return False
+        repeated = packet.seq == flow.sent_seq
+        return repeated and now_s - flow.sent_s >= UNANSWERED_S
+
+    def _add(self, key: bytes, flow: Flow) -> None:
+        if len(self._flows) >= MAX_FLOWS:
+            self._remove(*next(iter(self._flows.items())))
+        self._flows[key] = flow
+        flow.upstream.flow_count += 1
+
+    def _close(self, key: bytes) -> None:
+        flow = self._flows.get(key)
+        if flow is not None:
+            self._remove(key, flow)
+
+    def _remove(self, key: bytes, flow: Flow) -> None:
+        del self._flows[key]
+        self._discount(flow)
+
+    def _discount(self, flow: Flow) -> None:
+        if flow.is_counted:
+            flow.is_counted = False
+            flow.upstream.flow_count -= 1
--- /dev/null
+++ b/arbutuslift/coordination/judge.py
@@ -0,0 +1,81 @@
+"""Judges upstreams from the callers' half of their flows."""
+
+from attrs import define
+
+from ..clock import Clock
+
+# One lost packet is ordinary; two flows in a row without any answer between them are
+# not, on links that lose a few percent.
+FAILURES_TO_SUSPECT = 2
+FIRST_EXCLUSION_S = 1.0
+LONGEST_EXCLUSION_S = 8.0
+# While an upstream is on trial, one new flow in this time may try it.
+TRIAL_INTERVAL_S = 0.5
+
+
+@define
+class _Record:
+    """Evidence about one start.
+
+    Attributes:
+        failures: Flows without an answer since the last answer of any flow.
+        exclusion_s: Length of the next exclusion.
+        excluded_until_s: End of the current exclusion; 0 while not suspected.
+        trial_s: When a flow last tried it after the exclusion.
+    """
+
+    failures: int = 0
+    exclusion_s: float = FIRST_EXCLUSION_S
+    excluded_until_s: float = 0.0
+    trial_s: float = float("-inf")
+
+
+class Judge:
+    """Excludes upstreams that stop answering, and lets them return slowly.
+
+    Args:
+        clock: Source of time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._records: dict[tuple[str, int], _Record] = {}
+
+    def answered(self, key: tuple[str, int]) -> bool:
+        """Note an answer; return whether it ends a suspicion."""
+        record = self._records.pop(key, None)
+        return record is not None and record.excluded_until_s > 0.0
+
+    def unanswered(self, key: tuple[str, int]) -> bool:
+        """Note a flow without an answer; return whether a suspicion begins."""
+        record = self._records.setdefault(key, _Record())
+        record.failures += 1
+        if record.failures < FAILURES_TO_SUSPECT:
+            return False
+        now_s = self._clock.monotonic_s()
+        if now_s < record.excluded_until_s:
+            return False
+        begins = record.excluded_until_s == 0.0
+        record.excluded_until_s = now_s + record.exclusion_s
+        record.exclusion_s = min(2 * record.exclusion_s, LONGEST_EXCLUSION_S)
+        return begins
+
+    def is_suspected(self, key: tuple[str, int]) -> bool:
+        """Return whether an upstream gets no new flows now."""
+        record = self._records.get(key)
+        if record is None or record.excluded_until_s == 0.0:
+            return False
+        now_s = self._clock.monotonic_s()
+        if now_s < record.excluded_until_s:
+            return True
+        return now_s - record.trial_s < TRIAL_INTERVAL_S
+
+    def chosen(self, key: tuple[str, int]) -> None:
+        """Note that a new flow goes to an upstream."""
+        record = self._records.get(key)
+        if record is not None:
+            record.trial_s = self._clock.monotonic_s()
+
+    def forget(self, key: tuple[str, int]) -> None:
+        """Forget a start that is gone."""
+        self._records.pop(key, None)
--- a/arbutuslift/coordination/member.py
+++ b/arbutuslift/coordination/member.py
@@ -44,6 +44,7 @@
 from .bootstrap import Bootstrapper
 from .election import Elector
 from .following import Follower
+from .keeper import KeeperPolicy, MembershipKeeper
 from .memberchange import MemberChanger
 from .memberstate import AgreementTiming, CommitCallback, MemberState, Role
 from .replication import Replicator
@@ -72,6 +73,8 @@
             a member that joins as a replacement.
         timing: Intervals.
         traces: Records the replication of changes.
+        keeper_policy: Lets the leader add and replace members by itself; without it
+            only operators do.
 
     Raises:
         SettingsError: The list of initial members can't be used.
@@ -89,6 +92,7 @@
         initial_names: tuple[str, ...] = (),
         timing: AgreementTiming | None = None,
         traces: Traces | None = None,
+        keeper_policy: KeeperPolicy | None = None,
     ) -> None:
         _check_initial(initial_names)
         timing = timing or AgreementTiming()
@@ -104,6 +108,14 @@
         self._follower = Follower(self._state, channel)
         self._changer = MemberChanger(self._state, self._replicator, channel, timing)
         self._bootstrapper = Bootstrapper(self._state, channel, initial_names, timing)
+        self._keeper: MembershipKeeper | None = None
+        if keeper_policy is not None:
+            self._keeper = MembershipKeeper(
+                state=self._state,
+                replicator=self._replicator,
+                channel=channel,
+                policy=keeper_policy,
+            )
         channel.on(SubmitRequest, self._on_submit)
         channel.on(ReadRequest, self._on_read)
         channel.on(MembersRequest, self._on_members)
@@ -124,6 +136,11 @@
         """Return the leader of the newest term, if known."""
         return self._state.leader_name
 
+    @property
+    def control_names(self) -> tuple[str, ...]:
+        """Return the names of the control instances known to the keeper."""
+        return self._keeper.control_names if self._keeper else ()
+
     @property
     def fault(self) -> str | None:
         """Return why the member takes no part until an operator acts, if so."""
@@ -149,6 +166,8 @@
         """Start the member's tasks."""
         self._tasks.spawn(self._elector.run())
         self._tasks.spawn(self._bootstrapper.run())
+        if self._keeper is not None:
+            self._tasks.spawn(self._keeper.run())
 
     async def close(self) -> None:
         """Stop the member's tasks; it answers no other member from now on."""
--- /dev/null
+++ b/arbutuslift/coordination/startregistry.py
@@ -0,0 +1,215 @@
+"""Starts of upstreams as a control instance hears of them."""
+
+from collections.abc import Callable
+from enum import Enum
+
+import structlog
+from attrs import define, evolve
+
+from ..clock import Clock
+from ..protocol.feed import StartNews
+from ..state.starts import GONE_KEPT_S, Phase, StartTable, UpstreamStart
+
+# Announcements that may be missed before an upstream counts as silent: two lost ones
+# and a late third.
+MISSED_ANNOUNCEMENTS = 3.5
+# After this many intervals every running upstream has found a control instance.
+SETTLING_ANNOUNCEMENTS = 6
+
+_log = structlog.get_logger()
+
+
+class Origin(Enum):
+    """How this instance learned of a start."""
+
+    ANNOUNCED = "announced"
+    SHARED = "shared"
+
+
+@define(kw_only=True)
+class _Entry:
+    """A start with what this instance knows of its announcements.
+
+    Attributes:
+        start: The newest record.
+        heard_s: When it was last heard, here or at another control instance.
+        cold_until_s: End of its cold start.
+        is_silent: Whether its announcements have stopped.
+        position: Position of its last change in the feed.
+    """
+
+    start: UpstreamStart
+    heard_s: float
+    cold_until_s: float
+    is_silent: bool = False
+    position: int = 0
+
+
+class StartRegistry:
+    """Keeps the starts, their freshness and the order of changes.
+
+    Args:
+        clock: Source of time.
+        interval_s: Time between two announcements of an upstream.
+        on_change: Called after changes.
+
+    Attributes:
+        position: Number of the newest change.
+    """
+
+    def __init__(
+        self, clock: Clock, interval_s: float, on_change: Callable[[], None]
+    ) -> None:
+        self.position = 0
+        self._clock = clock
+        self._interval_s = interval_s
+        self._on_change = on_change
+        self._table = StartTable()
+        self._entries: dict[str, _Entry] = {}
+        self._opened_s = clock.monotonic_s()
+        self._unshared: dict[str, None] = {}
+        self._heard: dict[str, None] = {}
+
+    @property
+    def is_settled(self) -> bool:
+        """Return whether every running upstream had time to announce itself."""
+        age_s = self._clock.monotonic_s() - self._opened_s
+        return age_s >= SETTLING_ANNOUNCEMENTS * self._interval_s
+
+    @property
+    def has_unshared(self) -> bool:
+        """Return whether something announced here waits to be shared."""
+        return bool(self._unshared)
+
+    def announce(self, start: UpstreamStart) -> None:
+        """Take in what an upstream says of itself."""
+        self._heard[start.upstream_id] = None
+        self._take(start, is_silent=False, origin=Origin.ANNOUNCED)
+
+    def leave(self, upstream_id: str) -> None:
+        """Take in that an upstream ends."""
+        held = self._table.get(upstream_id)
+        if held is not None:
+            gone = evolve(held, phase=Phase.GONE)
+            self._take(gone, is_silent=False, origin=Origin.ANNOUNCED)
+
+    def receive(self, news: tuple[StartNews, ...], heard: tuple[str, ...]) -> None:
+        """Take in what another control instance sends."""
+        for item in news:
+            self._take(item.start, is_silent=item.is_silent, origin=Origin.SHARED)
+        now_s = self._clock.monotonic_s()
+        for upstream_id in heard:
+            entry = self._entries.get(upstream_id)
+            if entry is not None:
+                entry.heard_s = now_s
+                self._set_silent(entry, False)
+
+    def check_silence(self) -> None:
+        """Mark starts whose announcements have stopped, and forget old ones."""
+        now_s = self._clock.monotonic_s()
+        limit_s = MISSED_ANNOUNCEMENTS * self._interval_s
+        for entry in list(self._entries.values()):
+            silence_s = now_s - entry.heard_s
+            if entry.start.phase is Phase.GONE:
+                if silence_s > GONE_KEPT_S:
+                    self._forget(entry.start.upstream_id)
+            elif silence_s > limit_s:
+                self._set_silent(entry, True)
+
+    def news_after(self, position: int) -> tuple[StartNews, ...]:
+        """Return the starts that changed after a position."""
+        entries = [e for e in self._entries.values() if e.position > position]
+        return tuple(self._news(entry) for entry in entries)
+
+    def all_news(self) -> tuple[StartNews, ...]:
+        """Return every start that isn't gone."""
+        entries = self._entries.values()
+        return tuple(self._news(e) for e in entries if e.start.phase is not Phase.GONE)
+
+    def take_unshared(self) -> tuple[StartNews, ...]:
+        """Return, once, what was announced here and changed something."""
+        identities, self._unshared = self._unshared, {}
+        entries = [self._entries.get(identity) for identity in identities]
+        return tuple(self._news(entry) for entry in entries if entry is not None)
+
+    def take_heard(self) -> tuple[str, ...]:
+        """Return, once, which upstreams announced themselves here."""
+        heard, self._heard = self._heard, {}
+        return tuple(heard)
+
+    def _take(self, start: UpstreamStart, *, is_silent: bool, origin: Origin) -> None:
+        changed = self._table.merge(start)
+        now_s = self._clock.monotonic_s()
+        if not changed:
+            self._refresh(start, origin, now_s)
+            return
+        for record in changed:
+            self._store(record, origin, now_s)
+        entry = self._entries[start.upstream_id]
+        if is_silent and origin is Origin.SHARED and entry.position == self.position:
+            entry.is_silent = True
+        self._on_change()
+
+    def _refresh(self, start: UpstreamStart, origin: Origin, now_s: float) -> None:
+        entry = self._entries.get(start.upstream_id)
+        if entry is None or origin is Origin.SHARED:
+            return
+        if start.key == entry.start.key and start.sequence >= entry.start.sequence:
+            entry.heard_s = now_s
+            self._set_silent(entry, False)
+
+    def _store(self, start: UpstreamStart, origin: Origin, now_s: float) -> None:
+        entry = self._entries.get(start.upstream_id)
+        if entry is not None and entry.start.key == start.key:
+            material = entry.start.phase is not start.phase or entry.is_silent
+            entry.start = start
+            entry.heard_s = now_s
+            entry.is_silent = False
+            if not material:
+                return
+        else:
+            entry = self._entries[start.upstream_id] = _Entry(
+                start=start,
+                heard_s=now_s,
+                cold_until_s=now_s + start.cold_left_ms / 1000,
+            )
+        self._mark(entry)
+        if origin is Origin.ANNOUNCED:
+            self._unshared[start.upstream_id] = None
+        _log.info(
+            "upstream_changed",
+            upstream=start.upstream_id,
+            service=start.service,
+            phase=start.phase.name.lower(),
+            born_ms=start.born_ms,
+            sequence=start.sequence,
+            cold_left_ms=start.cold_left_ms,
+            data_centre=start.data_centre,
+            origin=origin.value,
+        )
+
+    def _set_silent(self, entry: _Entry, is_silent: bool) -> None:
+        if entry.is_silent == is_silent or entry.start.phase is Phase.GONE:
+            return
+        entry.is_silent = is_silent
+        self._mark(entry)
+        _log.info(
+            "upstream_silent" if is_silent else "upstream_heard_again",
+            upstream=entry.start.upstream_id,
+            sequence=entry.start.sequence,
+            silence_s=round(self._clock.monotonic_s() - entry.heard_s, 3),
+        )
+        self._on_change()
+
+    def _mark(self, entry: _Entry) -> None:
+        self.position += 1
+        entry.position = self.position
+
+    def _news(self, entry: _Entry) -> StartNews:
+        left_s = max(0.0, entry.cold_until_s - self._clock.monotonic_s())
+        start = evolve(entry.start, cold_left_ms=int(left_s * 1000))
+        return StartNews(start=start, is_silent=entry.is_silent)
+
+    def _forget(self, upstream_id: str) -> None:
+        self._table.remove(upstream_id)
+        del self._entries[upstream_id]
--- /dev/null
+++ b/arbutuslift/entry.py
@@ -0,0 +1,294 @@
+"""An entry instance that forwards by flow tags and follows control instances."""
+
+import asyncio
+import random
+import socket
+from collections import Counter
+from collections.abc import Callable, Coroutine
+from contextlib import AsyncExitStack
+from typing import Any
+
+import structlog
+from attrs import frozen
+
+from .clock import Clock
+from .coordination.feedclient import FeedClient
+from .coordination.flowrouter import RESETS, Decision, FlowRouter, Verdict
+from .coordination.judge import Judge
+from .coordination.picker import Picker
+from .coordination.upstreamdirectory import UpstreamDirectory
+from .errors import PacketError, TaskFailed, TransportError
+from .protocol.channel import Channel
+from .protocol.feed import FeedAnswer
+from .state.routing import decode_table
+from .transport.callerpackets import CallerPacket, PacketCodec
+from .transport.readiness import ReadinessEndpoint
+from .transport.zmqbus import ZmqBus
+
+RECEIVE_BUFFER_BYTES = 1024 * 1024
+MAX_DATAGRAM_BYTES = 2048
+# Datagrams read in one turn of the event loop, so that control traffic gets its turn.
+BATCH_DATAGRAMS = 32
+EXPIRE_INTERVAL_S = 0.5
+# Routers need two missed checks half a second apart; packets already under way and
+# the copies of a SYN follow for 0.6 s more.
+DRAIN_S = 2.5
+# Longer than any pause of the process itself; what waited meanwhile is out of date.
+MAX_GAP_S = 1.0
+LOGGED_VERDICTS = frozenset(Verdict) - {Verdict.FORWARDED, Verdict.SYN_REPEATED}
+
+_log = structlog.get_logger()
+
+
+@frozen(kw_only=True)
+class EntrySettings:
+    """Settings of an entry instance.
+
+    Attributes:
+        name: Name of the instance.
+        data_centre: Where it runs.
+        listen_ip: Address for packets.
+        listen_port: Port for packets, also that of callers.
+        ready_ip: Address of the readiness endpoint.
+        ready_port: Port of the readiness endpoint.
+        ready_path: Path of the readiness endpoint.
+        seeds: Names of control instances, ``ip:port`` of their bus.
+    """
+
+    name: str
+    data_centre: str
+    listen_ip: str
+    listen_port: int
+    ready_ip: str
+    ready_port: int
+    ready_path: str
+    seeds: tuple[str, ...]
+
+
+class EntryInstance:
+    """Forwards callers' packets.
+
+    Args:
+        settings: Checked settings.
+        codec: Wire format of packets.
+        clock: Source of time.
+        stack: Owns everything that has to be closed.
+        on_failure: Called when a task failed and the process has to end.
+
+    Attributes:
+        counts: Packets by verdict.
+        failure: Why a task failed, if one did.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        codec: PacketCodec,
+        clock: Clock,
+        stack: AsyncExitStack,
+        on_failure: Callable[[], None],
+    ) -> None:
+        self.counts: Counter[Verdict] = Counter()
+        self.failure: TaskFailed | None = None
+        self._settings = settings
+        self._codec = codec
+        self._clock = clock
+        self._stack = stack
+        self._on_failure = on_failure
+        self._is_stopping = False
+        self._has_upstreams = False
+        self._read_s = clock.monotonic_s()
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._directory = UpstreamDirectory(clock)
+        self._judge = Judge(clock)
+        picker = Picker(
+            clock, self._directory, self._judge, settings.data_centre, random.Random()
+        )
+        self._router = FlowRouter(clock, self._directory, self._judge, picker)
+        self._feed: FeedClient | None = None
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether routers may send packets here."""
+        has_state = self._router.table is not None and self._has_upstreams
+        return has_state and not self._is_stopping
+
+    async def open(self) -> None:
+        """Take ports and start all tasks.
+
+        Raises:
+            TransportError: A port can't be used.
+        """
+        settings = self._settings
+        self._open_socket()
+        endpoint = ReadinessEndpoint(
+            settings.ready_path, lambda: self.is_ready, self._metrics_text
+        )
+        self._stack.push_async_callback(endpoint.close)
+        await endpoint.open(settings.ready_ip, settings.ready_port)
+        bus = ZmqBus(settings.name, allow_plain=True, endpoint_of=_endpoint_of)
+        self._stack.push_async_callback(bus.close)
+        self._feed = FeedClient(
+            Channel(bus),
+            self._clock,
+            settings.seeds,
+            self._revision,
+            self._on_answer,
+            self._directory.forget_source,
+        )
+        self._start(self._feed.run())
+        self._start(self._expire())
+        _log.info("started", listen_port=settings.listen_port)
+
+    async def stop(self) -> None:
+        """Tell the routers, and forward what still arrives."""
+        self._is_stopping = True
+        _log.info("draining", drain_s=DRAIN_S)
+        await self._clock.sleep(DRAIN_S)
+        _log.info("stopped", flows=self._router.flow_count)
+
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take new seeds from changed settings."""
+        self._feed.set_seeds(seeds)
+
+    def _open_socket(self) -> None:
+        sock = self._socket
+        self._stack.callback(sock.close)
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        address = (self._settings.listen_ip, self._settings.listen_port)
+        try:
+            sock.bind(address)
+        except OSError as error:
+            peer = "{}:{}".format(*address)
+            raise TransportError(str(error), step="open entry", peer=peer) from error
+        loop = asyncio.get_running_loop()
+        loop.add_reader(sock.fileno(), self._receive)
+        self._stack.callback(loop.remove_reader, sock.fileno())
+
+    def _receive(self) -> None:
+        for _ in range(BATCH_DATAGRAMS):
+            try:
+                datagram = self._socket.recv(MAX_DATAGRAM_BYTES)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                _log.warning("receive_failed", reason=str(error))
+                return
+            self._handle(datagram)
+
+    def _handle(self, datagram: bytes) -> None:
+        try:
+            packet = self._codec.decode(datagram)
+        except PacketError as error:
+            self.counts[Verdict.DROPPED_MALFORMED] += 1
+            _log.warning(Verdict.DROPPED_MALFORMED, reason=error.message)
+            return
+        decision = self._router.route(packet)
+        verdict = decision.verdict
+        self.counts[verdict] += 1
+        if decision.upstream is not None and verdict not in RESETS:
+            self._forward(datagram, decision)
+        elif verdict in RESETS and not packet.is_reset:
+            self._reset(packet)
+        if verdict in LOGGED_VERDICTS:
+            self._log_decision(datagram, packet, decision)
+
+    def _forward(self, datagram: bytes, decision: Decision) -> None:
+        start = decision.upstream.start
+        carried = self._codec.address_to(datagram, start.number, decision.upstream.tag)
+        self._send(carried, start.address)
+
+    def _reset(self, packet: CallerPacket) -> None:
+        caller = socket.inet_ntoa(packet.caller_ip)
+        self._send(self._codec.reset(packet), (caller, self._settings.listen_port))
+
+    def _send(self, datagram: bytes, address: tuple[str, int]) -> None:
+        try:
+            self._socket.sendto(datagram, address)
+        except OSError as error:
+            # A full socket loses the datagram like the network does.
+            _log.warning("send_failed", peer=address[0], reason=str(error))
+
+    def _log_decision(
+        self, datagram: bytes, packet: CallerPacket, decision: Decision
+    ) -> None:
+        table = self._router.table
+        start = decision.upstream.start if decision.upstream else None
+        _log.info(
+            decision.verdict.value,
+            flow=packet.flow.hex(),
+            copies=packet.ack if packet.is_syn else 0,
+            request=self._codec.request_id(datagram),
+            upstream=start.upstream_id if start else "",
+            load_flows=decision.upstream.flow_count if start else 0,
+            version=table.version if table else 0,
+            revision=table.revision if table else 0,
+        )
+
+    def _revision(self) -> int:
+        return self._router.table.revision if self._router.table else 0
+
+    def _on_answer(self, source: str, answer: FeedAnswer) -> None:
+        changed = self._directory.receive(
+            source,
+            answer.news,
+            is_complete=answer.is_complete,
+            is_settled=answer.is_settled,
+        )
+        for start in changed:
+            _log.info(
+                "upstream_changed",
+                upstream=start.upstream_id,
+                service=start.service,
+                phase=start.phase.name.lower(),
+                sequence=start.sequence,
+                cold_left_ms=start.cold_left_ms,
+                source=source,
+            )
+        self._has_upstreams = self._has_upstreams or len(self._directory) > 0
+        if answer.table:
+            self._apply(source, answer.table)
+
+    def _apply(self, source: str, encoded: bytes) -> None:
+        table = decode_table(encoded)
+        if self._router.apply(table):
+            _log.info(
+                "configuration_in_effect",
+                revision=table.revision,
+                version=table.version,
+                routes=len(table.routes),
+                out_of_service=",".join(sorted(table.out_of_service)),
+                source=source,
+            )
+
+    async def _expire(self) -> None:
+        while True:
+            await self._clock.sleep(EXPIRE_INTERVAL_S)
+            self._router.expire()
+            self._directory.expire()
+
+    def _metrics_text(self) -> str:
+        lines = [
+            f'arbutuslift_packets_total{{verdict="{verdict.value}"}} {count}'
+            for verdict, count in sorted(self.counts.items())
+        ]
+        lines.append(f"arbutuslift_flows {self._router.flow_count}")
+        lines.append(f"arbutuslift_revision {self._revision()}")
+        return "\n".join(lines) + "\n"
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        task.add_done_callback(self._note_end)
+        self._stack.callback(task.cancel)
+
+    def _note_end(self, task: asyncio.Task[None]) -> None:
+        if task.cancelled() or task.exception() is None:
+            return
+        self.failure = TaskFailed(repr(task.exception()), step=task.get_name())
+        _log.error("task_failed", reason=str(self.failure), exc_info=task.exception())
+        self._on_failure()
+
+
+def _endpoint_of(name: str) -> str:
+    return f"tcp://{name}"
--- /dev/null
+++ b/arbutuslift/protocol/feed.py
@@ -0,0 +1,111 @@
+"""Messages by which entry instances follow the state of control instances."""
+
+from attrs import frozen
+
+from ..state.starts import UpstreamStart
+from .messages import Message, register
+
+
+@register
+@frozen(kw_only=True)
+class FeedRequest(Message):
+    """Asks for what is new; the answer may wait until something is.
+
+    Attributes:
+        epoch: Process of the control instance that ``position`` belongs to.
+        position: Last position received of it.
+        revision: Newest routing table that the requester has.
+        wants_table: Whether to send a newer table along.
+        hold_ms: Longest time that the answer may wait.
+    """
+
+    epoch: int
+    position: int
+    revision: int
+    wants_table: bool
+    hold_ms: int
+
+
+@register
+@frozen(kw_only=True)
+class StartNews(Message):
+    """A start of an upstream as a control instance knows it.
+
+    Attributes:
+        start: The record; ``cold_left_ms`` counts from the sending.
+        is_silent: Whether its announcements have stopped.
+    """
+
+    start: UpstreamStart
+    is_silent: bool
+
+
+@register
+@frozen(kw_only=True)
+class FeedAnswer(Message):
+    """Answers a FeedRequest.
+
+    Attributes:
+        epoch: Process of the control instance.
+        position: Position of the newest record.
+        is_complete: Whether ``news`` holds every start that isn't gone.
+        is_settled: Whether every running upstream had time to announce itself.
+        news: Records after the position asked for.
+        revision: Newest committed revision of the control instance.
+        table: Encoded routing table; empty if none was asked for or is newer.
+        controls: Names of the control instances, by which they are reached.
+    """
+
+    epoch: int
+    position: int
+    is_complete: bool
+    is_settled: bool
+    news: tuple[StartNews, ...]
+    revision: int
+    table: bytes
+    controls: tuple[str, ...]
+
+
+@register
+@frozen(kw_only=True)
+class StartUpdate(Message):
+    """Tells another control instance about starts.
+
+    Attributes:
+        news: Records that changed.
+        heard: Identities of the upstreams that announced themselves here since the
+            last update.
+    """
+
+    news: tuple[StartNews, ...]
+    heard: tuple[str, ...]
+
+
+@register
+@frozen(kw_only=True)
+class EnrolRequest(Message):
+    """A control instance asks to take part in the agreement.
+
+    Attributes:
+        identity: Identity of its disk.
+        data_centre: Where it runs.
+    """
+
+    identity: bytes
+    data_centre: str
+
+
+@register
+@frozen(kw_only=True)
+class EnrolAnswer(Message):
+    """Answers an EnrolRequest.
+
+    Attributes:
+        is_leader: Whether the answering instance leads.
+        leader_name: Leader that it knows, empty for none.
+        controls: Names of the control instances that it knows.
+    """
+
+    is_leader: bool
+    leader_name: str
+    controls: tuple[str, ...]
--- /dev/null
+++ b/arbutuslift/state/agreed.py
@@ -0,0 +1,82 @@
+"""What control instances agree on, and the orders that change it."""
+
+from functools import singledispatch
+
+from attrs import evolve, frozen
+
+from .codec import decode_value, encode_value
+
+
+@frozen(kw_only=True)
+class AgreedState:
+    """Newest accepted configuration, and the data centres out of service.
+
+    Attributes:
+        version: The operators' number of the configuration; 0 before the first.
+        source: The configuration as the operator sent it.
+        out_of_service: Names of data centres, sorted.
+    """
+
+    version: int = 0
+    source: bytes = b""
+    out_of_service: tuple[str, ...] = ()
+
+    def encode(self) -> bytes:
+        """Return the state as the document of a revision."""
+        return encode_value(self)
+
+    @staticmethod
+    def decode(document: bytes) -> "AgreedState":
+        """Return the state in the document of a revision.
+
+        Raises:
+            StorageError: The document holds no state.
+        """
+        return decode_value(document, AgreedState)
+
+
+@frozen(kw_only=True)
+class PutConfiguration:
+    """Order to accept a checked configuration; the highest version stands.
+
+    Attributes:
+        version: The operators' number.
+        source: The configuration as it was sent.
+    """
+
+    version: int
+    source: bytes
+
+
+@frozen(kw_only=True)
+class SetInService:
+    """Order to take a data centre out of service or back."""
+
+    data_centre: str
+    in_service: bool
+
+
+Order = PutConfiguration | SetInService
+
+
+@singledispatch
+def apply_order(order: object, state: AgreedState) -> AgreedState:
+    """Return the state after an order; an order already met changes nothing."""
+    raise TypeError(f"{type(order).__name__} is no order")
+
+
+@apply_order.register
+def _put(order: PutConfiguration, state: AgreedState) -> AgreedState:
+    if order.version <= state.version:
+        return state
+    return evolve(state, version=order.version, source=order.source)
+
+
+@apply_order.register
+def _set_in_service(order: SetInService, state: AgreedState) -> AgreedState:
+    out = set(state.out_of_service)
+    if order.in_service:
+        out.discard(order.data_centre)
+    else:
+        out.add(order.data_centre)
+    return evolve(state, out_of_service=tuple(sorted(out)))
--- /dev/null
+++ b/arbutuslift/state/routing.py
@@ -0,0 +1,141 @@
+"""Routes: which services may carry the flows to an address and port."""
+
+import zlib
+
+import msgpack
+from attrs import field, frozen
+
+from ..errors import StorageError
+
+_COMPRESSION_LEVEL = 1
+
+
+@frozen(kw_only=True)
+class ServiceShare:
+    """Part of a route's new flows that goes to one service."""
+
+    service: str
+    weight: int
+
+
+@frozen(kw_only=True)
+class Route:
+    """An address and port that callers use.
+
+    Attributes:
+        ip: The address, 4 bytes.
+        port: The port.
+        shares: Services that may carry its flows.
+        priority: 0 is the highest.
+    """
+
+    ip: bytes
+    port: int
+    shares: tuple[ServiceShare, ...]
+    priority: int = 0
+
+
+@frozen(kw_only=True)
+class ServiceLimits:
+    """What the upstreams of a service bear.
+
+    Attributes:
+        name: Name of the service.
+        max_connections: Flows that one upstream holds.
+        cold_new_flows_per_s: New flows that one upstream bears in cold start.
+        cold_start_s: Length of a cold start.
+    """
+
+    name: str
+    max_connections: int
+    cold_new_flows_per_s: float
+    cold_start_s: float
+
+
+@frozen(kw_only=True)
+class RoutingTable:
+    """Everything of a configuration that decides where packets go.
+
+    Attributes:
+        revision: Revision of the agreed state that it comes from.
+        version: The operators' number of the configuration.
+        routes: All routes.
+        services: All services.
+        idle_timeout_s: Flows that carry nothing for so long may be forgotten.
+        out_of_service: Data centres that get no new flows.
+    """
+
+    revision: int
+    version: int
+    routes: tuple[Route, ...] = ()
+    services: tuple[ServiceLimits, ...] = ()
+    idle_timeout_s: float = 15.0
+    out_of_service: frozenset[str] = field(default=frozenset())
+
+
+def encode_table(table: RoutingTable) -> bytes:
+    """Return a table as compressed bytes."""
+    routes = [
+        (
+            route.ip,
+            route.port,
+            route.priority,
+            [(share.service, share.weight) for share in route.shares],
+        )
+        for route in table.routes
+    ]
+    services = [
+        (s.name, s.max_connections, s.cold_new_flows_per_s, s.cold_start_s)
+        for s in table.services
+    ]
+    content = (
+        table.revision,
+        table.version,
+        table.idle_timeout_s,
+        sorted(table.out_of_service),
+        routes,
+        services,
+    )
+    return zlib.compress(msgpack.packb(content), _COMPRESSION_LEVEL)
+
+
+def decode_table(body: bytes) -> RoutingTable:
+    """Return the table in ``body``.
+
+    Raises:
+        StorageError: The bytes hold no table.
+    """
+    try:
+        content = msgpack.unpackb(zlib.decompress(body))
+        revision, version, idle_timeout_s, out, routes, services = content
+        return RoutingTable(
+            revision=revision,
+            version=version,
+            idle_timeout_s=idle_timeout_s,
+            out_of_service=frozenset(out),
+            routes=tuple(_decode_route(*row) for row in routes),
+            services=tuple(_decode_service(*row) for row in services),
+        )
+    except (zlib.error, msgpack.UnpackException, TypeError, ValueError) as error:
+        message = f"malformed: {error!r}"
+        raise StorageError(message, step="decode routing table") from error
+
+
+def _decode_route(ip: bytes, port: int, priority: int, shares: list) -> Route:
+    return Route(
+        ip=ip,
+        port=port,
+        priority=priority,
+        shares=tuple(ServiceShare(service=name, weight=w) for name, w in shares),
+    )
+
+
+def _decode_service(
+    name: str, max_connections: int, cold_per_s: float, cold_start_s: float
+) -> ServiceLimits:
+    return ServiceLimits(
+        name=name,
+        max_connections=max_connections,
+        cold_new_flows_per_s=cold_per_s,
+        cold_start_s=cold_start_s,
+    )
--- a/arbutuslift/transport/zmqbus.py
+++ b/arbutuslift/transport/zmqbus.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import ipaddress
+from collections.abc import Callable
 
 import structlog
 import zmq
@@ -51,6 +52,7 @@
         security: Keys; None sends in the clear.
         allow_plain: Permit clear text on addresses other than loopback.
         max_message_bytes: Larger messages close the connection of their sender.
+        endpoint_of: Endpoint of a peer that was never connected, from its name.
     """
 
     def __init__(
@@ -60,6 +62,7 @@
         *,
         allow_plain: bool = False,
         max_message_bytes: int = MAX_MESSAGE_BYTES,
+        endpoint_of: Callable[[str], str | None] = lambda name: None,
     ) -> None:
         super().__init__(name)
         self.counters = BusCounters()
@@ -67,6 +70,7 @@
         self._security = security
         self._allow_plain = allow_plain
         self._max_message_bytes = max_message_bytes
+        self._endpoint_of = endpoint_of
         self._context = zmq.asyncio.Context()
         self._context.set(zmq.MAX_SOCKETS, MAX_SOCKETS)
         self._authenticator: AsyncioAuthenticator | None = None
@@ -175,7 +179,7 @@
         if peer and peer.is_usable:
             return peer
         self._drop(name)
-        endpoint = self._endpoints.get(name)
+        endpoint = self._endpoints.get(name) or self._endpoint_of(name)
         if endpoint is None:
             return None
         socket = self._new_socket(zmq.DEALER)
