--- a/arbutuslift/control.py
+++ b/arbutuslift/control.py
@@ -5,11 +5,9 @@
 import secrets
 from collections.abc import Callable, Coroutine
 from contextlib import AsyncExitStack
-from pathlib import Path
 from typing import Any
 
 import structlog
-from attrs import frozen
 
 from .clock import Clock
 from .coordination.enrolment import Enrolment
@@ -20,6 +18,7 @@
 from .coordination.orderdesk import OrderDesk
 from .errors import StorageError, TaskFailed
 from .protocol.channel import Channel
+from .roles import ControlSettings
 from .state.agreed import AgreedState, Order
 from .state.configuration import StoredRevision
 from .state.routing import RoutingTable
@@ -32,6 +31,7 @@
 TIMING = AgreementTiming(
     heartbeat_s=0.2,
     election_timeout_s=0.8,
+    first_election_timeout_s=0.25,
     request_timeout_s=0.6,
     submit_timeout_s=3.5,
     catch_up_timeout_s=10.0,
@@ -46,29 +46,6 @@
 _log = structlog.get_logger()
 
 
-@frozen(kw_only=True)
-class ControlSettings:
-    """Settings of a control instance.
-
-    Attributes:
-        name: ``ip:port`` of its bus, by which others reach it.
-        data_centre: Where it runs.
-        data_folder: Its part of the agreed state.
-        seeds: Names of control instances to begin with.
-        forms_cluster: Whether the whole system starts for the first time.
-        voters: Members that vote.
-        announcement_interval_s: Time between two announcements of an upstream.
-    """
-
-    name: str
-    data_centre: str
-    data_folder: Path
-    seeds: tuple[str, ...]
-    forms_cluster: bool
-    voters: int
-    announcement_interval_s: float
-
-
 class ControlInstance:
     """Takes orders and announcements, and tells entry instances.
 
--- a/arbutuslift/coordination/election.py
+++ b/arbutuslift/coordination/election.py
@@ -64,6 +64,8 @@
     async def _silence(self) -> bool:
         """Wait a random timeout and return whether no leader was heard in it."""
         base_s = self._timing.election_timeout_s
+        if self._state.heard_s == float("-inf"):
+            base_s = self._timing.first_election_timeout_s
         timeout_s = self._rng.uniform(base_s, 2 * base_s)
         started_s = self._clock.monotonic_s()
         while self._state.role is not Role.LEADER:
--- a/arbutuslift/coordination/memberstate.py
+++ b/arbutuslift/coordination/memberstate.py
@@ -45,6 +45,9 @@
             0.5 s would use most of the 5 KB/s that control may use.
         election_timeout_s: Shortest silence after which a follower campaigns; the
             longest is twice that.
+        first_election_timeout_s: The same for a member that has heard no leader since
+            it started. After a loss of power all members start at once, and a running
+            leader is heard within a heartbeat.
         request_timeout_s: Bound of one request between members.
         submit_timeout_s: Bound of a submission or read, over all attempts.
         catch_up_timeout_s: Bound of the transfer to a new member.
@@ -53,6 +56,7 @@
 
     heartbeat_s: float = 1.0
     election_timeout_s: float = 3.0
+    first_election_timeout_s: float = 3.0
     request_timeout_s: float = 1.0
     submit_timeout_s: float = 10.0
     catch_up_timeout_s: float = 60.0
--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -9,7 +9,6 @@
 from typing import Any
 
 import structlog
-from attrs import frozen
 
 from .clock import Clock
 from .coordination.feedclient import FeedClient
@@ -20,6 +19,7 @@
 from .errors import PacketError, TaskFailed, TransportError
 from .protocol.channel import Channel
 from .protocol.feed import FeedAnswer
+from .roles import EntrySettings
 from .state.routing import decode_table
 from .transport.callerpackets import CallerPacket, PacketCodec
 from .transport.readiness import ReadinessEndpoint
@@ -40,31 +40,6 @@
 _log = structlog.get_logger()
 
 
-@frozen(kw_only=True)
-class EntrySettings:
-    """Settings of an entry instance.
-
-    Attributes:
-        name: Name of the instance.
-        data_centre: Where it runs.
-        listen_ip: Address for packets.
-        listen_port: Port for packets, also that of callers.
-        ready_ip: Address of the readiness endpoint.
-        ready_port: Port of the readiness endpoint.
-        ready_path: Path of the readiness endpoint.
-        seeds: Names of control instances, ``ip:port`` of their bus.
-    """
-
-    name: str
-    data_centre: str
-    listen_ip: str
-    listen_port: int
-    ready_ip: str
-    ready_port: int
-    ready_path: str
-    seeds: tuple[str, ...]
-
-
 class EntryInstance:
     """Forwards callers' packets.
 
--- a/arbutuslift/transport/zmqbus.py
+++ b/arbutuslift/transport/zmqbus.py
@@ -3,16 +3,15 @@
 import asyncio
 import ipaddress
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 import structlog
 import zmq
 import zmq.asyncio
 from attrs import frozen
-from zmq.auth.asyncio import AsyncioAuthenticator
 
 from ..errors import ArbutusliftError, PeerTimeout, TransportError
 from .bus import Bus
-from .keys import AllowedKeys, KeyPair
 from .zmqpeer import (
     NO_ANSWER,
     QUEUE_MESSAGES,
@@ -28,6 +27,11 @@
 RECONNECT_MS = 100
 RECONNECT_MAX_MS = 2000
 
+if TYPE_CHECKING:
+    from zmq.auth.asyncio import AsyncioAuthenticator
+
+    from .keys import AllowedKeys, KeyPair
+
 _log = structlog.get_logger()
 
 
@@ -40,8 +44,8 @@
         allowed: Public keys of the peers.
     """
 
-    keys: KeyPair
-    allowed: AllowedKeys
+    keys: "KeyPair"
+    allowed: "AllowedKeys"
 
 
 class ZmqBus(Bus):
@@ -88,6 +92,9 @@
         """
         self._check_plain(endpoint)
         if self._security:
+            # Instances that don't encrypt start faster without it.
+            from zmq.auth.asyncio import AsyncioAuthenticator
+
             self._authenticator = AsyncioAuthenticator(self._context)
             self._authenticator.start()
             self._authenticator.configure_curve_callback("*", _Credentials(self))
