--- a/arbutuslift/clock.py
+++ b/arbutuslift/clock.py
@@ -14,6 +14,10 @@
     def monotonic_s(self) -> float:
         """Return seconds on a clock that never goes back."""
 
+    def awake_s(self) -> float:
+        """Return seconds on a clock that also counts while the machine is suspended."""
+        return self.monotonic_s()
+
     @abstractmethod
     def wall_s(self) -> float:
         """Return seconds since the Unix epoch."""
@@ -30,6 +34,10 @@
         """Return ``time.monotonic()``."""
         return time.monotonic()
 
+    def awake_s(self) -> float:
+        """Return ``CLOCK_BOOTTIME``."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     def wall_s(self) -> float:
         """Return ``time.time()``."""
         return time.time()
--- a/arbutuslift/coordination/flowrouter.py
+++ b/arbutuslift/coordination/flowrouter.py
@@ -1,6 +1,7 @@
 """Decides where each packet of a caller goes, by the flow tag that it carries."""
 
 from collections import OrderedDict
+from collections.abc import Callable
 from enum import StrEnum
 
 from attrs import define, frozen
@@ -28,6 +29,7 @@
     REFUSED_NO_UPSTREAM = "refused_no_upstream"
     RESET_ROUTE_REMOVED = "reset_route_removed"
     RESET_UPSTREAM_GONE = "reset_upstream_gone"
+    RESET_UPSTREAM_LOST = "reset_upstream_lost"
     DROPPED_UNKNOWN_TAG = "dropped_unknown_tag"
     DROPPED_NO_TABLE = "dropped_no_table"
     DROPPED_MALFORMED = "dropped_malformed"
@@ -40,6 +42,7 @@
         Verdict.REFUSED_NO_UPSTREAM,
         Verdict.RESET_ROUTE_REMOVED,
         Verdict.RESET_UPSTREAM_GONE,
+        Verdict.RESET_UPSTREAM_LOST,
     }
 )
 
@@ -69,6 +72,7 @@
         ack: Last acknowledgement of the caller.
         sent_seq: Sequence number of the newest data.
         sent_s: When that data was first forwarded.
+        is_waiting: Whether the caller has acknowledged nothing since.
         is_counted: Whether it counts as load of the upstream.
         is_unanswered: Whether it was taken as evidence against the upstream since
             the last answer.
@@ -81,6 +85,7 @@
     ack: int = -1
     sent_seq: int = -1
     sent_s: float = 0.0
+    is_waiting: bool = False
     is_counted: bool = True
     is_unanswered: bool = False
 
@@ -93,6 +98,7 @@
         directory: Known upstreams.
         judge: Takes the evidence that flows give.
         picker: Chooses upstreams of new flows.
+        on_suspicion: Called with an upstream that flows get no answers from.
 
     Attributes:
         table: Routing table in force; None before the first.
@@ -104,12 +110,14 @@
         directory: UpstreamDirectory,
         judge: Judge,
         picker: Picker,
+        on_suspicion: Callable[[KnownStart], None] = lambda known: None,
     ) -> None:
         self.table: RoutingTable | None = None
         self._clock = clock
         self._directory = directory
         self._judge = judge
         self._picker = picker
+        self._on_suspicion = on_suspicion
         self._routes: dict[tuple[bytes, int], Route] = {}
         self._flows: OrderedDict[bytes, Flow] = OrderedDict()
 
@@ -157,7 +165,7 @@
             if now_s - flow.opened_s < UNANSWERED_S:
                 return Decision(Verdict.SYN_REPEATED, flow.upstream)
             avoid = flow.upstream
-            self._judge.unanswered(avoid.start.key)
+            self._suspect(avoid)
             verdict = Verdict.SYN_MOVED
         upstream = self._picker.pick(route, self.table, avoid)
         if upstream is None:
@@ -183,6 +191,9 @@
         if packet.is_reset:
             self._close(packet.flow)
             return Decision(Verdict.FORWARDED, upstream)
+        if upstream.is_lost:
+            self._close(packet.flow)
+            return Decision(Verdict.RESET_UPSTREAM_LOST, upstream)
         self._observe(packet, flow, upstream)
         return Decision(Verdict.FORWARDED, upstream)
 
@@ -200,18 +211,26 @@
         flow.is_open = True
         self._flows.move_to_end(packet.flow)
         if packet.ack != flow.ack:
+            if flow.is_waiting and not packet.data_length_bytes:
+                upstream.observe_response(now_s - flow.sent_s)
+            flow.is_waiting = False
             flow.ack = packet.ack
             flow.is_unanswered = False
             self._judge.answered(upstream.start.key)
         elif self._is_overdue(packet, flow, now_s):
             flow.is_unanswered = True
-            self._judge.unanswered(upstream.start.key)
+            self._suspect(upstream)
         if packet.data_length_bytes and packet.seq != flow.sent_seq:
             flow.sent_seq = packet.seq
             flow.sent_s = now_s
+            flow.is_waiting = True
         if packet.is_fin:
             self._discount(flow)
 
+    def _suspect(self, upstream: KnownStart) -> None:
+        if self._judge.unanswered(upstream.start.key):
+            self._on_suspicion(upstream)
+
     @staticmethod
     def _is_overdue(packet: CallerPacket, flow: Flow, now_s: float) -> bool:
         """Return whether the caller repeats data that should have an answer."""
--- a/arbutuslift/coordination/judge.py
+++ b/arbutuslift/coordination/judge.py
@@ -60,6 +60,10 @@
         record.exclusion_s = min(2 * record.exclusion_s, LONGEST_EXCLUSION_S)
         return begins
 
+    def clear(self, key: tuple[str, int]) -> None:
+        """Note that an upstream was found alive; its failures count from now on."""
+        self._records.pop(key, None)
+
     def is_suspected(self, key: tuple[str, int]) -> bool:
         """Return whether an upstream gets no new flows now."""
         record = self._records.get(key)
@@ -75,7 +79,3 @@
         record = self._records.get(key)
         if record is not None:
             record.trial_s = self._clock.monotonic_s()
-
-    def forget(self, key: tuple[str, int]) -> None:
-        """Forget a start that is gone."""
-        self._records.pop(key, None)
--- a/arbutuslift/coordination/picker.py
+++ b/arbutuslift/coordination/picker.py
@@ -9,11 +9,13 @@
 from .judge import Judge
 from .upstreamdirectory import KnownStart, UpstreamDirectory
 
-# A flow to another data centre costs a longer way and bytes between data centres; it
-# is worth as much as this many flows more at an upstream nearby.
-REMOTE_PENALTY_FLOWS = 1.5
-# New flows of one instance to an upstream in cold start.
-COLD_INTERVAL_S = 1.0
+# A flow to another data centre breaks when the two lose each other, and its bytes cost
+# more. It is opened only where upstreams nearby answer later than those far away by
+# more than this; a request may take about 100 ms.
+SPILL_AFTER_S = 0.04
+# Part of a cold upstream's limit that is shared out: instances that the control
+# instances don't count yet use some of it too.
+COLD_SHARED_PART = 0.8
 
 
 class Picker:
@@ -25,6 +27,9 @@
         judge: Tells which ones have stopped answering.
         data_centre: Where this instance runs.
         rng: Breaks ties.
+
+    Attributes:
+        entry_count: Entry instances that share the limit of a cold upstream.
     """
 
     def __init__(
@@ -35,7 +40,9 @@
         data_centre: str,
         rng: random.Random,
     ) -> None:
+        self.entry_count = 1
         self._clock = clock
+        self._opened_s = clock.monotonic_s()
         self._directory = directory
         self._judge = judge
         self._data_centre = data_centre
@@ -82,8 +89,13 @@
         best = self._trusted(warm)
         others = [known for known in best if known is not avoid]
         if others:
-            return self._least_loaded(others)
-        cold = [k for k in usable if k.cold_until_s > now_s and self._may_warm(k)]
+            return self._least_loaded(self._near(others))
+        interval_s = self._cold_interval_s(service, table)
+        cold = [
+            known
+            for known in usable
+            if known.cold_until_s > now_s and self._may_warm(known, interval_s)
+        ]
         if cold:
             chosen = self._least_loaded(cold)
             self._cold_used_s[chosen.start.key] = now_s
@@ -94,18 +106,43 @@
         return [
             known
             for known in starts
-            if not self._judge.is_suspected(known.start.key)
+            if not known.is_lost
+            and not self._judge.is_suspected(known.start.key)
             and not self._directory.is_silent(known.start)
         ]
 
-    def _may_warm(self, known: KnownStart) -> bool:
-        used_s = self._cold_used_s.get(known.start.key, float("-inf"))
-        return self._clock.monotonic_s() - used_s >= COLD_INTERVAL_S
+    def _cold_interval_s(self, service: str, table: RoutingTable) -> float:
+        """Return the time between two new flows of this instance to a cold upstream.
+
+        The limit is shared out evenly, so its sum holds whatever instances believe of
+        each other. A limit of 0 stands for none.
+        """
+        limits = next((s for s in table.services if s.name == service), None)
+        if limits is None or limits.cold_new_flows_per_s <= 0:
+            return 0.0
+        rate_per_s = COLD_SHARED_PART * limits.cold_new_flows_per_s / self.entry_count
+        return 1 / rate_per_s
+
+    def _may_warm(self, known: KnownStart, interval_s: float) -> bool:
+        used_s = self._cold_used_s.get(known.start.key, self._opened_s)
+        return self._clock.monotonic_s() - used_s >= interval_s
 
     def _least_loaded(self, starts: Iterable[KnownStart]) -> KnownStart | None:
         return min(starts, key=self._cost, default=None)
 
+    def _near(self, starts: list[KnownStart]) -> list[KnownStart]:
+        """Return the starts of the own data centre unless they are overloaded."""
+        near = [k for k in starts if k.start.data_centre == self._data_centre]
+        far = [k for k in starts if k.start.data_centre != self._data_centre]
+        if not near or not far:
+            return near or far
+        excess_s = _mean_response_s(near) - _mean_response_s(far)
+        return far if excess_s > SPILL_AFTER_S else near
+
     def _cost(self, known: KnownStart) -> float:
-        is_remote = known.start.data_centre != self._data_centre
-        penalty = REMOTE_PENALTY_FLOWS if is_remote else 0.0
-        return known.flow_count + penalty + self._rng.random()
+        return known.flow_count + self._rng.random()
+
+
+def _mean_response_s(starts: list[KnownStart]) -> float:
+    measured = [known.response_s for known in starts if known.response_s > 0.0]
+    return sum(measured) / len(measured) if measured else 0.0
--- a/arbutuslift/coordination/startregistry.py
+++ b/arbutuslift/coordination/startregistry.py
@@ -143,10 +143,13 @@
         if not changed:
             self._refresh(start, origin, now_s)
             return
+        before = self.position
         for record in changed:
             self._store(record, origin, now_s)
+        if self.position == before:
+            return
         entry = self._entries[start.upstream_id]
-        if is_silent and origin is Origin.SHARED and entry.position == self.position:
+        if is_silent and entry.position > before:
             entry.is_silent = True
         self._on_change()
 
--- a/arbutuslift/coordination/upstreamdirectory.py
+++ b/arbutuslift/coordination/upstreamdirectory.py
@@ -12,6 +12,8 @@
 # The end of a cold start is known to a few hundred ms only: the record travels, and
 # the clocks of timers differ.
 COLD_MARGIN_S = 0.3
+# Weight of a new response time: about the last ten count.
+RESPONSE_WEIGHT = 0.1
 
 
 @define(kw_only=True, eq=False)
@@ -24,6 +26,8 @@
         cold_until_s: End of its cold start.
         gone_since_s: When it was learned to be gone.
         flow_count: Flows that this instance has seen there lately.
+        is_lost: Whether no connection to it can be made, so that its flows are lost.
+        response_s: Smoothed time from a request to the first acknowledged answer.
     """
 
     start: UpstreamStart
@@ -31,6 +35,14 @@
     cold_until_s: float
     gone_since_s: float = 0.0
     flow_count: int = 0
+    is_lost: bool = False
+    response_s: float = 0.0
+
+    def observe_response(self, duration_s: float) -> None:
+        """Take one measured response time into the smoothed one."""
+        if self.response_s == 0.0:
+            self.response_s = duration_s
+        self.response_s += RESPONSE_WEIGHT * (duration_s - self.response_s)
 
     @property
     def is_gone(self) -> bool:
--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -15,6 +15,7 @@
 from .coordination.flowrouter import RESETS, Decision, FlowRouter, Verdict
 from .coordination.judge import Judge
 from .coordination.picker import Picker
+from .coordination.prober import Prober, TcpConnector
 from .coordination.upstreamdirectory import UpstreamDirectory
 from .errors import PacketError, TaskFailed, TransportError
 from .protocol.channel import Channel
@@ -33,8 +34,8 @@
 # Routers need two missed checks half a second apart; packets already under way and
 # the copies of a SYN follow for 0.6 s more.
 DRAIN_S = 2.5
-# Longer than any pause of the process itself; what waited meanwhile is out of date.
-MAX_GAP_S = 1.0
+# Ticks are half a second apart. After a longer gap what waited is out of date.
+MAX_GAP_S = 1.5
 LOGGED_VERDICTS = frozenset(Verdict) - {Verdict.FORWARDED, Verdict.SYN_REPEATED}
 
 _log = structlog.get_logger()
@@ -71,15 +72,19 @@
         self._stack = stack
         self._on_failure = on_failure
         self._is_stopping = False
+        self._tasks: set[asyncio.Task[None]] = set()
         self._has_upstreams = False
-        self._read_s = clock.monotonic_s()
+        self._awake_s = clock.awake_s()
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._directory = UpstreamDirectory(clock)
         self._judge = Judge(clock)
-        picker = Picker(
+        self._picker = Picker(
             clock, self._directory, self._judge, settings.data_centre, random.Random()
         )
-        self._router = FlowRouter(clock, self._directory, self._judge, picker)
+        prober = Prober(clock, self._judge, TcpConnector(), self._start)
+        self._router = FlowRouter(
+            clock, self._directory, self._judge, self._picker, prober.suspect
+        )
         self._feed: FeedClient | None = None
 
     @property
@@ -96,6 +101,7 @@
         """
         settings = self._settings
         self._open_socket()
+        self._stack.callback(self._cancel_tasks)
         endpoint = ReadinessEndpoint(
             settings.ready_path, lambda: self.is_ready, self._metrics_text
         )
@@ -142,6 +148,8 @@
         self._stack.callback(loop.remove_reader, sock.fileno())
 
     def _receive(self) -> None:
+        if self._was_paused():
+            self._drop_waiting()
         for _ in range(BATCH_DATAGRAMS):
             try:
                 datagram = self._socket.recv(MAX_DATAGRAM_BYTES)
@@ -152,6 +160,28 @@
                 return
             self._handle(datagram)
 
+    def _was_paused(self) -> bool:
+        """Return whether the process stood still since the last tick."""
+        now_s = self._clock.awake_s()
+        gap_s = now_s - self._awake_s
+        if gap_s < MAX_GAP_S:
+            return False
+        self._awake_s = now_s
+        _log.warning("process_was_frozen", gap_s=round(gap_s, 3))
+        return True
+
+    def _drop_waiting(self) -> None:
+        """Drop the datagrams that arrived while the process stood still.
+
+        Their callers have repeated them at other instances, and what this instance
+        believes is as old as they are.
+        """
+        try:
+            while self._socket.recv(MAX_DATAGRAM_BYTES):
+                self.counts[Verdict.DROPPED_STALE] += 1
+        except BlockingIOError:
+            return
+
     def _handle(self, datagram: bytes) -> None:
         try:
             packet = self._codec.decode(datagram)
@@ -221,6 +251,7 @@
                 cold_left_ms=start.cold_left_ms,
                 source=source,
             )
+        self._picker.entry_count = max(1, answer.entry_count)
         self._has_upstreams = self._has_upstreams or len(self._directory) > 0
         if answer.table:
             self._apply(source, answer.table)
@@ -240,6 +271,9 @@
     async def _expire(self) -> None:
         while True:
             await self._clock.sleep(EXPIRE_INTERVAL_S)
+            if self._was_paused():
+                self._drop_waiting()
+            self._awake_s = self._clock.awake_s()
             self._router.expire()
             self._directory.expire()
 
@@ -254,10 +288,15 @@
 
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
+        self._tasks.add(task)
         task.add_done_callback(self._note_end)
-        self._stack.callback(task.cancel)
+
+    def _cancel_tasks(self) -> None:
+        for task in list(self._tasks):
+            task.cancel()
 
     def _note_end(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
         if task.cancelled() or task.exception() is None:
             return
         self.failure = TaskFailed(repr(task.exception()), step=task.get_name())
--- a/arbutuslift/instance.py
+++ b/arbutuslift/instance.py
@@ -27,7 +27,8 @@
 from .state.flows import FlowCache
 from .state.instances import InstanceRecord, InstanceView
 from .state.upstreams import UpstreamView
-from .traces import NoTraces, Traces, open_traces
+from .tracechoice import open_traces
+from .traces import NoTraces, Traces
 from .transport.announcements import AnnouncementEndpoint, Refusal
 from .transport.fabric import UdpFabric
 from .transport.keys import AllowedKeys, load_key_pair
--- a/arbutuslift/protocol/feed.py
+++ b/arbutuslift/protocol/feed.py
@@ -54,6 +54,7 @@
         revision: Newest committed revision of the control instance.
         table: Encoded routing table; empty if none was asked for or is newer.
         controls: Names of the control instances, by which they are reached.
+        entry_count: Entry instances that follow the control instance.
     """
 
     epoch: int
@@ -64,6 +65,7 @@
     revision: int
     table: bytes
     controls: tuple[str, ...]
+    entry_count: int
 
 
 @register
--- a/arbutuslift/traces.py
+++ b/arbutuslift/traces.py
@@ -2,7 +2,6 @@
 
 from abc import ABC, abstractmethod
 from contextlib import AbstractContextManager, nullcontext
-from pathlib import Path
 
 import xxhash
 
@@ -95,22 +94,3 @@
 def is_sampled(data: bytes, threshold: int) -> bool:
     """Whether the hash of a packet's flow is below a threshold of up to 2**64."""
     return xxhash.xxh3_64_intdigest(flow_of(data)) < threshold
-
-
-def open_traces(
-    choice: str, trace_file: Path | None, ratio: float, instance: str
-) -> Traces:
-    """Return traces for the settings ``trace`` and ``trace_ratio``.
-
-    Args:
-        choice: ``off``, ``console`` or ``file:PATH``.
-        trace_file: The path of the last choice.
-        ratio: Part of the flows to record.
-        instance: Name of this instance.
-    """
-    if choice == "off":
-        return NoTraces()
-    # The SDK takes time and memory that instances without traces don't need.
-    from .spans import SpanTraces
-
-    return SpanTraces(trace_file, ratio, instance)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -13,7 +13,15 @@
 )
 from arbutuslift.protocol.packets import PROTOCOL_TCP, SYN, encode_tcp
 from arbutuslift.state.flowkey import Endpoint, FlowKey
+from arbutuslift.state.routing import (
+    Route,
+    RoutingTable,
+    ServiceLimits,
+    ServiceShare,
+)
+from arbutuslift.state.starts import UpstreamStart
 from arbutuslift.state.upstreams import UpstreamRecord, UpstreamState
+from arbutuslift.transport.callerpackets import CallerPacket
 
 SERVICE_ADDRESS = "127.10.0.1"
 SERVICE_PORT = 8443
@@ -147,3 +155,45 @@
         "started_at_s": 0.0,
     }
     return fields | changes
+
+
+def start(number: int = 1, **changes) -> UpstreamStart:
+    fields = {
+        "upstream_id": f"i-{number:08x}",
+        "number": number,
+        "born_ms": 1_000_000 + number,
+        "service": "alerts",
+        "ip": f"127.20.0.{number}",
+        "port": 6081,
+        "data_centre": "dc-1",
+        "sequence": 1,
+    }
+    return UpstreamStart(**(fields | changes))
+
+
+def route(port: int = 443, services=("alerts",)) -> Route:
+    shares = tuple(ServiceShare(service=name, weight=1) for name in services)
+    return Route(ip=SERVICE.ip, port=port, shares=shares)
+
+
+def routing_table(revision: int = 1, routes=None, **changes) -> RoutingTable:
+    limits = ServiceLimits(
+        name="alerts", max_connections=2000, cold_new_flows_per_s=0, cold_start_s=2
+    )
+    fields = {
+        "revision": revision,
+        "version": revision,
+        "routes": (route(),) if routes is None else routes,
+        "services": (limits,),
+    }
+    return RoutingTable(**(fields | changes))
+
+
+def caller_packet(number: int = 1, **changes) -> CallerPacket:
+    fields = {
+        "flow": number.to_bytes(12, "big"),
+        "service_ip": SERVICE.ip,
+        "service_port": 443,
+        "caller_ip": bytes([100, 64, 0, number]),
+    }
+    return CallerPacket(**(fields | changes))
--- a/tests/coordination/cluster.py
+++ b/tests/coordination/cluster.py
@@ -68,7 +68,10 @@
 class Cluster:
     """Runs members; ``identities`` pins identities to names, as if a disk had none."""
 
-    def __init__(self, names=("a", "b", "c"), seed=1, identities=None):
+    def __init__(
+        self, names=("a", "b", "c"), seed=1, identities=None, keeper_policy=None
+    ):
+        self.keeper_policy = keeper_policy
         self.clock = PruningClock()
         self.network = MemoryNetwork(self.clock)
         self.names = tuple(names)
@@ -95,6 +98,7 @@
                 rng=random.Random(self.rng.random()),
                 initial_names=self.names if initial is None else initial,
                 traces=self.traces,
+                keeper_policy=self.keeper_policy,
             )
             self._freeze_handler(channel, clock)
             self.reported[name] = []
--- /dev/null
+++ b/tests/coordination/test_feed.py
@@ -0,0 +1,154 @@
+"""Guards against entry instances that miss news, or believe old ones."""
+
+import asyncio
+
+import pytest
+
+from arbutuslift.clock import ManualClock
+from arbutuslift.coordination.feedclient import FeedClient
+from arbutuslift.coordination.feedserver import FeedServer
+from arbutuslift.coordination.upstreamdirectory import UpstreamDirectory
+from arbutuslift.protocol.channel import Channel
+from arbutuslift.state.routing import decode_table
+from arbutuslift.state.starts import Phase
+from arbutuslift.transport.bus import MemoryNetwork
+
+from ..builders import routing_table, start
+
+
+class Feed:
+    """Control instances and one entry instance on a memory bus."""
+
+    def __init__(self, *names):
+        self.clock = ManualClock()
+        self.network = MemoryNetwork(self.clock)
+        self.names = names
+        self.servers = {}
+        self.tasks = []
+        self.directory = UpstreamDirectory(self.clock)
+        self.revision = 0
+        self.tables = 0
+        for epoch, name in enumerate(names, 1):
+            self.open(name, epoch)
+        self.client = FeedClient(
+            Channel(self.network.bus("entry")),
+            self.clock,
+            names[:1],
+            lambda: self.revision,
+            self.on_answer,
+            self.directory.forget_source,
+        )
+        self.tasks.append(asyncio.ensure_future(self.client.run()))
+
+    def open(self, name, epoch):
+        others = tuple(other for other in self.names if other != name)
+        channel = Channel(self.network.bus(name))
+        server = FeedServer(channel, self.clock, epoch, 1.0, lambda: others)
+        self.servers[name] = server
+        self.tasks.append(asyncio.ensure_future(server.run()))
+
+    def on_answer(self, source, answer):
+        self.directory.receive(
+            source,
+            answer.news,
+            is_complete=answer.is_complete,
+            is_settled=answer.is_settled,
+        )
+        self.entry_count = answer.entry_count
+        if answer.table:
+            self.tables += 1
+            self.revision = max(self.revision, decode_table(answer.table).revision)
+
+    def phases(self):
+        known = self.directory.of_service("alerts")
+        return {k.start.number: k.start.phase for k in known}
+
+    async def run(self, duration_s):
+        await self.clock.advance(duration_s)
+
+    async def close(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+
+@pytest.fixture
+async def feed():
+    opened = Feed("a", "b", "c")
+    await opened.run(0.5)
+    yield opened
+    await opened.close()
+
+
+async def test_changes_arrive_as_soon_as_they_are_known(feed):
+    feed.servers["a"].registry.announce(start(1))
+    await feed.run(0.02)
+    assert feed.phases() == {1: Phase.READY}
+    feed.servers["b"].registry.announce(start(1, sequence=2, phase=Phase.DRAINING))
+    await feed.run(0.02)
+    assert feed.phases() == {1: Phase.DRAINING}
+
+
+async def test_control_instances_tell_each_other(feed):
+    feed.servers["a"].registry.announce(start(1))
+    await feed.run(0.1)
+    assert len(feed.servers["c"].registry.all_news()) == 1
+
+
+async def test_a_lost_update_is_repaired_by_the_full_list(feed):
+    feed.network.cut(["a"], ["b", "c"])
+    feed.servers["a"].registry.announce(start(1))
+    await feed.run(0.5)
+    assert feed.servers["c"].registry.all_news() == ()
+    feed.network.heal()
+    await feed.run(4.0)
+    assert len(feed.servers["c"].registry.all_news()) == 1
+
+
+async def test_the_newest_table_arrives_and_is_sent_once(feed):
+    for server in feed.servers.values():
+        server.publish(routing_table(4))
+    await feed.run(1.5)
+    assert feed.revision == 4
+    assert feed.tables == 1
+
+
+async def test_a_table_known_to_one_instance_only_arrives_too(feed):
+    feed.servers["c"].publish(routing_table(4))
+    await feed.run(2.5)
+    assert feed.revision == 4
+
+
+async def test_news_arrive_while_the_first_instance_is_silent(feed):
+    feed.network.cut(["entry"], ["a"])
+    feed.servers["b"].registry.announce(start(1))
+    feed.servers["b"].publish(routing_table(4))
+    await feed.run(5.0)
+    assert feed.phases() == {1: Phase.READY}
+    assert feed.revision == 4
+
+
+async def test_a_restarted_control_instance_sends_everything_again(feed):
+    feed.servers["a"].registry.announce(start(1))
+    await feed.run(0.1)
+    for name in "abc":
+        feed.open(name, 50)
+    feed.servers["a"].registry.announce(start(2))
+    await feed.run(7.0)
+    assert feed.phases() == {1: Phase.READY, 2: Phase.READY}
+
+
+async def test_upstreams_that_nobody_lists_any_more_turn_silent(feed):
+    feed.servers["a"].registry.announce(start(1))
+    await feed.run(0.1)
+    for name in "abc":
+        feed.open(name, 50)
+    await feed.run(4.0)
+    assert not feed.directory.is_silent(start(1))
+    await feed.run(6.0)
+    assert feed.directory.is_silent(start(1))
+
+
+async def test_control_instances_count_their_followers(feed):
+    await feed.run(1.5)
+    assert feed.entry_count == 1
--- /dev/null
+++ b/tests/coordination/test_picker.py
@@ -0,0 +1,75 @@
+"""Guards against cold upstreams that fall over under all instances together."""
+
+import random
+
+import pytest
+
+from arbutuslift.clock import ManualClock
+from arbutuslift.coordination.judge import Judge
+from arbutuslift.coordination.picker import Picker
+from arbutuslift.coordination.upstreamdirectory import UpstreamDirectory
+from arbutuslift.protocol.feed import StartNews
+from arbutuslift.state.routing import ServiceLimits
+
+from ..builders import route, routing_table, start
+
+LIMIT_PER_S = 10.0
+
+
+def cold_table(limit_per_s=LIMIT_PER_S):
+    limits = ServiceLimits(
+        name="alerts",
+        max_connections=2000,
+        cold_new_flows_per_s=limit_per_s,
+        cold_start_s=60,
+    )
+    return routing_table(services=(limits,))
+
+
+def open_pickers(clock, count, believed=None):
+    pickers = []
+    for number in range(count):
+        directory = UpstreamDirectory(clock)
+        news = (StartNews(start=start(1, cold_left_ms=60_000), is_silent=False),)
+        directory.receive("a", news, is_complete=True, is_settled=True)
+        picker = Picker(clock, directory, Judge(clock), "dc-1", random.Random(number))
+        picker.entry_count = believed or count
+        pickers.append(picker)
+    return pickers
+
+
+@pytest.mark.parametrize("count", [1, 3, 9, 59, 1500])
+def test_all_instances_together_keep_the_limit_of_a_cold_upstream(count):
+    clock = ManualClock()
+    pickers = open_pickers(clock, count)
+    table = cold_table()
+    times_s = []
+    for _ in range(100):
+        clock.jump(0.05)
+        for picker in pickers:
+            if picker.pick(route(), table) is not None:
+                times_s.append(clock.monotonic_s())
+    most = max((sum(t <= u < t + 1.0 for u in times_s) for t in times_s), default=0)
+    # The bound of the users: the limit times 1.5, plus 5.
+    assert most <= LIMIT_PER_S * 1.5 + 5
+
+
+def test_a_restarted_instance_waits_before_its_first_flow():
+    clock = ManualClock()
+    (picker,) = open_pickers(clock, 1)
+    assert picker.pick(route(), cold_table()) is None
+    clock.jump(0.2)
+    assert picker.pick(route(), cold_table()) is not None
+
+
+def test_a_limit_of_zero_stands_for_none():
+    clock = ManualClock()
+    (picker,) = open_pickers(clock, 1)
+    assert all(picker.pick(route(), cold_table(0.0)) for _ in range(5))
+
+
+def test_a_weight_of_zero_gets_no_flow():
+    clock = ManualClock()
+    (picker,) = open_pickers(clock, 1)
+    only = route(services=())
+    assert picker.pick(only, cold_table(0.0)) is None
--- /dev/null
+++ b/tests/coordination/test_prober.py
@@ -0,0 +1,110 @@
+"""Guards against resets of flows whose upstream is only slow."""
+
+import asyncio
+
+import pytest
+
+from arbutuslift.clock import ManualClock
+from arbutuslift.coordination.judge import Judge
+from arbutuslift.coordination.prober import Connector, Prober, TcpConnector
+from arbutuslift.coordination.upstreamdirectory import KnownStart
+from arbutuslift.state.starts import Phase
+
+from ..builders import start
+
+
+class ScriptedConnector(Connector):
+    """Answers as told, after a moment."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.reachable = True
+        self.calls = 0
+
+    async def can_connect(self, address):
+        self.calls += 1
+        await self.clock.sleep(0.01)
+        return self.reachable
+
+
+class Bench:
+    """A prober and one upstream."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.judge = Judge(self.clock)
+        self.connector = ScriptedConnector(self.clock)
+        self.tasks = []
+        self.prober = Prober(self.clock, self.judge, self.connector, self.run)
+        self.known = KnownStart(start=start(1), tag=1, cold_until_s=0.0)
+
+    def run(self, work):
+        self.tasks.append(asyncio.ensure_future(work))
+
+    def suspect(self):
+        for _ in range(2):
+            self.judge.unanswered(self.known.start.key)
+        self.prober.suspect(self.known)
+
+
+@pytest.fixture
+async def bench():
+    opened = Bench()
+    yield opened
+    for task in opened.tasks:
+        task.cancel()
+
+
+async def test_an_upstream_that_accepts_connections_keeps_its_flows(bench):
+    bench.suspect()
+    await bench.clock.advance(1.0)
+    assert not bench.known.is_lost
+    assert not bench.judge.is_suspected(bench.known.start.key)
+    assert bench.connector.calls == 1
+
+
+async def test_one_lost_attempt_is_not_enough(bench):
+    bench.connector.reachable = False
+    bench.suspect()
+    await bench.clock.advance(0.015)
+    assert not bench.known.is_lost
+    bench.connector.reachable = True
+    await bench.clock.advance(0.1)
+    assert not bench.known.is_lost
+
+
+async def test_an_unreachable_upstream_is_lost_until_it_is_reached_again(bench):
+    bench.connector.reachable = False
+    bench.suspect()
+    await bench.clock.advance(0.1)
+    assert bench.known.is_lost
+    bench.connector.reachable = True
+    await bench.clock.advance(1.0)
+    assert not bench.known.is_lost
+
+
+async def test_probes_end_with_the_upstream(bench):
+    bench.connector.reachable = False
+    bench.suspect()
+    await bench.clock.advance(1.0)
+    bench.known.start = start(1, phase=Phase.GONE)
+    await bench.clock.advance(1.0)
+    calls = bench.connector.calls
+    await bench.clock.advance(5.0)
+    assert bench.connector.calls == calls
+
+
+async def test_an_upstream_is_probed_once_at_a_time(bench):
+    bench.connector.reachable = False
+    bench.suspect()
+    bench.prober.suspect(bench.known)
+    assert len(bench.tasks) == 1
+
+
+async def test_connections_over_tcp():
+    server = await asyncio.start_server(lambda r, w: w.close(), "127.0.0.1", 0)
+    address = server.sockets[0].getsockname()
+    assert await TcpConnector().can_connect(address)
+    server.close()
+    await server.wait_closed()
+    assert not await TcpConnector().can_connect(address)
--- /dev/null
+++ b/tests/coordination/test_startregistry.py
@@ -0,0 +1,111 @@
+"""Guards against upstreams that vanish, come back or look alive by mistake."""
+
+from arbutuslift.clock import ManualClock
+from arbutuslift.coordination.startregistry import StartRegistry
+from arbutuslift.protocol.feed import StartNews
+from arbutuslift.state.starts import GONE_KEPT_S, Phase
+
+from ..builders import start
+
+INTERVAL_S = 1.0
+
+
+def open_registry():
+    clock = ManualClock()
+    calls = []
+    registry = StartRegistry(clock, INTERVAL_S, lambda: calls.append(1))
+    return clock, registry, calls
+
+
+def silent(registry):
+    return {item.start.upstream_id for item in registry.all_news() if item.is_silent}
+
+
+def test_only_changes_move_the_feed():
+    _, registry, calls = open_registry()
+    registry.announce(start(1))
+    registry.announce(start(1, sequence=2))
+    assert (registry.position, len(calls)) == (1, 1)
+    registry.announce(start(1, sequence=3, phase=Phase.DRAINING))
+    assert [n.start.phase for n in registry.news_after(1)] == [Phase.DRAINING]
+
+
+def test_a_start_without_announcements_turns_silent_and_is_heard_again():
+    clock, registry, _ = open_registry()
+    registry.announce(start(1))
+    clock.jump(3.4)
+    registry.check_silence()
+    assert not silent(registry)
+    clock.jump(0.2)
+    registry.check_silence()
+    assert silent(registry) == {start(1).upstream_id}
+    registry.announce(start(1, sequence=2))
+    assert not silent(registry)
+
+
+def test_announcements_at_another_instance_count_as_heard():
+    clock, registry, _ = open_registry()
+    registry.announce(start(1))
+    clock.jump(3.4)
+    registry.receive((), (start(1).upstream_id,))
+    clock.jump(0.2)
+    registry.check_silence()
+    assert not silent(registry)
+
+
+def test_a_late_announcement_of_a_dead_start_does_not_refresh_its_successor():
+    clock, registry, _ = open_registry()
+    registry.announce(start(1, born_ms=20))
+    clock.jump(3.6)
+    registry.announce(start(1, born_ms=10, sequence=99))
+    registry.check_silence()
+    assert silent(registry) == {start(1).upstream_id}
+
+
+def test_a_repeated_full_share_does_not_refresh_silence():
+    clock, registry, _ = open_registry()
+    registry.announce(start(1))
+    clock.jump(3.6)
+    registry.receive((StartNews(start=start(1), is_silent=False),), ())
+    registry.check_silence()
+    assert silent(registry) == {start(1).upstream_id}
+
+
+def test_a_leaving_upstream_is_gone_and_later_forgotten():
+    clock, registry, _ = open_registry()
+    registry.announce(start(1))
+    registry.leave(start(1).upstream_id)
+    assert registry.all_news() == ()
+    assert [n.start.phase for n in registry.news_after(1)] == [Phase.GONE]
+    clock.jump(GONE_KEPT_S + 1)
+    registry.check_silence()
+    assert registry.news_after(0) == ()
+
+
+def test_leaving_of_an_unknown_upstream_is_no_error():
+    _, registry, _ = open_registry()
+    registry.leave("i-00")
+    assert registry.position == 0
+
+
+def test_what_was_announced_here_is_shared_once():
+    _, registry, _ = open_registry()
+    registry.announce(start(1))
+    registry.receive((StartNews(start=start(2), is_silent=False),), ())
+    assert [n.start.number for n in registry.take_unshared()] == [1]
+    assert registry.take_unshared() == ()
+    assert registry.take_heard() == (start(1).upstream_id,)
+
+
+def test_the_rest_of_a_cold_start_is_counted_from_the_announcement():
+    clock, registry, _ = open_registry()
+    registry.announce(start(1, cold_left_ms=2000))
+    clock.jump(1.5)
+    assert registry.all_news()[0].start.cold_left_ms == 500
+
+
+def test_a_new_instance_is_settled_once_everyone_had_time():
+    clock, registry, _ = open_registry()
+    assert not registry.is_settled
+    clock.jump(6 * INTERVAL_S)
+    assert registry.is_settled
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,91 @@
+"""Guards against settings that are misread, and a folder that hides a module."""
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from adapter.settings import PATH_VARIABLE, read_settings, settings_path
+
+from arbutuslift.errors import SettingsError
+
+ROOT = Path(__file__).parents[2]
+SETTINGS = {
+    "node_name": "core-1",
+    "ip": "10.1.0.13",
+    "zone": "uy-sur-a",
+    "zones": {"uy-sur-a": "uy-sur", "uy-sur-b": "uy-sur"},
+    "listen": {"control": "10.1.0.13:8166"},
+    "port_range": [7720, 7735],
+    "seeds": ["10.1.0.13:8166", "10.2.0.43:8166", "10.3.0.9:8166"],
+    "bootstrap": True,
+    "data_dir": "/data/core",
+    "heartbeat_ms": 1200,
+    "fault_tolerance": {"machines": 2, "zones": 1, "regions": 0},
+    "a_field_of_tomorrow": {"x": 1},
+}
+FRONT = SETTINGS | {
+    "listen": {"datagram_addr": "10.1.0.10:8172", "ready": "10.1.0.10:8167"},
+    "data_dir": None,
+}
+
+
+def read(tmp_path, content):
+    path = tmp_path / "boot.json"
+    path.write_text(json.dumps(content))
+    return read_settings(path)
+
+
+def test_settings_of_a_control_instance(tmp_path):
+    control = read(tmp_path, SETTINGS).control_instance()
+    assert control.name == "10.1.0.13:7721"
+    assert control.seeds[0] == control.name
+    assert (control.voters, control.announcement_interval_s) == (5, 1.2)
+    assert control.forms_cluster
+
+
+def test_settings_of_an_entry_instance(tmp_path):
+    settings = read(tmp_path, FRONT)
+    entry = settings.entry()
+    assert (entry.listen_ip, entry.listen_port) == ("10.1.0.10", 8172)
+    assert entry.seeds == ("10.1.0.13:7721", "10.2.0.43:7721", "10.3.0.9:7721")
+    with pytest.raises(SettingsError):
+        settings.control_instance()
+
+
+def test_a_control_machine_takes_no_packets(tmp_path):
+    with pytest.raises(SettingsError):
+        read(tmp_path, SETTINGS).entry()
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"seeds": None},
+        {"port_range": [7720]},
+        {"port_range": [7720, 7720]},
+        {"listen": {"control": "10.1.0.13"}},
+        {"heartbeat_ms": "often"},
+        {"fault_tolerance": None},
+    ],
+)
+def test_malformed_settings_are_refused(tmp_path, changes):
+    with pytest.raises(SettingsError):
+        read(tmp_path, SETTINGS | changes)
+
+
+def test_missing_settings_are_refused(tmp_path, monkeypatch):
+    with pytest.raises(SettingsError):
+        read_settings(tmp_path / "none.json")
+    monkeypatch.delenv(PATH_VARIABLE, raising=False)
+    with pytest.raises(SettingsError):
+        settings_path()
+
+
+def test_the_folder_does_not_hide_the_standard_module():
+    code = "import platform; print(platform.python_implementation())"
+    done = subprocess.run(
+        [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True
+    )
+    assert done.stdout.strip() == "CPython"
--- /dev/null
+++ b/tests/state/test_routing.py
@@ -0,0 +1,24 @@
+"""Guards against a routing table that changes on its way, or damages a receiver."""
+
+import pytest
+
+from arbutuslift.errors import StorageError
+from arbutuslift.state.routing import decode_table, encode_table
+
+from ..builders import route, routing_table
+
+
+def test_a_table_arrives_as_it_was_sent():
+    table = routing_table(
+        3,
+        (route(1), route(2, ("alerts", "claims"))),
+        out_of_service=frozenset({"dc-2"}),
+        idle_timeout_s=1.5,
+    )
+    assert decode_table(encode_table(table)) == table
+
+
+@pytest.mark.parametrize("body", [b"", b"abc", encode_table(routing_table())[:-4]])
+def test_damaged_tables_are_refused(body):
+    with pytest.raises(StorageError):
+        decode_table(body)
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -15,7 +15,8 @@
 from arbutuslift.protocol.packets import ACK
 from arbutuslift.state.flows import FlowCache
 from arbutuslift.state.upstreams import UpstreamView
-from arbutuslift.traces import NoTraces, is_sampled, open_traces
+from arbutuslift.tracechoice import open_traces
+from arbutuslift.traces import NoTraces, is_sampled
 from arbutuslift.transport.fabric import Address, Datagram, MemoryFabric
 
 from . import builders
@@ -93,8 +94,9 @@
 def test_traces_that_are_off_load_no_sdk():
     assert isinstance(open_traces("off", None, 1.0, "one"), NoTraces)
     code = (
-        "import sys, arbutuslift.coordination.operators, arbutuslift.traces as traces\n"
-        "traces.open_traces('off', None, 1.0, 'one')\n"
+        "import sys, arbutuslift.coordination.operators\n"
+        "from arbutuslift.tracechoice import open_traces\n"
+        "open_traces('off', None, 1.0, 'one')\n"
         "sys.exit('opentelemetry.sdk' in sys.modules)"
     )
     assert subprocess.run([sys.executable, "-c", code], check=False).returncode == 0
--- /dev/null
+++ b/tests/transport/test_readiness.py
@@ -0,0 +1,57 @@
+"""Guards against routers that send packets to an instance that can't forward them."""
+
+import asyncio
+
+import pytest
+
+from arbutuslift.transport.readiness import ReadinessEndpoint
+
+
+class Probe:
+    """An endpoint and requests to it."""
+
+    def __init__(self):
+        self.ready = True
+        self.endpoint = ReadinessEndpoint("/ready", lambda: self.ready, lambda: "m 1\n")
+
+    async def open(self):
+        await self.endpoint.open("127.0.0.1", 0)
+        self.port = self.endpoint._server.sockets[0].getsockname()[1]
+
+    async def ask(self, text):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(text)
+        answer = await reader.read(1000)
+        writer.close()
+        return answer
+
+    async def get(self, path):
+        request = f"GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+        return await self.ask(request.encode())
+
+
+@pytest.fixture
+async def probe():
+    opened = Probe()
+    await opened.open()
+    yield opened
+    await opened.endpoint.close()
+
+
+async def test_ready_and_not_ready(probe):
+    assert b" 200 " in await probe.get("/ready")
+    probe.ready = False
+    assert b" 503 " in await probe.get("/ready")
+
+
+async def test_metrics_and_unknown_paths(probe):
+    assert (await probe.get("/metrics")).endswith(b"m 1\n")
+    assert b" 404 " in await probe.get("/other")
+
+
+@pytest.mark.parametrize(
+    "text", [b"nonsense\r\n\r\n", b"GET /ready HTTP/1.1\r\n" * 900]
+)
+async def test_malformed_requests_end_their_own_connection_only(probe, text):
+    await probe.ask(text)
+    assert b" 200 " in await probe.get("/ready")
