--- a/arbutuslift/coordination/feedclient.py
+++ b/arbutuslift/coordination/feedclient.py
@@ -8,7 +8,7 @@
 from ..clock import Clock
 from ..errors import ArbutusliftError, MessageError
 from ..protocol.channel import Channel
-from ..protocol.feed import FeedAnswer, FeedRequest
+from ..protocol.feed import FeedAnswer, FeedRequest, StopAnswer, StopRequest
 
 # Three control instances in different places: the news of any one of them is enough.
 SUBSCRIPTIONS = 3
@@ -18,6 +18,8 @@
 RETRY_S = 0.2
 FAILURES_TO_MOVE = 2
 MAX_KNOWN = 64
+TURN_INTERVAL_S = 0.15
+TURN_TIMEOUT_S = 0.4
 
 _log = structlog.get_logger()
 
@@ -31,6 +33,7 @@
         channel: Reaches them by name.
         clock: Source of time.
         seeds: Names to begin with.
+        data_centre: Where this instance runs.
         revision: Returns the revision of the routing table in force.
         on_answer: Takes each answer, with the name of its sender.
         on_lost: Called with the name of an instance that doesn't answer.
@@ -41,12 +44,15 @@
         channel: Channel,
         clock: Clock,
         seeds: tuple[str, ...],
+        data_centre: str,
         revision: Callable[[], int],
         on_answer: AnswerCallback,
         on_lost: Callable[[str], None],
     ) -> None:
         self._channel = channel
         self._clock = clock
+        self._data_centre = data_centre
+        self._is_stopping = False
         self._revision = revision
         self._on_answer = on_answer
         self._on_lost = on_lost
@@ -58,6 +64,32 @@
         """Take new seeds from changed settings."""
         self._learn(seeds)
 
+    async def wait_for_turn(self, limit_s: float) -> bool:
+        """Wait until this instance may stop; return whether its turn came in time.
+
+        All instances ask the same control instance first, so that one keeps the turns.
+        """
+        end_s = self._clock.monotonic_s() + limit_s
+        names = sorted(self._known)
+        while self._clock.monotonic_s() < end_s and names:
+            try:
+                if await self._ask_turn(names[0]):
+                    return True
+            except ArbutusliftError as error:
+                _log.info("turn_not_answered", peer=names[0], reason=str(error))
+                names.append(names.pop(0))
+            await self._clock.sleep(TURN_INTERVAL_S)
+        return False
+
+    def note_stopping(self) -> None:
+        """Tell control instances from now on that this instance stops."""
+        self._is_stopping = True
+
+    async def _ask_turn(self, name: str) -> bool:
+        request = StopRequest(data_centre=self._data_centre)
+        answer = await self._channel.request(name, request, TURN_TIMEOUT_S)
+        return isinstance(answer, StopAnswer) and answer.is_turn
+
     async def run(self) -> None:
         """Follow control instances until cancelled."""
         async with asyncio.TaskGroup() as group:
@@ -99,6 +131,8 @@
                 revision=self._revision(),
                 wants_table=wants_table,
                 hold_ms=int(HOLD_S * 1000),
+                data_centre=self._data_centre,
+                is_stopping=self._is_stopping,
             )
             try:
                 answer = await self._ask(name, request)
--- a/arbutuslift/coordination/feedserver.py
+++ b/arbutuslift/coordination/feedserver.py
@@ -8,6 +8,7 @@
 from ..protocol.channel import Channel
 from ..protocol.feed import FeedAnswer, FeedRequest, StartUpdate
 from ..state.routing import RoutingTable, encode_table
+from .followers import Followers
 from .startregistry import StartRegistry
 from .waiting import Signal
 
@@ -15,8 +16,6 @@
 SHARE_INTERVAL_S = 0.5
 # Heartbeats of sharing: a full list repairs what an update that was lost left out.
 FULL_SHARE_INTERVAL_S = 3.0
-# An entry instance asks at least every second; one that is cut off may still forward.
-FOLLOWER_KEPT_S = 10.0
 
 _log = structlog.get_logger()
 
@@ -51,7 +50,7 @@
         self._revision = 0
         self._table = b""
         self._full_share_s = float("-inf")
-        self._followers: dict[str, float] = {}
+        self._followers = Followers(channel, clock)
         self.registry = StartRegistry(clock, interval_s, self._changed.notify)
         channel.on(FeedRequest, self._on_request)
         channel.on(StartUpdate, self._on_update)
@@ -89,7 +88,7 @@
         self.registry.receive(update.news, update.heard)
 
     async def _on_request(self, peer: str, request: FeedRequest) -> FeedAnswer:
-        self._followers[peer] = self._clock.monotonic_s()
+        self._followers.note(peer, request.data_centre, request.is_stopping)
         hold_s = min(request.hold_ms / 1000, MAX_HOLD_S)
         await self._changed.wait_for(lambda: self._has_news(request), hold_s)
         known = request.epoch == self._epoch
@@ -105,16 +104,9 @@
             revision=self._revision,
             table=self._table if newer else b"",
             controls=(self._channel.name, *self._controls()),
-            entry_count=self._count_followers(),
+            entry_count=len(self._followers),
         )
 
-    def _count_followers(self) -> int:
-        oldest_s = self._clock.monotonic_s() - FOLLOWER_KEPT_S
-        for name, asked_s in list(self._followers.items()):
-            if asked_s < oldest_s:
-                del self._followers[name]
-        return len(self._followers)
-
     def _has_news(self, request: FeedRequest) -> bool:
         if request.epoch != self._epoch:
             return True
--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -17,7 +17,7 @@
 from .coordination.picker import Picker
 from .coordination.prober import Prober, TcpConnector
 from .coordination.upstreamdirectory import UpstreamDirectory
-from .errors import PacketError, TaskFailed, TransportError
+from .errors import PacketError, TaskFailed
 from .protocol.channel import Channel
 from .protocol.feed import FeedAnswer
 from .roles import EntrySettings
@@ -26,14 +26,14 @@
 from .transport.readiness import ReadinessEndpoint
 from .transport.zmqbus import ZmqBus
 
-RECEIVE_BUFFER_BYTES = 1024 * 1024
 MAX_DATAGRAM_BYTES = 2048
 # Datagrams read in one turn of the event loop, so that control traffic gets its turn.
 BATCH_DATAGRAMS = 32
 EXPIRE_INTERVAL_S = 0.5
-# Routers need two missed checks half a second apart; packets already under way and
-# the copies of a SYN follow for 0.6 s more.
-DRAIN_S = 2.5
+# Routers need two missed checks half a second apart, and packets are under way.
+DRAIN_S = 1.5
+# Part of the time until the process is killed that closing sockets may take.
+CLOSING_S = 0.7
 # Ticks are half a second apart. After a longer gap what waited is out of date.
 MAX_GAP_S = 1.5
 LOGGED_VERDICTS = frozenset(Verdict) - {Verdict.FORWARDED, Verdict.SYN_REPEATED}
@@ -46,6 +46,7 @@
 
     Args:
         settings: Checked settings.
+        packets: Bound socket on which packets arrive; closed with the instance.
         codec: Wire format of packets.
         clock: Source of time.
         stack: Owns everything that has to be closed.
@@ -59,6 +60,7 @@
     def __init__(
         self,
         settings: EntrySettings,
+        packets: socket.socket,
         codec: PacketCodec,
         clock: Clock,
         stack: AsyncExitStack,
@@ -75,7 +77,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._has_upstreams = False
         self._awake_s = clock.awake_s()
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket = packets
         self._directory = UpstreamDirectory(clock)
         self._judge = Judge(clock)
         self._picker = Picker(
@@ -100,7 +102,7 @@
             TransportError: A port can't be used.
         """
         settings = self._settings
-        self._open_socket()
+        self._stack.callback(self._socket.close)
         self._stack.callback(self._cancel_tasks)
         endpoint = ReadinessEndpoint(
             settings.ready_path, lambda: self.is_ready, self._metrics_text
@@ -113,6 +115,7 @@
             Channel(bus),
             self._clock,
             settings.seeds,
+            settings.data_centre,
             self._revision,
             self._on_answer,
             self._directory.forget_source,
@@ -123,8 +126,11 @@
 
     async def stop(self) -> None:
         """Tell the routers, and forward what still arrives."""
+        limit_s = self._settings.stop_within_s - DRAIN_S - CLOSING_S
+        is_turn = await self._feed.wait_for_turn(limit_s)
         self._is_stopping = True
-        _log.info("draining", drain_s=DRAIN_S)
+        self._feed.note_stopping()
+        _log.info("draining", drain_s=DRAIN_S, is_turn=is_turn)
         await self._clock.sleep(DRAIN_S)
         _log.info("stopped", flows=self._router.flow_count)
 
@@ -132,20 +138,11 @@
         """Take new seeds from changed settings."""
         self._feed.set_seeds(seeds)
 
-    def _open_socket(self) -> None:
-        sock = self._socket
-        self._stack.callback(sock.close)
-        sock.setblocking(False)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-        address = (self._settings.listen_ip, self._settings.listen_port)
-        try:
-            sock.bind(address)
-        except OSError as error:
-            peer = "{}:{}".format(*address)
-            raise TransportError(str(error), step="open entry", peer=peer) from error
+    def _start_receiving(self) -> None:
+        """Read packets from now on; those that came before wait in the socket."""
         loop = asyncio.get_running_loop()
-        loop.add_reader(sock.fileno(), self._receive)
-        self._stack.callback(loop.remove_reader, sock.fileno())
+        loop.add_reader(self._socket.fileno(), self._receive)
+        self._stack.callback(loop.remove_reader, self._socket.fileno())
 
     def _receive(self) -> None:
         if self._was_paused():
@@ -258,7 +255,10 @@
 
     def _apply(self, source: str, encoded: bytes) -> None:
         table = decode_table(encoded)
+        is_first = self._router.table is None
         if self._router.apply(table):
+            if is_first:
+                self._start_receiving()
             _log.info(
                 "configuration_in_effect",
                 revision=table.revision,
--- a/arbutuslift/protocol/feed.py
+++ b/arbutuslift/protocol/feed.py
@@ -17,6 +17,8 @@
         revision: Newest routing table that the requester has.
         wants_table: Whether to send a newer table along.
         hold_ms: Longest time that the answer may wait.
+        data_centre: Where the requester runs.
+        is_stopping: Whether it has told the routers that it stops.
     """
 
     epoch: int
@@ -24,6 +26,8 @@
     revision: int
     wants_table: bool
     hold_ms: int
+    data_centre: str
+    is_stopping: bool
 
 
 @register
@@ -111,3 +115,27 @@
     is_leader: bool
     leader_name: str
     controls: tuple[str, ...]
+
+
+@register
+@frozen(kw_only=True)
+class StopRequest(Message):
+    """An entry instance asks whether it may stop now.
+
+    Attributes:
+        data_centre: Where it runs.
+    """
+
+    data_centre: str
+
+
+@register
+@frozen(kw_only=True)
+class StopAnswer(Message):
+    """Answers a StopRequest.
+
+    Attributes:
+        is_turn: Whether the instance may stop; otherwise it asks again.
+    """
+
+    is_turn: bool
--- a/arbutuslift/roles.py
+++ b/arbutuslift/roles.py
@@ -18,6 +18,7 @@
         ready_port: Port of the readiness endpoint.
         ready_path: Path of the readiness endpoint.
         seeds: Names of control instances, ``ip:port`` of their bus.
+        stop_within_s: Time from the signal to stop until the process is killed.
     """
 
     name: str
@@ -28,6 +29,7 @@
     ready_port: int
     ready_path: str
     seeds: tuple[str, ...]
+    stop_within_s: float
 
 
 @frozen(kw_only=True)
--- a/tests/coordination/test_feed.py
+++ b/tests/coordination/test_feed.py
@@ -34,6 +34,7 @@
             Channel(self.network.bus("entry")),
             self.clock,
             names[:1],
+            "dc-1",
             lambda: self.revision,
             self.on_answer,
             self.directory.forget_source,
@@ -66,6 +67,12 @@
     async def run(self, duration_s):
         await self.clock.advance(duration_s)
 
+    async def do(self, work):
+        task = asyncio.ensure_future(work)
+        while not task.done():
+            await self.clock.advance(0.05)
+        return task.result()
+
     async def close(self):
         for task in self.tasks:
             task.cancel()
@@ -152,3 +159,14 @@
 async def test_control_instances_count_their_followers(feed):
     await feed.run(1.5)
     assert feed.entry_count == 1
+
+
+async def test_an_instance_may_stop_when_no_other_is_away(feed):
+    assert await feed.do(feed.client.wait_for_turn(2.0))
+
+
+async def test_a_stop_does_not_wait_for_control_instances_that_are_away(feed):
+    feed.network.cut(["entry"], ["a", "b", "c"])
+    before_s = feed.clock.monotonic_s()
+    assert not await feed.do(feed.client.wait_for_turn(2.0))
+    assert feed.clock.monotonic_s() - before_s < 3.0
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -23,6 +23,7 @@
     "data_dir": "/data/core",
     "heartbeat_ms": 1200,
     "fault_tolerance": {"machines": 2, "zones": 1, "regions": 0},
+    "bounds": {"grace_s": 6.0},
     "a_field_of_tomorrow": {"x": 1},
 }
 FRONT = SETTINGS | {
@@ -68,6 +69,7 @@
         {"listen": {"control": "10.1.0.13"}},
         {"heartbeat_ms": "often"},
         {"fault_tolerance": None},
+        {"bounds": {}},
     ],
 )
 def test_malformed_settings_are_refused(tmp_path, changes):
