--- a/arbutuslift/control.py
+++ b/arbutuslift/control.py
@@ -104,7 +104,7 @@
             settings.announcement_interval_s,
             self._other_controls,
         )
-        await self._bus.open(_endpoint_of(settings.name))
+        await self._bus.open(_endpoint_of(settings.listen))
         self._start(self._keep_member())
         self._start(self.feed.run())
         _log.info("started", name=settings.name, seeds=",".join(settings.seeds))
--- a/arbutuslift/coordination/flowrouter.py
+++ b/arbutuslift/coordination/flowrouter.py
@@ -212,7 +212,7 @@
         self._flows.move_to_end(packet.flow)
         if packet.ack != flow.ack:
             if flow.is_waiting and not packet.data_length_bytes:
-                upstream.observe_response(now_s - flow.sent_s)
+                upstream.observe_response(now_s - flow.sent_s, now_s)
             flow.is_waiting = False
             flow.ack = packet.ack
             flow.is_unanswered = False
--- a/arbutuslift/coordination/judge.py
+++ b/arbutuslift/coordination/judge.py
@@ -11,6 +11,12 @@
 LONGEST_EXCLUSION_S = 8.0
 # While an upstream is on trial, one new flow in this time may try it.
 TRIAL_INTERVAL_S = 0.5
+# An upstream that was lost returns after a time that doubles with each loss. One that
+# goes up and down by turns would take new flows with it each time.
+FIRST_RETURN_S = 0.5
+LONGEST_RETURN_S = 16.0
+# Losses that long ago don't count.
+LOSS_MEMORY_S = 30.0
 
 
 @define
@@ -30,6 +36,21 @@
     trial_s: float = float("-inf")
 
 
+@define
+class _Losses:
+    """Recent losses of one start.
+
+    Attributes:
+        count: Losses, each within ``LOSS_MEMORY_S`` of the one before.
+        lost_s: When it was lost last.
+        returns_s: When it may get new flows again.
+    """
+
+    count: int = 0
+    lost_s: float = float("-inf")
+    returns_s: float = 0.0
+
+
 class Judge:
     """Excludes upstreams that stop answering, and lets them return slowly.
 
@@ -40,6 +61,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._records: dict[tuple[str, int], _Record] = {}
+        self._losses: dict[tuple[str, int], _Losses] = {}
 
     def answered(self, key: tuple[str, int]) -> bool:
         """Note an answer; return whether it ends a suspicion."""
@@ -64,8 +86,32 @@
         """Note that an upstream was found alive; its failures count from now on."""
         self._records.pop(key, None)
 
+    def lost(self, key: tuple[str, int]) -> None:
+        """Note that an upstream can't be reached."""
+        losses = self._losses.setdefault(key, _Losses())
+        now_s = self._clock.monotonic_s()
+        if now_s - losses.lost_s > LOSS_MEMORY_S:
+            losses.count = 0
+        losses.count += 1
+        losses.lost_s = now_s
+
+    def returned(self, key: tuple[str, int]) -> None:
+        """Note that an upstream that was lost is reached again."""
+        losses = self._losses.setdefault(key, _Losses())
+        wait_s = FIRST_RETURN_S * 2 ** max(0, losses.count - 1)
+        now_s = self._clock.monotonic_s()
+        losses.returns_s = now_s + min(wait_s, LONGEST_RETURN_S)
+
+    def forget(self, key: tuple[str, int]) -> None:
+        """Forget a start that is gone."""
+        self._records.pop(key, None)
+        self._losses.pop(key, None)
+
     def is_suspected(self, key: tuple[str, int]) -> bool:
         """Return whether an upstream gets no new flows now."""
+        losses = self._losses.get(key)
+        if losses is not None and self._clock.monotonic_s() < losses.returns_s:
+            return True
         record = self._records.get(key)
         if record is None or record.excluded_until_s == 0.0:
             return False
--- a/arbutuslift/coordination/picker.py
+++ b/arbutuslift/coordination/picker.py
@@ -1,7 +1,8 @@
 """Chooses the upstream of a new flow."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Sequence
+from statistics import median_low
 
 from ..clock import Clock
 from ..state.routing import Route, RoutingTable
@@ -13,6 +14,9 @@
 # more. It is opened only where upstreams nearby answer later than those far away by
 # more than this; a request may take about 100 ms.
 SPILL_AFTER_S = 0.04
+# An upstream that takes so many times as long as the median counts as slow; less is
+# the ordinary spread of requests.
+SLOW_FACTOR = 2.0
 # Part of a cold upstream's limit that is shared out: instances that the control
 # instances don't count yet use some of it too.
 COLD_SHARED_PART = 0.8
@@ -127,8 +131,20 @@
         used_s = self._cold_used_s.get(known.start.key, self._opened_s)
         return self._clock.monotonic_s() - used_s >= interval_s
 
-    def _least_loaded(self, starts: Iterable[KnownStart]) -> KnownStart | None:
-        return min(starts, key=self._cost, default=None)
+    def _least_loaded(self, starts: Sequence[KnownStart]) -> KnownStart | None:
+        """Return the start with the fewest flows, each weighed by how late it answers.
+
+        A slow upstream that kept its share of flows would delay all of them.
+        """
+        now_s = self._clock.monotonic_s()
+        usual_s = median_low(_responses_s(starts, now_s) or [0.0])
+
+        def cost(known: KnownStart) -> float:
+            slowness = known.recent_response_s(now_s) / usual_s if usual_s else 1.0
+            weight = slowness if slowness > SLOW_FACTOR else 1.0
+            return (known.flow_count + self._rng.random()) * weight
+
+        return min(starts, key=cost, default=None)
 
     def _near(self, starts: list[KnownStart]) -> list[KnownStart]:
         """Return the starts of the own data centre unless they are overloaded."""
@@ -136,13 +152,17 @@
         far = [k for k in starts if k.start.data_centre != self._data_centre]
         if not near or not far:
             return near or far
-        excess_s = _mean_response_s(near) - _mean_response_s(far)
+        now_s = self._clock.monotonic_s()
+        near_s = _mean(_responses_s(near, now_s))
+        excess_s = near_s - _mean(_responses_s(far, now_s))
         return far if excess_s > SPILL_AFTER_S else near
 
-    def _cost(self, known: KnownStart) -> float:
-        return known.flow_count + self._rng.random()
+
+def _mean(values: list[float]) -> float:
+    return sum(values) / len(values) if values else 0.0
 
 
-def _mean_response_s(starts: list[KnownStart]) -> float:
-    measured = [known.response_s for known in starts if known.response_s > 0.0]
-    return sum(measured) / len(measured) if measured else 0.0
+def _responses_s(starts: Sequence[KnownStart], now_s: float) -> list[float]:
+    """Return the response times that were measured lately."""
+    responses_s = (known.recent_response_s(now_s) for known in starts)
+    return [response_s for response_s in responses_s if response_s > 0.0]
--- a/arbutuslift/coordination/prober.py
+++ b/arbutuslift/coordination/prober.py
@@ -91,12 +91,17 @@
                     await self._clock.sleep(REPEAT_S)
         finally:
             self._probed.discard(known.start.key)
+        if known.is_gone:
+            self._judge.forget(known.start.key)
+            return
         if known.is_lost:
             self._set_lost(known, False)
         self._judge.clear(known.start.key)
 
     def _set_lost(self, known: KnownStart, is_lost: bool) -> None:
         known.is_lost = is_lost
+        note = self._judge.lost if is_lost else self._judge.returned
+        note(known.start.key)
         _log.info(
             "upstream_lost" if is_lost else "upstream_reached_again",
             upstream=known.start.upstream_id,
--- a/arbutuslift/roles.py
+++ b/arbutuslift/roles.py
@@ -37,7 +37,8 @@
     """Settings of a control instance.
 
     Attributes:
-        name: ``ip:port`` of its bus, by which others reach it.
+        name: ``ip:port`` by which others reach its bus.
+        listen: ``ip:port`` on which its bus listens.
         data_centre: Where it runs.
         data_folder: Its part of the agreed state.
         seeds: Names of control instances to begin with.
@@ -47,6 +48,7 @@
     """
 
     name: str
+    listen: str
     data_centre: str
     data_folder: Path
     seeds: tuple[str, ...]
--- /dev/null
+++ b/standins/soak/programs.py
@@ -0,0 +1,130 @@
+"""Entry and control programs as separate processes, ended by their ids only."""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+from attrs import define, field
+
+from .proxy import Proxy
+
+PROGRAM = Path(__file__).with_name("faulty.py")
+PACKET_PORT = 8172
+READY_PORT = 8167
+CONTROL_PORT = 8166
+PORTS = (7720, 7735)
+BUS_PORT = PORTS[0] + 1
+GRACE_S = 6.0
+DATA_CENTRES = ("dc-a", "dc-b", "dc-c")
+
+
+@define(eq=False)
+class Program:
+    """One program.
+
+    Attributes:
+        role: ``entry`` or ``control``.
+        ip: Its address; a control program's bus is reached through a proxy there.
+        listen_ip: Where its bus listens, behind the proxy.
+        data_centre: Where it runs.
+        folder: Its settings, data and output.
+        proxy: Carries the connections to its bus; None for entries.
+        process: The running process.
+        is_first_start: Whether it may form a cluster.
+    """
+
+    role: str
+    ip: str
+    listen_ip: str
+    data_centre: str
+    folder: Path
+    seeds: tuple[str, ...]
+    proxy: Proxy | None = None
+    process: subprocess.Popen | None = None
+    is_first_start: bool = True
+    _fault_file: Path = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self._fault_file = self.folder / "fault"
+
+    async def open(self) -> None:
+        """Open the proxy and start."""
+        if self.role == "control":
+            self.proxy = Proxy((self.ip, BUS_PORT), (self.listen_ip, BUS_PORT))
+            await self.proxy.open()
+        self.start()
+
+    def start(self) -> None:
+        """Start a process."""
+        path = self.folder / "settings.json"
+        path.write_text(json.dumps(self._settings()))
+        environment = os.environ | {
+            "ARBUTUSLIFT_CONFIG": str(path),
+            "SOAK_BUS_LISTEN_IP": self.listen_ip,
+        }
+        with (self.folder / "output").open("ab") as output:
+            self.process = subprocess.Popen(
+                [sys.executable, str(PROGRAM), self.role, str(self._fault_file)],
+                env=environment,
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+        self.is_first_start = False
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process that this object started."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def set_fault(self, fault: str) -> None:
+        """Let disk or clock misbehave; an empty text ends it."""
+        self._fault_file.write_text(fault)
+
+    async def stop(self) -> None:
+        """Stop as planned, with a kill after the grace time."""
+        self.signal(signal.SIGTERM)
+        for _ in range(int(GRACE_S / 0.05)):
+            if self.process.poll() is not None:
+                return
+            await asyncio.sleep(0.05)
+        self.kill()
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.signal(signal.SIGKILL)
+        if self.process is not None:
+            self.process.wait()
+
+    async def close(self) -> None:
+        """End everything."""
+        self.signal(signal.SIGCONT)
+        self.kill()
+        if self.proxy is not None:
+            await self.proxy.close()
+
+    def _settings(self) -> dict[str, object]:
+        entry = {
+            "datagram_addr": f"{self.ip}:{PACKET_PORT}",
+            "ready": f"{self.ip}:{READY_PORT}",
+        }
+        control = {"control": f"{self.ip}:{CONTROL_PORT}"}
+        is_control = self.role == "control"
+        return {
+            "node_name": f"{self.role}-{self.ip}",
+            "ip": self.ip,
+            "zone": self.data_centre,
+            "zones": dict.fromkeys(DATA_CENTRES, "region"),
+            "listen": control if is_control else entry,
+            "port_range": PORTS,
+            "seeds": [f"{ip}:{CONTROL_PORT}" for ip in self.seeds],
+            "bootstrap": self.is_first_start,
+            "data_dir": str(self.folder / "data") if is_control else None,
+            "heartbeat_ms": 600,
+            "fault_tolerance": {"machines": 1, "zones": 1, "regions": 0},
+            "bounds": {"grace_s": GRACE_S},
+        }
--- /dev/null
+++ b/standins/soak/soak.py
@@ -0,0 +1,239 @@
+"""One run: programs, targets, callers and operators under faults of one seed."""
+
+import asyncio
+import random
+import socket
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+from attrs import frozen
+
+from .callers import Caller, Routers
+from .faults import ON_CONTROL, ON_ENTRY
+from .ledger import APPLY_S, CONTACT_S, Ledger
+from .operators import FIRST_PORT, Operator
+from .programs import (
+    CONTROL_PORT,
+    DATA_CENTRES,
+    PACKET_PORT,
+    READY_PORT,
+    Program,
+)
+from .targets import Target
+
+CONTROLS = 3
+CALLERS = 6
+TARGETS = 6
+SERVICES = ("alerts", "archive")
+HOST = "198.18.0.1"
+CALLER_PORT = PACKET_PORT
+START_S = 60.0
+RECOVERY_S = 12.0
+RECOVERY_FLOWS = 20
+
+
+@frozen(kw_only=True)
+class SoakSize:
+    """Size of a run.
+
+    Attributes:
+        processes: Programs of both roles.
+        duration_s: Time under faults.
+        block: Second byte of the first of four loopback networks, so that runs can
+            go on side by side.
+    """
+
+    processes: int = 7
+    duration_s: float = 60.0
+    block: int = 76
+
+    def address(self, network: int, group: int, number: int) -> str:
+        """Return a loopback address."""
+        return f"127.{self.block + network}.{group}.{number + 1}"
+
+
+class Soak:
+    """One run.
+
+    Args:
+        seed: Draws faults, planned work and the kinds of requests.
+        size: Size of the run.
+        folder: Settings, data and output of the programs.
+    """
+
+    def __init__(self, seed: int, size: SoakSize, folder: Path) -> None:
+        self.ledger = Ledger()
+        self._rng = random.Random(seed)
+        self._size = size
+        self._folder = folder
+        seeds = tuple(size.address(0, 0, number) for number in range(CONTROLS))
+        self._controls = [self._program("control", n, seeds) for n in range(CONTROLS)]
+        self._entries = [
+            self._program("entry", n, seeds)
+            for n in range(max(1, size.processes - CONTROLS))
+        ]
+        self._addresses = [f"{ip}:{CONTROL_PORT}" for ip in seeds]
+        self._targets: dict[str, Target] = {}
+        self._routers = Routers([e.ip for e in self._entries], PACKET_PORT, READY_PORT)
+        self._operator = Operator(
+            self._addresses, SERVICES, HOST, self.ledger, random.Random(seed)
+        )
+        self._stack = AsyncExitStack()
+
+    async def run(self) -> Ledger:
+        """Start everything, run the faults, heal, check recovery, end everything."""
+        async with self._stack:
+            await self._open()
+            async with asyncio.timeout(START_S):
+                await self._until_served()
+            work = [self._disturb, self._plan, self._operate, self._read]
+            tasks = [asyncio.create_task(step()) for step in work]
+            tasks += [asyncio.create_task(self._call(caller)) for caller in self._users]
+            await self._run_for(tasks, self._size.duration_s)
+            await self._check_recovery()
+        return self.ledger
+
+    def _program(self, role: str, n: int, seeds: tuple[str, ...]) -> Program:
+        group = 0 if role == "control" else 1
+        return Program(
+            role,
+            self._size.address(0, group, n),
+            self._size.address(1, group, n),
+            DATA_CENTRES[n % len(DATA_CENTRES)],
+            self._folder / f"{role}-{n + 1}",
+            seeds,
+        )
+
+    async def _open(self) -> None:
+        for program in (*self._controls, *self._entries):
+            self._stack.push_async_callback(program.close)
+            await program.open()
+        for number in range(TARGETS):
+            await self._open_target(number)
+        self._stack.callback(self._close_targets)
+        self._users = []
+        for number in range(CALLERS):
+            caller = Caller(
+                self._size.address(3, 0, number),
+                CALLER_PORT,
+                self._routers,
+                self.ledger,
+                self._target_lives,
+                random.Random(number),
+            )
+            await caller.open()
+            self._stack.callback(caller.close)
+            self._users.append(caller)
+        checks = asyncio.create_task(self._routers.run())
+        self._stack.callback(checks.cancel)
+
+    async def _open_target(self, number: int) -> None:
+        target = Target(
+            self._size.address(2, 0, number),
+            SERVICES[number % len(SERVICES)],
+            DATA_CENTRES[number // len(SERVICES) % len(DATA_CENTRES)],
+            self._addresses,
+            CALLER_PORT,
+            self.ledger,
+            random.Random(self._rng.random()),
+        )
+        await target.open()
+        self._targets[f"{number}"] = target
+
+    def _close_targets(self) -> None:
+        for target in self._targets.values():
+            if target.is_alive:
+                target.crash()
+
+    def _target_lives(self, number: int) -> bool:
+        targets = self._targets.values()
+        return any(t.is_alive and t.number & 0xFFFFFFFF == number for t in targets)
+
+    async def _until_served(self) -> None:
+        await self._operator.put()
+        while await self._users[0].use_flow(_service(443), 1) == 0:
+            await asyncio.sleep(0.2)
+        self.ledger.counts.clear()
+
+    async def _run_for(self, tasks: list[asyncio.Task], duration_s: float) -> None:
+        """Run tasks for a time; an error of one of them is an error of the run."""
+        done, running = await asyncio.wait(
+            tasks, timeout=duration_s, return_when=asyncio.FIRST_EXCEPTION
+        )
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+        for task in done:
+            task.result()
+
+    async def _call(self, caller: Caller) -> None:
+        await caller.run(_service(443 + self._rng.randrange(len(SERVICES))))
+
+    async def _disturb(self) -> None:
+        """One fault of programs after the other, with calm times in between."""
+        while True:
+            await asyncio.sleep(self._rng.uniform(1.0, CONTACT_S + 3.0))
+            is_control = self._rng.random() < 0.6
+            programs = self._controls if is_control else self._entries
+            action = self._rng.choice(ON_CONTROL if is_control else ON_ENTRY)
+            program = self._rng.choice(programs)
+            # A fault that was begun is ended, or the program would stay harmed.
+            await asyncio.shield(action(program, self.ledger, self._rng))
+
+    async def _plan(self) -> None:
+        """Targets are replaced, crash and come back; a data centre goes out and in."""
+        while True:
+            await asyncio.sleep(self._rng.uniform(2.0, 6.0))
+            number = self._rng.randrange(TARGETS)
+            if self._rng.random() < 0.5:
+                self.ledger.counts["target replaced"] += 1
+                await self._targets[f"{number}"].leave()
+            else:
+                self.ledger.counts["target crashed"] += 1
+                self._targets[f"{number}"].crash()
+                await asyncio.sleep(self._rng.uniform(0.0, 3.0))
+            await self._open_target(number)
+
+    async def _operate(self) -> None:
+        while True:
+            await asyncio.sleep(self._rng.uniform(0.3, 3.0))
+            if self._rng.random() < 0.8:
+                await self._change()
+                continue
+            data_centre = self._rng.choice(DATA_CENTRES)
+            self.ledger.counts["data centre out"] += 1
+            await self._operator.set_out(data_centre, True)
+            await asyncio.sleep(self._rng.uniform(1.0, 8.0))
+            await self._operator.set_out(data_centre, False)
+
+    async def _change(self) -> None:
+        acknowledged_s = await self._operator.put()
+        version = self._operator.version
+        await asyncio.sleep(APPLY_S)
+        caller = self._rng.choice(self._users)
+        served = await caller.use_flow(_service(FIRST_PORT + version), 1)
+        self.ledger.applied(version, acknowledged_s, bool(served))
+
+    async def _read(self) -> None:
+        while True:
+            await asyncio.sleep(0.3)
+            await self._operator.read()
+
+    async def _check_recovery(self) -> None:
+        for program in (*self._controls, *self._entries):
+            program.set_fault("")
+            program.signal(18)
+            if program.process.poll() is not None:
+                program.start()
+        await asyncio.sleep(RECOVERY_S)
+        await self._operator.read_back()
+        flows = [
+            self._users[n % CALLERS].use_flow(_service(443), 1)
+            for n in range(RECOVERY_FLOWS)
+        ]
+        served = sum(await asyncio.gather(*flows))
+        self.ledger.recovered(served, RECOVERY_FLOWS)
+
+
+def _service(port: int) -> tuple[bytes, int]:
+    return socket.inet_aton(HOST), port
--- a/tests/coordination/test_judge.py
+++ b/tests/coordination/test_judge.py
@@ -1,7 +1,11 @@
 """Guards against upstreams that fail and keep their share, and rash verdicts."""
 
 from arbutuslift.clock import ManualClock
-from arbutuslift.coordination.judge import LONGEST_EXCLUSION_S, Judge
+from arbutuslift.coordination.judge import (
+    LONGEST_EXCLUSION_S,
+    LOSS_MEMORY_S,
+    Judge,
+)
 
 KEY = ("i-1", 1)
 
@@ -51,3 +55,40 @@
     assert judge.is_suspected(KEY)
     assert judge.answered(KEY)
     assert not judge.is_suspected(KEY)
+
+
+def test_an_upstream_that_goes_up_and_down_returns_later_each_time():
+    clock = ManualClock()
+    judge = Judge(clock)
+    waits_s = []
+    for _ in range(8):
+        judge.lost(KEY)
+        clock.jump(0.5)
+        judge.returned(KEY)
+        wait_s = 0.0
+        while judge.is_suspected(KEY):
+            clock.jump(0.25)
+            wait_s += 0.25
+        waits_s.append(wait_s)
+    assert waits_s == [0.5, 1, 2, 4, 8, 16, 16, 16]
+
+
+def test_old_losses_are_forgotten():
+    clock = ManualClock()
+    judge = Judge(clock)
+    for _ in range(5):
+        judge.lost(KEY)
+        judge.returned(KEY)
+        clock.jump(LOSS_MEMORY_S + 1)
+    judge.lost(KEY)
+    judge.returned(KEY)
+    clock.jump(0.6)
+    assert not judge.is_suspected(KEY)
+
+
+def test_a_start_that_is_gone_is_forgotten():
+    judge = Judge(ManualClock())
+    judge.lost(KEY)
+    judge.returned(KEY)
+    judge.forget(KEY)
+    assert not judge.is_suspected(KEY)
--- a/tests/coordination/test_picker.py
+++ b/tests/coordination/test_picker.py
@@ -7,7 +7,10 @@
 from arbutuslift.clock import ManualClock
 from arbutuslift.coordination.judge import Judge
 from arbutuslift.coordination.picker import Picker
-from arbutuslift.coordination.upstreamdirectory import UpstreamDirectory
+from arbutuslift.coordination.upstreamdirectory import (
+    RESPONSE_KEPT_S,
+    UpstreamDirectory,
+)
 from arbutuslift.protocol.feed import StartNews
 from arbutuslift.state.routing import ServiceLimits
 
@@ -73,3 +76,22 @@
     (picker,) = open_pickers(clock, 1)
     only = route(services=())
     assert picker.pick(only, cold_table(0.0)) is None
+
+
+def test_a_slow_upstream_does_not_keep_its_share():
+    clock = ManualClock()
+    directory = UpstreamDirectory(clock)
+    news = [StartNews(start=start(n), is_silent=False) for n in range(1, 5)]
+    directory.receive("a", news, is_complete=True, is_settled=True)
+    picker = Picker(clock, directory, Judge(clock), "dc-1", random.Random(1))
+    known = directory.of_service("alerts")
+    for upstream in known:
+        response_s = 0.2 if upstream is known[0] else 0.02
+        upstream.observe_response(response_s, clock.monotonic_s())
+    for _ in range(62):
+        picker.pick(route(), cold_table(0.0)).flow_count += 1
+    assert known[0].flow_count == 2
+    assert all(upstream.flow_count == 20 for upstream in known[1:])
+    clock.jump(RESPONSE_KEPT_S + 1)
+    chosen = [picker.pick(route(), cold_table(0.0)) for _ in range(3)]
+    assert all(upstream is known[0] for upstream in chosen)
