--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,10 @@
 STAMP := $(VENV)/.installed-$(LOCK_HASH)
 BIN := $(VENV)/bin
 
-.PHONY: demo test lint format measure
+.PHONY: demo test lint format measure soak
+SEED ?= 1
+SECONDS ?= 60
+PROCESSES ?= 7
 
 demo: $(STAMP)
 	$(BIN)/python -m standins.demo
@@ -25,6 +28,9 @@
 measure: $(STAMP)
 	$(BIN)/python -m measure
 
+soak: $(STAMP)
+	$(BIN)/python -m standins.soak --seed $(SEED) --seconds $(SECONDS) --processes $(PROCESSES)
+
 $(STAMP): requirements.txt
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --requirement requirements.txt
