--- a/arbutuslift/coordination/flowrouter.py
+++ b/arbutuslift/coordination/flowrouter.py
@@ -25,6 +25,7 @@
     SYN_REPEATED = "syn_repeated"
     SYN_MOVED = "syn_moved"
     FORWARDED = "forwarded"
+    REPEATED = "repeated"
     REFUSED_NO_ROUTE = "refused_no_route"
     REFUSED_NO_UPSTREAM = "refused_no_upstream"
     RESET_ROUTE_REMOVED = "reset_route_removed"
@@ -194,14 +195,20 @@
         if upstream.is_lost:
             self._close(packet.flow)
             return Decision(Verdict.RESET_UPSTREAM_LOST, upstream)
-        self._observe(packet, flow, upstream)
-        return Decision(Verdict.FORWARDED, upstream)
+        is_repeated = self._observe(packet, flow, upstream)
+        verdict = Verdict.REPEATED if is_repeated else Verdict.FORWARDED
+        return Decision(verdict, upstream)
 
     def _observe(
         self, packet: CallerPacket, flow: Flow | None, upstream: KnownStart
-    ) -> None:
-        """Keep the flow and take the evidence that the packet gives."""
+    ) -> bool:
+        """Keep the flow and take the evidence that the packet gives.
+
+        Returns:
+            Whether the caller repeats a request that has no answer yet.
+        """
         now_s = self._clock.monotonic_s()
+        is_repeated = False
         if flow is None or flow.upstream is not upstream:
             self._close(packet.flow)
             # Taken over from another instance: its first packet proves nothing.
@@ -218,6 +225,7 @@
             flow.is_unanswered = False
             self._judge.answered(upstream.start.key)
         elif self._is_overdue(packet, flow, now_s):
+            is_repeated = True
             flow.is_unanswered = True
             self._suspect(upstream)
         if packet.data_length_bytes and packet.seq != flow.sent_seq:
@@ -226,6 +234,7 @@
             flow.is_waiting = True
         if packet.is_fin:
             self._discount(flow)
+        return is_repeated
 
     def _suspect(self, upstream: KnownStart) -> None:
         if self._judge.unanswered(upstream.start.key):
--- a/arbutuslift/ctl.py
+++ b/arbutuslift/ctl.py
@@ -6,6 +6,7 @@
 
 from .commands import documents, operations
 from .commands.environment import Environment
+from .commands.explain import explain_request
 from .commands.form import form
 from .commands.keys import create_key
 from .commands.options import Options, define_flags, parse, wants_json
@@ -27,6 +28,7 @@
     "replace-member": operations.replace_member,
     "form": form,
     "create-key": create_key,
+    "explain": explain_request,
 }
 
 
--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import socket
+import zlib
 from collections import Counter
 from collections.abc import Callable, Coroutine
 from contextlib import AsyncExitStack
@@ -37,6 +38,8 @@
 # Ticks are half a second apart. After a longer gap what waited is out of date.
 MAX_GAP_S = 1.5
 LOGGED_VERDICTS = frozenset(Verdict) - {Verdict.FORWARDED, Verdict.SYN_REPEATED}
+# Of requests that go their way one flow in so many is logged, all of its requests.
+SAMPLED_FLOWS = 16
 
 _log = structlog.get_logger()
 
@@ -193,9 +196,14 @@
             self._forward(datagram, decision)
         elif verdict in RESETS and not packet.is_reset:
             self._reset(packet)
-        if verdict in LOGGED_VERDICTS:
+        if verdict in LOGGED_VERDICTS or self._is_sampled(packet):
             self._log_decision(datagram, packet, decision)
 
+    @staticmethod
+    def _is_sampled(packet: CallerPacket) -> bool:
+        is_request = packet.data_length_bytes > 0
+        return is_request and zlib.crc32(packet.flow) % SAMPLED_FLOWS == 0
+
     def _forward(self, datagram: bytes, decision: Decision) -> None:
         start = decision.upstream.start
         carried = self._codec.address_to(datagram, start.number, decision.upstream.tag)
@@ -223,6 +231,8 @@
             copies=packet.ack if packet.is_syn else 0,
             request=self._codec.request_id(datagram),
             upstream=start.upstream_id if start else "",
+            upstream_phase=start.phase.name.lower() if start else "",
+            upstream_sequence=start.sequence if start else 0,
             load_flows=decision.upstream.flow_count if start else 0,
             version=table.version if table else 0,
             revision=table.revision if table else 0,
--- a/arbutuslift/logs.py
+++ b/arbutuslift/logs.py
@@ -9,6 +9,9 @@
 from attrs import define
 
 from .clock import Clock
+from .logstream import NonBlockingStream
+
+LineStream = TextIO | NonBlockingStream
 
 KEY_ORDER = ("timestamp", "level", "event", "instance")
 SUPPRESSED_EVENT = "events_suppressed"
@@ -104,7 +107,13 @@
 
 
 def configure(
-    *, instance: str, level: str, clock: Clock, stream: TextIO | None = None
+    *,
+    instance: str,
+    level: str,
+    clock: Clock,
+    stream: LineStream | None = None,
+    burst: int = REPEAT_BURST,
+    interval_s: float = REPEAT_INTERVAL_S,
 ) -> RepeatLimiter:
     """Set up logging of the process.
 
@@ -113,12 +122,14 @@
         level: ``debug``, ``info``, ``warning`` or ``error``.
         clock: Source of time.
         stream: Takes the lines; standard error by default.
+        burst: Events of one name that pass in an interval.
+        interval_s: Length of an interval.
 
     Returns:
         The limiter, for :func:`report_suppressed`.
     """
     number = logging.getLevelNamesMapping()[level.upper()]
-    limiter = RepeatLimiter(clock)
+    limiter = RepeatLimiter(clock, burst, interval_s)
 
     def add_origin(
         logger: object, method: str, event_dict: structlog.typing.EventDict
--- a/standins/soak/soak.py
+++ b/standins/soak/soak.py
@@ -30,6 +30,8 @@
 START_S = 60.0
 RECOVERY_S = 12.0
 RECOVERY_FLOWS = 20
+# Time after which an address is used again.
+REUSE_S = 0.5
 
 
 @frozen(kw_only=True)
@@ -192,6 +194,7 @@
                 self.ledger.counts["target crashed"] += 1
                 self._targets[f"{number}"].crash()
                 await asyncio.sleep(self._rng.uniform(0.0, 3.0))
+            await asyncio.sleep(REUSE_S)
             await self._open_target(number)
 
     async def _operate(self) -> None:
--- a/tests/coordination/test_flowrouter.py
+++ b/tests/coordination/test_flowrouter.py
@@ -232,3 +232,12 @@
     entry.wait(5.0)
     entry.data(tag=tag_of(start(1)), seq=2, ack=2)
     assert entry.directory.find(tag_of(start(1))).response_s == 0.0
+
+
+def test_a_repeated_request_is_told_from_a_new_one():
+    entry = Entry(start(1))
+    tag = tag_of(start(1))
+    assert entry.data(tag=tag, seq=1).verdict is Verdict.FORWARDED
+    entry.wait(0.2)
+    assert entry.data(tag=tag, seq=1).verdict is Verdict.REPEATED
+    assert entry.data(tag=tag, seq=2, ack=2).verdict is Verdict.FORWARDED
