--- a/arbutuslift/control.py
+++ b/arbutuslift/control.py
@@ -10,12 +10,12 @@
 import structlog
 
 from .clock import Clock
-from .coordination.enrolment import Enrolment
-from .coordination.feedserver import FeedServer
-from .coordination.keeper import KeeperPolicy
-from .coordination.member import Member
-from .coordination.memberstate import AgreementTiming
-from .coordination.orderdesk import OrderDesk
+from .coordination.agreement.enrolment import Enrolment
+from .coordination.agreement.keeper import KeeperPolicy
+from .coordination.agreement.member import Member
+from .coordination.agreement.memberstate import AgreementTiming
+from .coordination.agreement.orderdesk import OrderDesk
+from .coordination.spread.feedserver import FeedServer
 from .errors import StorageError, TaskFailed
 from .protocol.channel import Channel
 from .roles import ControlSettings
--- /dev/null
+++ b/arbutuslift/coordination/agreement/__init__.py
@@ -0,0 +1,1 @@
+"""Agreement of control members on one sequence of revisions."""
--- a/arbutuslift/coordination/bootstrap.py
+++ b/arbutuslift/coordination/agreement/bootstrap.py
@@ -2,13 +2,13 @@
 
 import structlog
 
-from ..errors import ArbutusliftError, BootstrapError, MessageError
-from ..protocol.agreement import BootstrapRequest, IdentityAnswer, IdentityRequest
-from ..protocol.channel import Channel
-from ..protocol.messages import Message
-from ..state.identity import new_identity
-from ..state.logstore import EntryKind, LogEntry
-from ..state.membership import MemberRecord, Membership
+from ...errors import ArbutusliftError, BootstrapError, MessageError
+from ...protocol.agreement import BootstrapRequest, IdentityAnswer, IdentityRequest
+from ...protocol.channel import Channel
+from ...protocol.messages import Message
+from ...state.identity import new_identity
+from ...state.logstore import EntryKind, LogEntry
+from ...state.membership import MemberRecord, Membership
 from .memberstate import AgreementTiming, MemberState, encode_membership
 
 _log = structlog.get_logger()
--- a/arbutuslift/coordination/election.py
+++ b/arbutuslift/coordination/agreement/election.py
@@ -5,11 +5,11 @@
 
 import structlog
 
-from ..clock import Clock
-from ..errors import MessageError, PeerFailure, TransportError
-from ..protocol.agreement import VoteAnswer, VoteRequest
-from ..protocol.channel import Channel
-from ..state.membership import MemberRecord
+from ...clock import Clock
+from ...errors import MessageError, PeerFailure, TransportError
+from ...protocol.agreement import VoteAnswer, VoteRequest
+from ...protocol.channel import Channel
+from ...state.membership import MemberRecord
 from .memberstate import AgreementTiming, MemberState, Role
 from .replication import Replicator
 
--- a/arbutuslift/coordination/following.py
+++ b/arbutuslift/coordination/agreement/following.py
@@ -1,8 +1,8 @@
 """Follower's side of the log: entries and snapshots from the leader."""
 
-from ..protocol.agreement import AppendAnswer, AppendRequest, SnapshotChunk
-from ..protocol.channel import Channel
-from ..state.snapshots import Snapshot
+from ...protocol.agreement import AppendAnswer, AppendRequest, SnapshotChunk
+from ...protocol.channel import Channel
+from ...state.snapshots import Snapshot
 from .memberstate import MemberState
 
 
--- a/arbutuslift/coordination/member.py
+++ b/arbutuslift/coordination/agreement/member.py
@@ -5,8 +5,8 @@
 
 import structlog
 
-from ..clock import Clock
-from ..errors import (
+from ...clock import Clock
+from ...errors import (
     ArbutusliftError,
     ConfigurationConflict,
     DocumentError,
@@ -18,7 +18,7 @@
     SettingsError,
     TransportError,
 )
-from ..protocol.agreement import (
+from ...protocol.agreement import (
     MemberReport,
     MembersAnswer,
     MembersRequest,
@@ -30,17 +30,18 @@
     SubmitAnswer,
     SubmitRequest,
 )
-from ..protocol.channel import Channel
-from ..protocol.messages import Message
-from ..state.configuration import (
+from ...protocol.channel import Channel
+from ...protocol.messages import Message
+from ...state.configuration import (
     Outcome,
     StoredRevision,
     Submission,
     encode_submission,
 )
-from ..state.logstore import EntryKind
-from ..state.storage import MemberStorage
-from ..traces import REPLICATE, NoTraces, Traces
+from ...state.logstore import EntryKind
+from ...state.storage import MemberStorage
+from ...traces import REPLICATE, NoTraces, Traces
+from ..waiting import TaskSet
 from .bootstrap import Bootstrapper
 from .election import Elector
 from .following import Follower
@@ -49,7 +50,6 @@
 from .memberstate import AgreementTiming, CommitCallback, MemberState, Role
 from .replication import Replicator
 from .store import ConfigurationStore, MemberStatus
-from .waiting import TaskSet
 
 MAX_DOCUMENT_BYTES = 2 * 1024 * 1024
 MIN_INITIAL_MEMBERS = 3
--- a/arbutuslift/coordination/memberchange.py
+++ b/arbutuslift/coordination/agreement/memberchange.py
@@ -2,14 +2,14 @@
 
 import structlog
 
-from ..errors import (
+from ...errors import (
     ArbutusliftError,
     MembershipChangeError,
     NoQuorum,
 )
-from ..protocol.agreement import IdentityAnswer, IdentityRequest
-from ..protocol.channel import Channel
-from ..state.membership import MemberRecord, Membership
+from ...protocol.agreement import IdentityAnswer, IdentityRequest
+from ...protocol.channel import Channel
+from ...state.membership import MemberRecord, Membership
 from .memberstate import AgreementTiming, MemberState
 from .replication import Replicator
 
--- a/arbutuslift/coordination/memberstate.py
+++ b/arbutuslift/coordination/agreement/memberstate.py
@@ -7,20 +7,20 @@
 
 from attrs import evolve, frozen
 
-from ..clock import Clock
-from ..errors import MessageError, StorageError
-from ..state.codec import decode_value, encode_value
-from ..state.configuration import (
+from ...clock import Clock
+from ...errors import MessageError, StorageError
+from ...state.codec import decode_value, encode_value
+from ...state.configuration import (
     ConfigurationState,
     Decision,
     StoredRevision,
 )
-from ..state.logstore import EntryKind, LogEntry
-from ..state.membership import Membership
-from ..state.snapshots import Snapshot
-from ..state.storage import MemberStorage
-from ..state.termstore import TermRecord
-from .waiting import Signal
+from ...state.logstore import EntryKind, LogEntry
+from ...state.membership import Membership
+from ...state.snapshots import Snapshot
+from ...state.storage import MemberStorage
+from ...state.termstore import TermRecord
+from ..waiting import Signal
 
 SNAPSHOT_ENTRIES = 256
 APPLY_BATCH_BYTES = 1024 * 1024
--- a/arbutuslift/coordination/orderdesk.py
+++ b/arbutuslift/coordination/agreement/orderdesk.py
@@ -7,10 +7,10 @@
 import structlog
 from attrs import frozen
 
-from ..clock import Clock
-from ..errors import ConfigurationConflict, NoQuorum, OutcomeUnknown
-from ..state.agreed import AgreedState, Order, apply_order
-from ..state.configuration import StoredRevision, Submission
+from ...clock import Clock
+from ...errors import ConfigurationConflict, NoQuorum, OutcomeUnknown
+from ...state.agreed import AgreedState, Order, apply_order
+from ...state.configuration import StoredRevision, Submission
 from .store import ConfigurationStore
 
 # Two instances that lose against each other wait for a random part of this.
--- a/arbutuslift/coordination/replication.py
+++ b/arbutuslift/coordination/agreement/replication.py
@@ -5,14 +5,14 @@
 import structlog
 from attrs import define
 
-from ..errors import MessageError, PeerFailure, TransportError
-from ..protocol.agreement import AppendAnswer, AppendRequest, SnapshotChunk
-from ..protocol.channel import Channel
-from ..protocol.messages import Message
-from ..state.logstore import EntryKind, LogEntry
-from ..state.membership import MemberRecord, Membership
+from ...errors import MessageError, PeerFailure, TransportError
+from ...protocol.agreement import AppendAnswer, AppendRequest, SnapshotChunk
+from ...protocol.channel import Channel
+from ...protocol.messages import Message
+from ...state.logstore import EntryKind, LogEntry
+from ...state.membership import MemberRecord, Membership
+from ..waiting import TaskSet
 from .memberstate import AgreementTiming, MemberState, Role, encode_membership
-from .waiting import TaskSet
 
 BATCH_BYTES = 256 * 1024
 CHUNK_BYTES = 64 * 1024
--- a/arbutuslift/coordination/store.py
+++ b/arbutuslift/coordination/agreement/store.py
@@ -4,7 +4,7 @@
 
 from attrs import frozen
 
-from ..state.configuration import StoredRevision, Submission
+from ...state.configuration import StoredRevision, Submission
 
 
 @frozen(kw_only=True)
--- a/arbutuslift/coordination/controlplane.py
+++ b/arbutuslift/coordination/controlplane.py
@@ -23,12 +23,12 @@
 from ..state.upstreams import UpstreamRecord
 from ..traces import APPLY, Traces
 from ..transport.bus import Bus
-from .directory import Directory
-from .join import Seed
-from .member import Member
-from .membership import Membership
+from .agreement.member import Member
 from .operators import OperatorsService, upstream_statuses
-from .services import ServiceTable
+from .routing.services import ServiceTable
+from .spread.directory import Directory
+from .spread.join import Seed
+from .spread.membership import Membership
 
 GENERATION = "generation"
 MARK = "mark"
--- a/arbutuslift/coordination/operators.py
+++ b/arbutuslift/coordination/operators.py
@@ -52,7 +52,7 @@
 from ..state.configuration import StoredRevision, Submission
 from ..state.upstreams import UpstreamView
 from ..traces import SUBMIT, NoTraces, Traces
-from .store import ConfigurationStore
+from .agreement.store import ConfigurationStore
 
 # A revision is looked up among this many; the store keeps fewer documents.
 MAX_HISTORY = 1000
--- /dev/null
+++ b/arbutuslift/coordination/routing/__init__.py
@@ -0,0 +1,1 @@
+"""The way of a packet: routes, choice of an upstream, verdicts on upstreams."""
--- a/arbutuslift/coordination/denials.py
+++ b/arbutuslift/coordination/routing/denials.py
@@ -6,12 +6,12 @@
 
 from attrs import define, field, frozen
 
-from ..errors import ArbutusliftError, MessageError
-from ..protocol.channel import Channel
-from ..protocol.denials import DenialHeld, DenialReport
-from ..protocol.packets import ResetPacket, decode
-from ..state.flows import FlowCache
-from ..state.hashing import rendezvous_order
+from ...errors import ArbutusliftError, MessageError
+from ...protocol.channel import Channel
+from ...protocol.denials import DenialHeld, DenialReport
+from ...protocol.packets import ResetPacket, decode
+from ...state.flows import FlowCache
+from ...state.hashing import rendezvous_order
 from .services import ServiceTable
 
 # Updates of the view reach every instance within 3 s.
--- a/arbutuslift/coordination/flowrouter.py
+++ b/arbutuslift/coordination/routing/flowrouter.py
@@ -1,20 +1,29 @@
 """Decides where each packet of a caller goes, by the flow tag that it carries."""
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Callable
 from enum import StrEnum
 
 from attrs import define, frozen
 
-from ..clock import Clock
-from ..state.routing import Route, RoutingTable
-from ..transport.callerpackets import CallerPacket
+from ...clock import Clock
+from ...state.routing import Route, RoutingTable
+from ...transport.callerpackets import CallerPacket
 from .judge import Judge
 from .picker import Picker
 from .upstreamdirectory import KnownStart, UpstreamDirectory
 
 # Callers repeat a SYN after 200 ms; a copy that follows sooner went another way.
 UNANSWERED_S = 0.15
+# A SYN is answered within a few ms, and the caller's next packet follows. A caller
+# that was refused by the upstream sends nothing more on the flow, and no copy.
+OPENING_S = 0.1
+# A caller that was refused opens another flow at once. Until an answer could have come,
+# a second SYN of the same caller says nothing.
+RETRY_AFTER_S = 0.006
+RETRY_WITHIN_S = 1.5
+MAX_TRIED = 4
+MAX_CALLERS = 10_000
 MAX_FLOWS = 200_000
 
 
@@ -99,7 +108,7 @@
         directory: Known upstreams.
         judge: Takes the evidence that flows give.
         picker: Chooses upstreams of new flows.
-        on_suspicion: Called with an upstream that flows get no answers from.
+        on_suspicion: Called with the upstream of each flow without an answer.
 
     Attributes:
         table: Routing table in force; None before the first.
@@ -121,6 +130,8 @@
         self._on_suspicion = on_suspicion
         self._routes: dict[tuple[bytes, int], Route] = {}
         self._flows: OrderedDict[bytes, Flow] = OrderedDict()
+        self._opening: deque[Flow] = deque()
+        self._tried: OrderedDict[bytes, deque[Flow]] = OrderedDict()
 
     @property
     def flow_count(self) -> int:
@@ -146,6 +157,7 @@
 
     def expire(self) -> None:
         """Forget flows that carry nothing any more."""
+        self._check_openings()
         if self.table is None:
             return
         oldest_s = self._clock.monotonic_s() - self.table.idle_timeout_s
@@ -158,24 +170,62 @@
     def _open(self, packet: CallerPacket, route: Route | None) -> Decision:
         if route is None:
             return Decision(Verdict.REFUSED_NO_ROUTE)
+        self._check_openings()
         now_s = self._clock.monotonic_s()
         flow = self._flows.get(packet.flow)
-        avoid = None
         verdict = Verdict.NEW_FLOW
         if flow is not None and not flow.is_open and not flow.upstream.is_gone:
             if now_s - flow.opened_s < UNANSWERED_S:
                 return Decision(Verdict.SYN_REPEATED, flow.upstream)
-            avoid = flow.upstream
-            self._suspect(avoid)
+            self._blame(flow)
             verdict = Verdict.SYN_MOVED
+        avoid = self._upstreams_tried(packet, now_s)
         upstream = self._picker.pick(route, self.table, avoid)
         if upstream is None:
             return Decision(Verdict.REFUSED_NO_UPSTREAM)
         if flow is not None:
             self._remove(packet.flow, flow)
-        self._add(packet.flow, Flow(upstream, now_s, now_s))
+        flow = Flow(upstream, now_s, now_s)
+        self._add(packet.flow, flow)
+        self._note_opening(packet, flow)
         return Decision(verdict, upstream)
 
+    def _note_opening(self, packet: CallerPacket, flow: Flow) -> None:
+        self._opening.append(flow)
+        tried = self._tried.pop(packet.caller_ip, None)
+        if tried is None:
+            tried = deque(maxlen=MAX_TRIED)
+            if len(self._tried) >= MAX_CALLERS:
+                self._tried.popitem(last=False)
+        tried.append(flow)
+        self._tried[packet.caller_ip] = tried
+
+    def _upstreams_tried(
+        self, packet: CallerPacket, now_s: float
+    ) -> frozenset[tuple[str, int]]:
+        """Return the upstreams at which the caller has just failed to open a flow."""
+        failed = set()
+        for flow in self._tried.get(packet.caller_ip, ()):
+            age_s = now_s - flow.opened_s
+            if not flow.is_open and RETRY_AFTER_S < age_s < RETRY_WITHIN_S:
+                self._blame(flow)
+                failed.add(flow.upstream.start.key)
+        return frozenset(failed)
+
+    def _check_openings(self) -> None:
+        """Take flows that didn't open as evidence against their upstreams."""
+        oldest_s = self._clock.monotonic_s() - OPENING_S
+        while self._opening and self._opening[0].opened_s < oldest_s:
+            flow = self._opening.popleft()
+            if not flow.is_open:
+                self._blame(flow)
+
+    def _blame(self, flow: Flow) -> None:
+        """Take a flow as evidence against its upstream, once until an answer."""
+        if not flow.is_unanswered:
+            flow.is_unanswered = True
+            self._suspect(flow.upstream)
+
     def _continue(self, packet: CallerPacket, route: Route | None) -> Decision:
         flow = self._flows.get(packet.flow)
         upstream = self._directory.find(packet.tag) if packet.tag else None
@@ -226,8 +276,7 @@
             self._judge.answered(upstream.start.key)
         elif self._is_overdue(packet, flow, now_s):
             is_repeated = True
-            flow.is_unanswered = True
-            self._suspect(upstream)
+            self._blame(flow)
         if packet.data_length_bytes and packet.seq != flow.sent_seq:
             flow.sent_seq = packet.seq
             flow.sent_s = now_s
@@ -237,8 +286,8 @@
         return is_repeated
 
     def _suspect(self, upstream: KnownStart) -> None:
-        if self._judge.unanswered(upstream.start.key):
-            self._on_suspicion(upstream)
+        self._judge.unanswered(upstream.start.key)
+        self._on_suspicion(upstream)
 
     @staticmethod
     def _is_overdue(packet: CallerPacket, flow: Flow, now_s: float) -> bool:
--- a/arbutuslift/coordination/forwarding.py
+++ b/arbutuslift/coordination/routing/forwarding.py
@@ -4,9 +4,9 @@
 
 import structlog
 
-from ..errors import PacketError
-from ..protocol.packets import decode
-from ..transport.fabric import Address, Datagram, Fabric
+from ...errors import PacketError
+from ...protocol.packets import decode
+from ...transport.fabric import Address, Datagram, Fabric
 from .router import Router
 
 BAD_PACKET = "bad_packet"
--- a/arbutuslift/coordination/judge.py
+++ b/arbutuslift/coordination/routing/judge.py
@@ -2,7 +2,7 @@
 
 from attrs import define
 
-from ..clock import Clock
+from ...clock import Clock
 
 # One lost packet is ordinary; two flows in a row without any answer between them are
 # not, on links that lose a few percent.
--- a/arbutuslift/coordination/limits.py
+++ b/arbutuslift/coordination/routing/limits.py
@@ -1,7 +1,7 @@
 """Limits of upstreams as the configuration document gives them."""
 
-from ..protocol.document import Document, Service
-from ..state.shares import LimitPlan, NamedLimits, ServiceLimits
+from ...protocol.document import Document, Service
+from ...state.shares import LimitPlan, NamedLimits, ServiceLimits
 
 
 def limit_plan_of(document: Document) -> LimitPlan:
--- a/arbutuslift/coordination/picker.py
+++ b/arbutuslift/coordination/routing/picker.py
@@ -4,9 +4,9 @@
 from collections.abc import Sequence
 from statistics import median_low
 
-from ..clock import Clock
-from ..state.routing import Route, RoutingTable
-from ..state.starts import Phase
+from ...clock import Clock
+from ...state.routing import Route, RoutingTable
+from ...state.starts import Phase
 from .judge import Judge
 from .upstreamdirectory import KnownStart, UpstreamDirectory
 
@@ -54,14 +54,17 @@
         self._cold_used_s: dict[tuple[str, int], float] = {}
 
     def pick(
-        self, route: Route, table: RoutingTable, avoid: KnownStart | None = None
+        self,
+        route: Route,
+        table: RoutingTable,
+        avoid: frozenset[tuple[str, int]] = frozenset(),
     ) -> KnownStart | None:
         """Return the upstream for a new flow, None if no one may carry it.
 
         Args:
             route: Route of the flow.
             table: Routing table in force.
-            avoid: Upstream that left an earlier copy of the SYN unanswered.
+            avoid: Keys of upstreams at which the caller has just failed.
         """
         for service in self._services(route):
             chosen = self._pick_of(service, table, avoid)
@@ -80,7 +83,7 @@
         return [first, *(name for name in names if name != first)]
 
     def _pick_of(
-        self, service: str, table: RoutingTable, avoid: KnownStart | None
+        self, service: str, table: RoutingTable, avoid: frozenset[tuple[str, int]]
     ) -> KnownStart | None:
         now_s = self._clock.monotonic_s()
         usable = [
@@ -91,7 +94,7 @@
         ]
         warm = [known for known in usable if known.cold_until_s <= now_s]
         best = self._trusted(warm)
-        others = [known for known in best if known is not avoid]
+        others = [known for known in best if known.start.key not in avoid]
         if others:
             return self._least_loaded(self._near(others))
         interval_s = self._cold_interval_s(service, table)
--- a/arbutuslift/coordination/prober.py
+++ b/arbutuslift/coordination/routing/prober.py
@@ -3,44 +3,57 @@
 import asyncio
 from abc import ABC, abstractmethod
 from collections.abc import Callable
+from enum import Enum
 
 import structlog
 
-from ..clock import Clock
+from ...clock import Clock
 from .judge import Judge
 from .upstreamdirectory import KnownStart
 
 # Upstreams are at most a few ms away, and their system answers a connection at once.
 CONNECT_TIMEOUT_S = 0.15
-# One attempt may be lost on the way.
-ATTEMPTS_TO_LOSE = 2
+# An attempt may be lost on the way; a refusal can't be mistaken.
+SILENT_ATTEMPTS_TO_LOSE = 2
 REPEAT_S = 0.5
+# Time in which an upstream that was reached isn't probed again.
+TRUSTED_S = 0.5
 MAX_PROBES = 64
 
 _log = structlog.get_logger()
 
 
+class Attempt(Enum):
+    """What became of an attempt to connect."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    SILENT = "silent"
+
+
 class Connector(ABC):
     """Tries connections."""
 
     @abstractmethod
-    async def can_connect(self, address: tuple[str, int]) -> bool:
-        """Return whether a connection is accepted in time."""
+    async def connect(self, address: tuple[str, int]) -> Attempt:
+        """Try a connection and close it at once."""
 
 
 class TcpConnector(Connector):
-    """Tries TCP connections and closes them at once."""
+    """Tries TCP connections."""
 
-    async def can_connect(self, address: tuple[str, int]) -> bool:
-        """Return whether a connection is accepted in time."""
+    async def connect(self, address: tuple[str, int]) -> Attempt:
+        """Try a connection and close it at once."""
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, writer = await asyncio.open_connection(*address)
+        except ConnectionRefusedError:
+            return Attempt.REFUSED
         except (OSError, TimeoutError):
-            # Refused or silent: either way no flow goes on there from here.
-            return False
+            # No route or no answer: no flow goes on there from here.
+            return Attempt.SILENT
         writer.close()
-        return True
+        return Attempt.ACCEPTED
 
 
 class Prober:
@@ -54,6 +67,7 @@
         judge: Cleared of upstreams that are found alive.
         connector: Tries connections.
         start: Runs a task.
+        on_lost: Called with an upstream when it is found lost.
     """
 
     def __init__(
@@ -62,44 +76,57 @@
         judge: Judge,
         connector: Connector,
         start: Callable[..., object],
+        on_lost: Callable[[KnownStart], None] = lambda known: None,
     ) -> None:
         self._clock = clock
         self._judge = judge
         self._connector = connector
         self._start = start
+        self._on_lost = on_lost
         self._probed: set[tuple[str, int]] = set()
+        self._reached_s: dict[tuple[str, int], float] = {}
 
     def suspect(self, known: KnownStart) -> None:
         """Probe an upstream until it is reached or gone."""
         key = known.start.key
-        if key in self._probed or len(self._probed) >= MAX_PROBES:
+        trusted_s = self._reached_s.get(key, float("-inf")) + TRUSTED_S
+        if key in self._probed or self._clock.monotonic_s() < trusted_s:
+            return
+        if known.is_gone or len(self._probed) >= MAX_PROBES:
             return
         self._probed.add(key)
         _log.info("upstream_suspected", upstream=known.start.upstream_id)
         self._start(self._probe(known))
 
     async def _probe(self, known: KnownStart) -> None:
-        failures = 0
+        silent = 0
         try:
             while not known.is_gone:
-                if await self._connector.can_connect(known.start.address):
+                attempt = await self._connector.connect(known.start.address)
+                if attempt is Attempt.ACCEPTED:
                     break
-                failures += 1
-                if failures == ATTEMPTS_TO_LOSE:
+                silent += 1
+                is_certain = attempt is Attempt.REFUSED
+                if is_certain or silent >= SILENT_ATTEMPTS_TO_LOSE:
                     self._set_lost(known, True)
-                if failures >= ATTEMPTS_TO_LOSE:
                     await self._clock.sleep(REPEAT_S)
         finally:
             self._probed.discard(known.start.key)
         if known.is_gone:
             self._judge.forget(known.start.key)
+            self._reached_s.pop(known.start.key, None)
             return
+        self._reached_s[known.start.key] = self._clock.monotonic_s()
         if known.is_lost:
             self._set_lost(known, False)
         self._judge.clear(known.start.key)
 
     def _set_lost(self, known: KnownStart, is_lost: bool) -> None:
+        if known.is_lost == is_lost:
+            return
         known.is_lost = is_lost
+        if is_lost:
+            self._on_lost(known)
         note = self._judge.lost if is_lost else self._judge.returned
         note(known.start.key)
         _log.info(
--- a/arbutuslift/coordination/router.py
+++ b/arbutuslift/coordination/routing/router.py
@@ -6,7 +6,7 @@
 
 from attrs import frozen
 
-from ..protocol.packets import (
+from ...protocol.packets import (
     Packet,
     ResetPacket,
     SynAckPacket,
@@ -17,11 +17,11 @@
     refusal_of,
     without_payload,
 )
-from ..state.admission import Admission, UnlimitedAdmission
-from ..state.flows import FlowCache, FlowEntry, is_near
-from ..state.tokens import TokenBucket
-from ..state.upstreams import UpstreamRecord
-from ..transport.fabric import Address
+from ...state.admission import Admission, UnlimitedAdmission
+from ...state.flows import FlowCache, FlowEntry, is_near
+from ...state.tokens import TokenBucket
+from ...state.upstreams import UpstreamRecord
+from ...transport.fabric import Address
 from .denials import Denials
 from .routes import ServiceRoutes
 from .services import ServiceTable
--- a/arbutuslift/coordination/services.py
+++ b/arbutuslift/coordination/routing/services.py
@@ -2,12 +2,12 @@
 
 from collections.abc import Callable, Iterator
 
-from ..clock import Clock
-from ..protocol.document import Configuration, Service
-from ..state.generations import GenerationRecord
-from ..state.marks import LimitMark, LimitMarks
-from ..state.table import Generation, SlotTable, WeightedUpstream
-from ..state.upstreams import UpstreamRecord, UpstreamState, UpstreamView
+from ...clock import Clock
+from ...protocol.document import Configuration, Service
+from ...state.generations import GenerationRecord
+from ...state.marks import LimitMark, LimitMarks
+from ...state.table import Generation, SlotTable, WeightedUpstream
+from ...state.upstreams import UpstreamRecord, UpstreamState, UpstreamView
 from .routes import ServiceRoutes
 
 # Slots whose holders are remembered, about 5 MB.
--- a/arbutuslift/coordination/tracedforwarding.py
+++ b/arbutuslift/coordination/routing/tracedforwarding.py
@@ -1,8 +1,8 @@
 """Forwarding with a span per hop; used instead of the plain one if traces are on."""
 
-from ..protocol.packets import Packet
-from ..traces import RECEIVE, ROUTE, SEND, Traces
-from ..transport.fabric import Address, Datagram, Fabric
+from ...protocol.packets import Packet
+from ...traces import RECEIVE, ROUTE, SEND, Traces
+from ...transport.fabric import Address, Datagram, Fabric
 from .forwarding import Forwarder
 from .router import Decision, Router
 
--- a/arbutuslift/coordination/upstreamdirectory.py
+++ b/arbutuslift/coordination/routing/upstreamdirectory.py
@@ -4,10 +4,10 @@
 
 from attrs import define, field
 
-from ..clock import Clock
-from ..protocol.feed import StartNews
-from ..state.flowtags import TagIndex, tag_of
-from ..state.starts import GONE_KEPT_S, Phase, StartTable, UpstreamStart
+from ...clock import Clock
+from ...protocol.feed import StartNews
+from ...state.flowtags import TagIndex, tag_of
+from ...state.starts import GONE_KEPT_S, Phase, StartTable, UpstreamStart
 
 # The end of a cold start is known to a few hundred ms only: the record travels, and
 # the clocks of timers differ.
@@ -100,6 +100,10 @@
         """Return the start that a flow tag stands for."""
         return self._by_tag.get(tag)
 
+    def find_start(self, key: tuple[str, int]) -> KnownStart | None:
+        """Return the start with a key."""
+        return self._known.get(key)
+
     def of_service(self, service: str) -> list[KnownStart]:
         """Return the starts that aren't gone."""
         return self._services.get(service, [])
--- /dev/null
+++ b/arbutuslift/coordination/spread/__init__.py
@@ -0,0 +1,1 @@
+"""Spread of state between instances: gossip, feeds and what they carry."""
--- a/arbutuslift/coordination/announcement.py
+++ b/arbutuslift/coordination/spread/announcement.py
@@ -3,8 +3,8 @@
 from jsonschema import Draft202012Validator
 from jsonschema.exceptions import ValidationError
 
-from ..errors import AnnouncementError
-from ..state.upstreams import UpstreamRecord, UpstreamState
+from ...errors import AnnouncementError
+from ...state.upstreams import UpstreamRecord, UpstreamState
 
 ANNOUNCED_STATES = {
     "cold": UpstreamState.COLD,
--- a/arbutuslift/coordination/changes.py
+++ b/arbutuslift/coordination/spread/changes.py
@@ -4,7 +4,7 @@
 
 from attrs import frozen
 
-from ..state.registers import Priority
+from ...state.registers import Priority
 
 
 @frozen
--- a/arbutuslift/coordination/directory.py
+++ b/arbutuslift/coordination/spread/directory.py
@@ -1,7 +1,7 @@
 """Names and fabric addresses of the alive instances, for the packet path."""
 
-from ..state.instances import InstanceRecord, InstanceView
-from ..transport.fabric import Address
+from ...state.instances import InstanceRecord, InstanceView
+from ...transport.fabric import Address
 
 
 class Directory:
--- a/arbutuslift/coordination/feedclient.py
+++ b/arbutuslift/coordination/spread/feedclient.py
@@ -5,10 +5,16 @@
 
 import structlog
 
-from ..clock import Clock
-from ..errors import ArbutusliftError, MessageError
-from ..protocol.channel import Channel
-from ..protocol.feed import FeedAnswer, FeedRequest, StopAnswer, StopRequest
+from ...clock import Clock
+from ...errors import ArbutusliftError, MessageError
+from ...protocol.channel import Channel
+from ...protocol.feed import (
+    FeedAnswer,
+    FeedRequest,
+    LossReport,
+    StopAnswer,
+    StopRequest,
+)
 
 # Three control instances in different places: the news of any one of them is enough.
 SUBSCRIPTIONS = 3
@@ -85,6 +91,12 @@
         """Tell control instances from now on that this instance stops."""
         self._is_stopping = True
 
+    async def report_loss(self, upstream_id: str, born_ms: int) -> None:
+        """Tell the followed control instances that an upstream can't be reached."""
+        report = LossReport(upstream_id=upstream_id, born_ms=born_ms)
+        for name in sorted(self._followed):
+            await self._channel.send(name, report)
+
     async def _ask_turn(self, name: str) -> bool:
         request = StopRequest(data_centre=self._data_centre)
         answer = await self._channel.request(name, request, TURN_TIMEOUT_S)
--- a/arbutuslift/coordination/feedserver.py
+++ b/arbutuslift/coordination/spread/feedserver.py
@@ -4,13 +4,13 @@
 
 import structlog
 
-from ..clock import Clock
-from ..protocol.channel import Channel
-from ..protocol.feed import FeedAnswer, FeedRequest, StartUpdate
-from ..state.routing import RoutingTable, encode_table
+from ...clock import Clock
+from ...protocol.channel import Channel
+from ...protocol.feed import FeedAnswer, FeedRequest, LossReport, StartUpdate
+from ...state.routing import RoutingTable, encode_table
+from ..waiting import Signal
 from .followers import Followers
 from .startregistry import StartRegistry
-from .waiting import Signal
 
 MAX_HOLD_S = 2.0
 SHARE_INTERVAL_S = 0.5
@@ -54,6 +54,7 @@
         self.registry = StartRegistry(clock, interval_s, self._changed.notify)
         channel.on(FeedRequest, self._on_request)
         channel.on(StartUpdate, self._on_update)
+        channel.on(LossReport, self._on_loss)
 
     def publish(self, table: RoutingTable) -> None:
         """Offer a newer routing table."""
@@ -87,6 +88,10 @@
         del peer
         self.registry.receive(update.news, update.heard)
 
+    async def _on_loss(self, peer: str, report: LossReport) -> None:
+        del peer
+        self.registry.doubt(report.upstream_id, report.born_ms)
+
     async def _on_request(self, peer: str, request: FeedRequest) -> FeedAnswer:
         self._followers.note(peer, request.data_centre, request.is_stopping)
         hold_s = min(request.hold_ms / 1000, MAX_HOLD_S)
--- a/arbutuslift/coordination/fullstate.py
+++ b/arbutuslift/coordination/spread/fullstate.py
@@ -1,10 +1,10 @@
 """Transfer of all records from one peer, in pages."""
 
-from ..errors import MessageError, PeerFailure, PeerTimeout
-from ..protocol.channel import Channel
-from ..protocol.gossip import RecordItem, StatePage, StatePageWanted
-from ..protocol.records import encode_record
-from ..state.recordindex import LEAF_COUNT
+from ...errors import MessageError, PeerFailure, PeerTimeout
+from ...protocol.channel import Channel
+from ...protocol.gossip import RecordItem, StatePage, StatePageWanted
+from ...protocol.records import encode_record
+from ...state.recordindex import LEAF_COUNT
 from .gossip import Gossip
 
 MAX_PAGE_BYTES = 64 * 1024
--- a/arbutuslift/coordination/gossip.py
+++ b/arbutuslift/coordination/spread/gossip.py
@@ -6,10 +6,10 @@
 import structlog
 from attrs import define
 
-from ..clock import Clock
-from ..errors import ArbutusliftError, MessageError
-from ..protocol.channel import Channel
-from ..protocol.gossip import (
+from ...clock import Clock
+from ...errors import ArbutusliftError, MessageError
+from ...protocol.channel import Channel
+from ...protocol.gossip import (
     GossipDifference,
     GossipDigest,
     GossipRecords,
@@ -18,11 +18,11 @@
     RecordItem,
     RecordsWanted,
 )
-from ..protocol.messages import encode
-from ..protocol.records import decode_record, encode_record
-from ..state.instances import InstanceRecord, InstanceStatus, RevisionMark
-from ..state.registers import Register, record_key, record_priority
-from .budget import Budget
+from ...protocol.messages import encode
+from ...protocol.records import decode_record, encode_record
+from ...state.instances import InstanceRecord, InstanceStatus, RevisionMark
+from ...state.registers import Register, record_key, record_priority
+from ..budget import Budget
 from .changes import ChangedRecord, ChangeQueue
 from .peers import PeerChoice
 from .reconcile import Reconciler
--- a/arbutuslift/coordination/inforce.py
+++ b/arbutuslift/coordination/spread/inforce.py
@@ -4,15 +4,15 @@
 
 import structlog
 
-from ..errors import ArbutusliftError, DocumentError, StorageError
-from ..protocol.delta import compute_delta
-from ..protocol.document import (
+from ...errors import ArbutusliftError, DocumentError, StorageError
+from ...protocol.delta import compute_delta
+from ...protocol.document import (
     Configuration,
     from_canonical_json,
     to_canonical_json,
 )
-from ..protocol.gossip import RevisionDelta
-from ..state.revisionfile import MemoryRevisionStore, RevisionStore, SavedRevision
+from ...protocol.gossip import RevisionDelta
+from ...state.revisionfile import MemoryRevisionStore, RevisionStore, SavedRevision
 
 # A peer that is further behind gets the whole document.
 HISTORY_REVISIONS = 32
--- a/arbutuslift/coordination/join.py
+++ b/arbutuslift/coordination/spread/join.py
@@ -6,11 +6,11 @@
 import structlog
 from attrs import evolve, frozen
 
-from ..clock import Clock
-from ..errors import ArbutusliftError
-from ..protocol.channel import Channel
-from ..protocol.gossip import JoinAnswer, JoinQuestion
-from ..state.instances import InstanceRecord, RevisionView
+from ...clock import Clock
+from ...errors import ArbutusliftError
+from ...protocol.channel import Channel
+from ...protocol.gossip import JoinAnswer, JoinQuestion
+from ...state.instances import InstanceRecord, RevisionView
 from .fullstate import FullState
 from .peers import PeerChoice
 from .revisions import RevisionSpread
--- a/arbutuslift/coordination/lapse.py
+++ b/arbutuslift/coordination/spread/lapse.py
@@ -4,8 +4,8 @@
 
 from attrs import frozen
 
-from ..clock import Clock
-from ..state.upstreams import UpstreamRecord, UpstreamView
+from ...clock import Clock
+from ...state.upstreams import UpstreamRecord, UpstreamView
 from .registrar import Registrar
 
 TICK_S = 1.0
--- a/arbutuslift/coordination/membership.py
+++ b/arbutuslift/coordination/spread/membership.py
@@ -6,18 +6,18 @@
 
 from attrs import evolve
 
-from ..clock import Clock
-from ..protocol.channel import Channel
-from ..state.instances import (
+from ...clock import Clock
+from ...protocol.channel import Channel
+from ...state.instances import (
     InstanceRecord,
     InstanceStatus,
     InstanceView,
     RevisionView,
 )
-from ..state.registers import Register
-from ..state.revisionfile import RevisionStore
-from .budget import Budget
-from .freeze import FreezeWatch
+from ...state.registers import Register
+from ...state.revisionfile import RevisionStore
+from ..budget import Budget
+from ..freeze import FreezeWatch
 from .fullstate import FullState
 from .gossip import Gossip
 from .inforce import InForce
--- a/arbutuslift/coordination/peers.py
+++ b/arbutuslift/coordination/spread/peers.py
@@ -2,7 +2,7 @@
 
 import random
 
-from ..state.instances import InstanceRecord, InstanceView
+from ...state.instances import InstanceRecord, InstanceView
 
 # With one contact a second from each of 1,500 instances, each of 13 members would
 # get 115 digests a second, about 40 KB/s.
--- a/arbutuslift/coordination/probing.py
+++ b/arbutuslift/coordination/spread/probing.py
@@ -6,11 +6,11 @@
 import structlog
 from attrs import evolve, frozen
 
-from ..clock import Clock
-from ..errors import ArbutusliftError, MessageError, PeerTimeout
-from ..protocol.channel import Channel
-from ..protocol.gossip import IndirectProbe, Probe, ProbeAnswer
-from ..state.instances import InstanceRecord, InstanceStatus
+from ...clock import Clock
+from ...errors import ArbutusliftError, MessageError, PeerTimeout
+from ...protocol.channel import Channel
+from ...protocol.gossip import IndirectProbe, Probe, ProbeAnswer
+from ...state.instances import InstanceRecord, InstanceStatus
 from .gossip import Gossip
 from .peers import PeerChoice
 
--- a/arbutuslift/coordination/reconcile.py
+++ b/arbutuslift/coordination/spread/reconcile.py
@@ -4,8 +4,8 @@
 
 from attrs import frozen
 
-from ..errors import MessageError
-from ..protocol.gossip import (
+from ...errors import MessageError
+from ...protocol.gossip import (
     HashList,
     LeafEntries,
     LeavesAnswer,
@@ -13,7 +13,7 @@
     RecordsWanted,
     RegisterRoot,
 )
-from ..state.recordindex import (
+from ...state.recordindex import (
     FANOUT,
     HASH_BYTES,
     LEAF_COUNT,
@@ -21,7 +21,7 @@
     differing,
     leaf_of,
 )
-from ..state.registers import Register, record_key, record_version
+from ...state.registers import Register, record_key, record_version
 
 # Four nodes of leaf hashes fill a message of about 1,200 bytes.
 MAX_NODES = 4
--- a/arbutuslift/coordination/registrar.py
+++ b/arbutuslift/coordination/spread/registrar.py
@@ -2,11 +2,11 @@
 
 from collections import Counter
 
-from ..clock import Clock, SystemClock
-from ..errors import AnnouncementError
-from ..state.upstreams import UpstreamRecord
+from ...clock import Clock, SystemClock
+from ...errors import AnnouncementError
+from ...state.upstreams import UpstreamRecord
+from ..routing.services import ServiceTable
 from .announcement import STEP, parse_announcement
-from .services import ServiceTable
 
 # Synchronized clocks differ by milliseconds. An upstream whose clock is further
 # ahead would hold its address against processes that start soon after it.
--- a/arbutuslift/coordination/revisions.py
+++ b/arbutuslift/coordination/spread/revisions.py
@@ -4,32 +4,32 @@
 
 import structlog
 
-from ..errors import (
+from ...errors import (
     ArbutusliftError,
     DocumentError,
     MessageError,
     PeerFailure,
     PeerTimeout,
 )
-from ..protocol.channel import Channel
-from ..protocol.delta import (
+from ...protocol.channel import Channel
+from ...protocol.delta import (
     apply_delta,
     document_hash,
 )
-from ..protocol.document import (
+from ...protocol.document import (
     Configuration,
     from_canonical_json,
     to_canonical_json,
 )
-from ..protocol.gossip import (
+from ...protocol.gossip import (
     DocumentPage,
     DocumentPageWanted,
     RevisionDelta,
     RevisionNews,
     RevisionWanted,
 )
-from ..protocol.messages import Message, encode
-from .budget import Budget
+from ...protocol.messages import Message, encode
+from ..budget import Budget
 from .inforce import InForce
 from .peers import PeerChoice
 
--- a/arbutuslift/coordination/startregistry.py
+++ b/arbutuslift/coordination/spread/startregistry.py
@@ -6,15 +6,17 @@
 import structlog
 from attrs import define, evolve
 
-from ..clock import Clock
-from ..protocol.feed import StartNews
-from ..state.starts import GONE_KEPT_S, Phase, StartTable, UpstreamStart
+from ...clock import Clock
+from ...protocol.feed import StartNews
+from ...state.starts import GONE_KEPT_S, Phase, StartTable, UpstreamStart
 
 # Announcements that may be missed before an upstream counts as silent: two lost ones
 # and a late third.
 MISSED_ANNOUNCEMENTS = 3.5
 # After this many intervals every running upstream has found a control instance.
 SETTLING_ANNOUNCEMENTS = 6
+# Reports of loss within this time count as one: every entry instance sends its own.
+DOUBT_S = 2.0
 
 _log = structlog.get_logger()
 
@@ -36,6 +38,7 @@
         cold_until_s: End of its cold start.
         is_silent: Whether its announcements have stopped.
         position: Position of its last change in the feed.
+        doubted_s: When an entry instance last reported it lost.
     """
 
     start: UpstreamStart
@@ -43,6 +46,7 @@
     cold_until_s: float
     is_silent: bool = False
     position: int = 0
+    doubted_s: float = float("-inf")
 
 
 class StartRegistry:
@@ -93,6 +97,19 @@
             gone = evolve(held, phase=Phase.GONE)
             self._take(gone, is_silent=False, origin=Origin.ANNOUNCED)
 
+    def doubt(self, upstream_id: str, born_ms: int) -> None:
+        """Pass on that an entry instance found a start lost."""
+        entry = self._entries.get(upstream_id)
+        now_s = self._clock.monotonic_s()
+        if entry is None or entry.start.key != (upstream_id, born_ms):
+            return
+        if entry.start.phase is Phase.GONE or now_s - entry.doubted_s < DOUBT_S:
+            return
+        entry.doubted_s = now_s
+        self._mark(entry)
+        _log.info("upstream_doubted", upstream=upstream_id, born_ms=born_ms)
+        self._on_change()
+
     def receive(self, news: tuple[StartNews, ...], heard: tuple[str, ...]) -> None:
         """Take in what another control instance sends."""
         for item in news:
@@ -209,9 +226,13 @@
         entry.position = self.position
 
     def _news(self, entry: _Entry) -> StartNews:
-        left_s = max(0.0, entry.cold_until_s - self._clock.monotonic_s())
-        start = evolve(entry.start, cold_left_ms=int(left_s * 1000))
-        return StartNews(start=start, is_silent=entry.is_silent)
+        now_s = self._clock.monotonic_s()
+        left_s = max(0.0, entry.cold_until_s - now_s)
+        return StartNews(
+            start=evolve(entry.start, cold_left_ms=int(left_s * 1000)),
+            is_silent=entry.is_silent,
+            is_doubted=now_s - entry.doubted_s < DOUBT_S,
+        )
 
     def _forget(self, upstream_id: str) -> None:
         self._table.remove(upstream_id)
--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -12,12 +12,12 @@
 import structlog
 
 from .clock import Clock
-from .coordination.feedclient import FeedClient
-from .coordination.flowrouter import RESETS, Decision, FlowRouter, Verdict
-from .coordination.judge import Judge
-from .coordination.picker import Picker
-from .coordination.prober import Prober, TcpConnector
-from .coordination.upstreamdirectory import UpstreamDirectory
+from .coordination.routing.flowrouter import RESETS, Decision, FlowRouter, Verdict
+from .coordination.routing.judge import Judge
+from .coordination.routing.picker import Picker
+from .coordination.routing.prober import Prober, TcpConnector
+from .coordination.routing.upstreamdirectory import KnownStart, UpstreamDirectory
+from .coordination.spread.feedclient import FeedClient
 from .errors import PacketError, TaskFailed
 from .protocol.channel import Channel
 from .protocol.feed import FeedAnswer
@@ -86,9 +86,11 @@
         self._picker = Picker(
             clock, self._directory, self._judge, settings.data_centre, random.Random()
         )
-        prober = Prober(clock, self._judge, TcpConnector(), self._start)
+        self._prober = Prober(
+            clock, self._judge, TcpConnector(), self._start, self._on_lost
+        )
         self._router = FlowRouter(
-            clock, self._directory, self._judge, self._picker, prober.suspect
+            clock, self._directory, self._judge, self._picker, self._prober.suspect
         )
         self._feed: FeedClient | None = None
 
@@ -258,11 +260,23 @@
                 cold_left_ms=start.cold_left_ms,
                 source=source,
             )
+        for item in answer.news:
+            if item.is_doubted:
+                self._probe(item.start.key)
         self._picker.entry_count = max(1, answer.entry_count)
         self._has_upstreams = self._has_upstreams or len(self._directory) > 0
         if answer.table:
             self._apply(source, answer.table)
 
+    def _probe(self, key: tuple[str, int]) -> None:
+        known = self._directory.find_start(key)
+        if known is not None:
+            self._prober.suspect(known)
+
+    def _on_lost(self, known: KnownStart) -> None:
+        start = known.start
+        self._start(self._feed.report_loss(start.upstream_id, start.born_ms))
+
     def _apply(self, source: str, encoded: bytes) -> None:
         table = decode_table(encoded)
         is_first = self._router.table is None
--- a/arbutuslift/instance.py
+++ b/arbutuslift/instance.py
@@ -10,15 +10,15 @@
 from . import logs
 from .clock import Clock
 from .coordination.controlplane import ControlPlane
-from .coordination.denials import Denials
-from .coordination.directory import Directory
-from .coordination.forwarding import Forwarder
-from .coordination.lapse import LapseDetector
-from .coordination.limits import limit_plan_of
-from .coordination.registrar import Registrar
-from .coordination.router import Router
-from .coordination.services import ServiceTable
-from .coordination.tracedforwarding import TracedForwarder
+from .coordination.routing.denials import Denials
+from .coordination.routing.forwarding import Forwarder
+from .coordination.routing.limits import limit_plan_of
+from .coordination.routing.router import Router
+from .coordination.routing.services import ServiceTable
+from .coordination.routing.tracedforwarding import TracedForwarder
+from .coordination.spread.directory import Directory
+from .coordination.spread.lapse import LapseDetector
+from .coordination.spread.registrar import Registrar
 from .errors import TaskFailed
 from .metrics import Reporter, open_metrics
 from .protocol.document import Configuration, load_document
--- a/arbutuslift/protocol/feed.py
+++ b/arbutuslift/protocol/feed.py
@@ -38,10 +38,13 @@
     Attributes:
         start: The record; ``cold_left_ms`` counts from the sending.
         is_silent: Whether its announcements have stopped.
+        is_doubted: Whether an entry instance has just found it lost. Others find out
+            for themselves, since it may be their own way that is cut.
     """
 
     start: UpstreamStart
     is_silent: bool
+    is_doubted: bool = False
 
 
 @register
@@ -139,3 +142,17 @@
     """
 
     is_turn: bool
+
+
+@register
+@frozen(kw_only=True)
+class LossReport(Message):
+    """An entry instance can't reach a start of an upstream.
+
+    Attributes:
+        upstream_id: Identity of the upstream.
+        born_ms: Its start.
+    """
+
+    upstream_id: str
+    born_ms: int
--- a/measure/packets.py
+++ b/measure/packets.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 
 from arbutuslift.clock import SystemClock
-from arbutuslift.coordination.router import Router, Verdict
-from arbutuslift.coordination.services import ServiceTable
+from arbutuslift.coordination.routing.router import Router, Verdict
+from arbutuslift.coordination.routing.services import ServiceTable
 from arbutuslift.protocol.document import Configuration, DataCentre, Document, Service
 from arbutuslift.protocol.packets import ACK, RST, SYN, decode, encode_tcp
 from arbutuslift.state.flowkey import Endpoint, FlowKey
--- a/measure/population.py
+++ b/measure/population.py
@@ -9,7 +9,7 @@
 import structlog
 
 from arbutuslift.clock import ManualClock
-from arbutuslift.coordination.membership import Membership
+from arbutuslift.coordination.spread.membership import Membership
 from arbutuslift.protocol.channel import Channel
 from arbutuslift.protocol.document import Document, to_canonical_json
 from arbutuslift.state.instances import InstanceRecord, RevisionMark
--- a/measure/routers.py
+++ b/measure/routers.py
@@ -1,8 +1,8 @@
 """Models of the ways of routing that weren't chosen."""
 
-from arbutuslift.coordination.router import Decision, Router, Send, Verdict
-from arbutuslift.coordination.routes import ServiceRoutes
-from arbutuslift.coordination.services import ServiceTable
+from arbutuslift.coordination.routing.router import Decision, Router, Send, Verdict
+from arbutuslift.coordination.routing.routes import ServiceRoutes
+from arbutuslift.coordination.routing.services import ServiceTable
 from arbutuslift.protocol.packets import Packet, ResetPacket, SynAckPacket, SynPacket
 from arbutuslift.state.flows import FlowCache
 from arbutuslift.state.hashing import hash_64, rendezvous_order
--- a/measure/routing.py
+++ b/measure/routing.py
@@ -16,9 +16,9 @@
 from attrs import define, frozen
 
 from arbutuslift.clock import ManualClock
-from arbutuslift.coordination.denials import Denials
-from arbutuslift.coordination.router import Router
-from arbutuslift.coordination.services import ServiceTable
+from arbutuslift.coordination.routing.denials import Denials
+from arbutuslift.coordination.routing.router import Router
+from arbutuslift.coordination.routing.services import ServiceTable
 from arbutuslift.protocol.denials import DenialReport
 from arbutuslift.protocol.messages import encode
 from arbutuslift.protocol.packets import SynPacket, decode, without_payload
--- a/measure/telemetry.py
+++ b/measure/telemetry.py
@@ -11,10 +11,10 @@
 
 from arbutuslift import logs
 from arbutuslift.clock import SystemClock
-from arbutuslift.coordination.forwarding import Forwarder
-from arbutuslift.coordination.router import Router
-from arbutuslift.coordination.services import ServiceTable
-from arbutuslift.coordination.tracedforwarding import TracedForwarder
+from arbutuslift.coordination.routing.forwarding import Forwarder
+from arbutuslift.coordination.routing.router import Router
+from arbutuslift.coordination.routing.services import ServiceTable
+from arbutuslift.coordination.routing.tracedforwarding import TracedForwarder
 from arbutuslift.metrics import NoMetrics, Reporter, StatsdMetrics
 from arbutuslift.protocol.packets import ACK
 from arbutuslift.spans import SpanTraces
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -5,8 +5,8 @@
 
 from attrs import frozen
 
-from arbutuslift.coordination.join import Seed
-from arbutuslift.coordination.membership import Membership
+from arbutuslift.coordination.spread.join import Seed
+from arbutuslift.coordination.spread.membership import Membership
 from arbutuslift.protocol.channel import Channel
 from arbutuslift.state.instances import InstanceRecord
 from arbutuslift.state.loads import LoadRegister
--- a/tests/coordination/test_agreement_scenarios.py
+++ b/tests/coordination/agreement/test_agreement_scenarios.py
@@ -8,7 +8,7 @@
 
 from arbutuslift.errors import ConfigurationConflict
 
-from .cluster import Cluster, submission
+from ..cluster import Cluster, submission
 
 scenarios("features/agreement.feature")
 
--- a/tests/coordination/test_keeper.py
+++ b/tests/coordination/agreement/test_keeper.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from arbutuslift.coordination.enrolment import Enrolment
-from arbutuslift.coordination.keeper import KeeperPolicy
+from arbutuslift.coordination.agreement.enrolment import Enrolment
+from arbutuslift.coordination.agreement.keeper import KeeperPolicy
 
-from .cluster import Cluster
+from ..cluster import Cluster
 
 CENTRES = {"a": "dc-1", "b": "dc-2", "c": "dc-3", "d": "dc-1", "e": "dc-2", "f": "dc-3"}
 
--- a/tests/coordination/test_member.py
+++ b/tests/coordination/agreement/test_member.py
@@ -5,7 +5,7 @@
 import pytest
 
 from arbutuslift.clock import ManualClock
-from arbutuslift.coordination.memberstate import MemberState
+from arbutuslift.coordination.agreement.memberstate import MemberState
 from arbutuslift.errors import (
     DocumentError,
     MembershipChangeError,
@@ -18,7 +18,7 @@
 from arbutuslift.state.snapshots import Snapshot
 from arbutuslift.state.storage import MemberStorage
 
-from .cluster import Cluster, submission
+from ..cluster import Cluster, submission
 
 
 @pytest.fixture
@@ -320,8 +320,12 @@
 
 
 async def test_lagging_member_gets_a_snapshot_in_chunks(cluster, monkeypatch):
-    monkeypatch.setattr("arbutuslift.coordination.replication.CHUNK_BYTES", 1000)
-    monkeypatch.setattr("arbutuslift.coordination.memberstate.SNAPSHOT_ENTRIES", 20)
+    monkeypatch.setattr(
+        "arbutuslift.coordination.agreement.replication.CHUNK_BYTES", 1000
+    )
+    monkeypatch.setattr(
+        "arbutuslift.coordination.agreement.memberstate.SNAPSHOT_ENTRIES", 20
+    )
     leader, other, _ = await roles(cluster)
     await cluster.fill(leader, 2)
     cluster.isolate(other)
--- a/tests/coordination/test_orderdesk.py
+++ b/tests/coordination/agreement/test_orderdesk.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from arbutuslift.coordination.orderdesk import OrderDesk
+from arbutuslift.coordination.agreement.orderdesk import OrderDesk
 from arbutuslift.errors import NoQuorum
 from arbutuslift.state.agreed import PutConfiguration, SetInService
 
-from .cluster import Cluster
+from ..cluster import Cluster
 
 
 def put(version):
--- a/tests/coordination/test_random_faults.py
+++ b/tests/coordination/agreement/test_random_faults.py
@@ -7,7 +7,7 @@
 
 from arbutuslift.errors import ConfigurationConflict, MembershipChangeError, NoQuorum
 
-from .cluster import Cluster, submission
+from ..cluster import Cluster, submission
 
 STEPS = 120
 SEEDS = range(12)
@@ -203,9 +203,11 @@
 
 @pytest.mark.parametrize("seed", SEEDS)
 async def test_random_faults_keep_every_accepted_revision(seed, monkeypatch):
-    memberstate = "arbutuslift.coordination.memberstate"
+    memberstate = "arbutuslift.coordination.agreement.memberstate"
     monkeypatch.setattr(f"{memberstate}.SNAPSHOT_ENTRIES", 10)
-    monkeypatch.setattr("arbutuslift.coordination.replication.CHUNK_BYTES", 500)
+    monkeypatch.setattr(
+        "arbutuslift.coordination.agreement.replication.CHUNK_BYTES", 500
+    )
     run = RandomRun(seed)
     try:
         await run.run()
--- a/tests/coordination/cluster.py
+++ b/tests/coordination/cluster.py
@@ -5,7 +5,7 @@
 import random
 
 from arbutuslift.clock import Clock, ManualClock
-from arbutuslift.coordination.member import Member
+from arbutuslift.coordination.agreement.member import Member
 from arbutuslift.protocol.channel import Channel
 from arbutuslift.state.configuration import Submission
 from arbutuslift.state.storage import MemberStorage
--- a/tests/coordination/test_denials.py
+++ b/tests/coordination/routing/test_denials.py
@@ -5,15 +5,15 @@
 import pytest
 
 from arbutuslift.clock import ManualClock
-from arbutuslift.coordination.denials import HOLD_S, Denials
-from arbutuslift.coordination.services import ServiceTable
+from arbutuslift.coordination.routing.denials import HOLD_S, Denials
+from arbutuslift.coordination.routing.services import ServiceTable
 from arbutuslift.protocol.channel import Channel
 from arbutuslift.protocol.packets import RST, decode
 from arbutuslift.state.flows import FlowCache
 from arbutuslift.state.upstreams import UpstreamView
 from arbutuslift.transport.bus import MemoryNetwork
 
-from .. import builders
+from ... import builders
 
 NAMES = ["i1", "i2", "i3"]
 UPSTREAM_IDS = {builders.upstream(number).upstream_id for number in (1, 2)}
--- a/tests/coordination/test_flow_survival.py
+++ b/tests/coordination/routing/test_flow_survival.py
@@ -8,9 +8,9 @@
 from hypothesis import given, settings, strategies as st
 
 from arbutuslift.clock import ManualClock
-from arbutuslift.coordination.denials import Denials
-from arbutuslift.coordination.router import Router, Verdict
-from arbutuslift.coordination.services import ServiceTable
+from arbutuslift.coordination.routing.denials import Denials
+from arbutuslift.coordination.routing.router import Router, Verdict
+from arbutuslift.coordination.routing.services import ServiceTable
 from arbutuslift.protocol.document import DataCentre
 from arbutuslift.protocol.packets import RST, SynPacket, decode
 from arbutuslift.state.admission import Admission
@@ -20,7 +20,7 @@
 from arbutuslift.transport.fabric import Address
 from standins.connections import FakeCaller, FakeUpstream
 
-from .. import builders
+from ... import builders
 
 INSTANCES = 3
 MAX_DELAY_S = 3.0
--- a/tests/coordination/test_flowrouter.py
+++ b/tests/coordination/routing/test_flowrouter.py
@@ -5,15 +5,15 @@
 import pytest
 
 from arbutuslift.clock import ManualClock
-from arbutuslift.coordination.flowrouter import FlowRouter, Verdict
-from arbutuslift.coordination.judge import Judge
-from arbutuslift.coordination.picker import Picker
-from arbutuslift.coordination.upstreamdirectory import UpstreamDirectory
+from arbutuslift.coordination.routing.flowrouter import FlowRouter, Verdict
+from arbutuslift.coordination.routing.judge import Judge
+from arbutuslift.coordination.routing.picker import Picker
+from arbutuslift.coordination.routing.upstreamdirectory import UpstreamDirectory
 from arbutuslift.protocol.feed import StartNews
 from arbutuslift.state.flowtags import tag_of
 from arbutuslift.state.starts import Phase
 
-from ..builders import caller_packet, route, routing_table, start
+from ...builders import caller_packet, route, routing_table, start
 
 
 class Entry:
@@ -26,7 +26,14 @@
         self.picker = Picker(
             self.clock, self.directory, self.judge, data_centre, random.Random(seed)
         )
-        self.router = FlowRouter(self.clock, self.directory, self.judge, self.picker)
+        self.suspected = []
+        self.router = FlowRouter(
+            self.clock,
+            self.directory,
+            self.judge,
+            self.picker,
+            self.suspected.append,
+        )
         self.learn(*starts)
         self.router.apply(table or routing_table())
 
@@ -200,7 +207,7 @@
 
 
 def test_the_record_of_flows_is_bounded(monkeypatch):
-    monkeypatch.setattr("arbutuslift.coordination.flowrouter.MAX_FLOWS", 3)
+    monkeypatch.setattr("arbutuslift.coordination.routing.flowrouter.MAX_FLOWS", 3)
     entry = Entry(start(1))
     for number in range(10):
         entry.syn(number)
@@ -241,3 +248,41 @@
     entry.wait(0.2)
     assert entry.data(tag=tag, seq=1).verdict is Verdict.REPEATED
     assert entry.data(tag=tag, seq=2, ack=2).verdict is Verdict.FORWARDED
+
+
+def test_a_caller_that_was_refused_by_an_upstream_is_sent_to_others():
+    entry = Entry(*(start(n) for n in range(1, 5)))
+    chosen = []
+    for port in range(4):
+        packet = caller_packet(7, flow=bytes([port]) * 12, is_syn=True)
+        chosen.append(entry.router.route(packet).upstream.start.number)
+        entry.wait(0.01)
+    assert sorted(chosen) == [1, 2, 3, 4]
+    assert len(entry.suspected) == 3
+
+
+def test_two_flows_that_a_caller_opens_at_once_are_no_evidence():
+    entry = Entry(start(1), start(2))
+    for port in range(2):
+        entry.router.route(caller_packet(7, flow=bytes([port]) * 12, is_syn=True))
+        entry.wait(0.002)
+    assert entry.suspected == []
+
+
+def test_a_flow_that_does_not_open_is_evidence_without_a_copy():
+    entry = Entry(start(1))
+    entry.syn(1)
+    entry.wait(0.12)
+    entry.router.expire()
+    assert [known.start.number for known in entry.suspected] == [1]
+    entry.router.expire()
+    assert len(entry.suspected) == 1
+
+
+def test_a_flow_that_opens_is_no_evidence():
+    entry = Entry(start(1))
+    entry.syn(1)
+    entry.data(1, data_length_bytes=0)
+    entry.wait(0.2)
+    entry.router.expire()
+    assert entry.suspected == []
--- a/tests/coordination/test_judge.py
+++ b/tests/coordination/routing/test_judge.py
@@ -1,7 +1,7 @@
 """Guards against upstreams that fail and keep their share, and rash verdicts."""
 
 from arbutuslift.clock import ManualClock
-from arbutuslift.coordination.judge import (
+from arbutuslift.coordination.routing.judge import (
     LONGEST_EXCLUSION_S,
     LOSS_MEMORY_S,
     Judge,
--- a/tests/coordination/test_limits.py
+++ b/tests/coordination/routing/test_limits.py
@@ -1,8 +1,8 @@
 """Limits: every limit of the document reaches admission."""
 
-from arbutuslift.coordination.limits import limit_plan_of
+from arbutuslift.coordination.routing.limits import limit_plan_of
 
-from .. import builders
+from ... import builders
 
 
 def test_limits_of_a_service_are_those_of_the_document():
--- a/tests/coordination/test_picker.py
+++ b/tests/coordination/routing/test_picker.py
@@ -5,16 +5,16 @@
 import pytest
 
 from arbutuslift.clock import ManualClock
-from arbutuslift.coordination.judge import Judge
-from arbutuslift.coordination.picker import Picker
-from arbutuslift.coordination.upstreamdirectory import (
+from arbutuslift.coordination.routing.judge import Judge
+from arbutuslift.coordination.routing.picker import Picker
+from arbutuslift.coordination.routing.upstreamdirectory import (
     RESPONSE_KEPT_S,
     UpstreamDirectory,
 )
 from arbutuslift.protocol.feed import StartNews
 from arbutuslift.state.routing import ServiceLimits
 
-from ..builders import route, routing_table, start
+from ...builders import route, routing_table, start
 
 LIMIT_PER_S = 10.0
 
--- a/tests/coordination/test_prober.py
+++ b/tests/coordination/routing/test_prober.py
@@ -5,12 +5,17 @@
 import pytest
 
 from arbutuslift.clock import ManualClock
-from arbutuslift.coordination.judge import Judge
-from arbutuslift.coordination.prober import Connector, Prober, TcpConnector
-from arbutuslift.coordination.upstreamdirectory import KnownStart
+from arbutuslift.coordination.routing.judge import Judge
+from arbutuslift.coordination.routing.prober import (
+    Attempt,
+    Connector,
+    Prober,
+    TcpConnector,
+)
+from arbutuslift.coordination.routing.upstreamdirectory import KnownStart
 from arbutuslift.state.starts import Phase
 
-from ..builders import start
+from ...builders import start
 
 
 class ScriptedConnector(Connector):
@@ -19,12 +24,13 @@
     def __init__(self, clock):
         self.clock = clock
         self.reachable = True
+        self.failure = Attempt.SILENT
         self.calls = 0
 
-    async def can_connect(self, address):
+    async def connect(self, address):
         self.calls += 1
         await self.clock.sleep(0.01)
-        return self.reachable
+        return Attempt.ACCEPTED if self.reachable else self.failure
 
 
 class Bench:
@@ -35,7 +41,10 @@
         self.judge = Judge(self.clock)
         self.connector = ScriptedConnector(self.clock)
         self.tasks = []
-        self.prober = Prober(self.clock, self.judge, self.connector, self.run)
+        self.lost = []
+        self.prober = Prober(
+            self.clock, self.judge, self.connector, self.run, self.lost.append
+        )
         self.known = KnownStart(start=start(1), tag=1, cold_until_s=0.0)
 
     def run(self, work):
@@ -104,7 +113,28 @@
 async def test_connections_over_tcp():
     server = await asyncio.start_server(lambda r, w: w.close(), "127.0.0.1", 0)
     address = server.sockets[0].getsockname()
-    assert await TcpConnector().can_connect(address)
+    assert await TcpConnector().connect(address) is Attempt.ACCEPTED
     server.close()
     await server.wait_closed()
-    assert not await TcpConnector().can_connect(address)
+    assert await TcpConnector().connect(address) is Attempt.REFUSED
+
+
+async def test_a_refusal_is_certain_at_once(bench):
+    bench.connector.reachable = False
+    bench.connector.failure = Attempt.REFUSED
+    bench.suspect()
+    await bench.clock.advance(0.015)
+    assert bench.known.is_lost
+    assert bench.lost == [bench.known]
+
+
+async def test_an_upstream_that_was_reached_is_trusted_for_a_while(bench):
+    bench.suspect()
+    await bench.clock.advance(0.1)
+    bench.suspect()
+    await bench.clock.advance(0.1)
+    assert bench.connector.calls == 1
+    await bench.clock.advance(0.5)
+    bench.suspect()
+    await bench.clock.advance(0.1)
+    assert bench.connector.calls == 2
--- a/tests/coordination/test_router.py
+++ b/tests/coordination/routing/test_router.py
@@ -4,8 +4,8 @@
 from attrs import define, field
 
 from arbutuslift.clock import ManualClock
-from arbutuslift.coordination.router import Router, Verdict
-from arbutuslift.coordination.services import ServiceTable
+from arbutuslift.coordination.routing.router import Router, Verdict
+from arbutuslift.coordination.routing.services import ServiceTable
 from arbutuslift.protocol.document import DataCentre
 from arbutuslift.protocol.packets import ACK, RST, SYN, decode, encode_udp
 from arbutuslift.state.admission import Admission
@@ -13,7 +13,7 @@
 from arbutuslift.state.upstreams import UpstreamState, UpstreamView
 from arbutuslift.transport.fabric import Address
 
-from .. import builders
+from ... import builders
 
 FABRIC = Address("127.0.0.1", 7400)
 
--- a/tests/coordination/test_services.py
+++ b/tests/coordination/routing/test_services.py
@@ -3,14 +3,14 @@
 import pytest
 
 from arbutuslift.clock import ManualClock
-from arbutuslift.coordination.services import ServiceTable
+from arbutuslift.coordination.routing.services import ServiceTable
 from arbutuslift.protocol.packets import decode
 from arbutuslift.state.generations import RETENTION_S, GenerationRecord
 from arbutuslift.state.marks import LimitMark
 from arbutuslift.state.table import WeightedUpstream
 from arbutuslift.state.upstreams import UpstreamState, UpstreamView
 
-from .. import builders
+from ... import builders
 
 RECORDS = [builders.upstream(number) for number in (1, 2, 3)]
 FLOWS = [decode(builders.syn(number)).key_from_caller() for number in range(50)]
--- a/tests/coordination/test_feed.py
+++ b/tests/coordination/spread/test_feed.py
@@ -5,15 +5,15 @@
 import pytest
 
 from arbutuslift.clock import ManualClock
-from arbutuslift.coordination.feedclient import FeedClient
-from arbutuslift.coordination.feedserver import FeedServer
-from arbutuslift.coordination.upstreamdirectory import UpstreamDirectory
+from arbutuslift.coordination.routing.upstreamdirectory import UpstreamDirectory
+from arbutuslift.coordination.spread.feedclient import FeedClient
+from arbutuslift.coordination.spread.feedserver import FeedServer
 from arbutuslift.protocol.channel import Channel
 from arbutuslift.state.routing import decode_table
 from arbutuslift.state.starts import Phase
 from arbutuslift.transport.bus import MemoryNetwork
 
-from ..builders import routing_table, start
+from ...builders import routing_table, start
 
 
 class Feed:
--- a/tests/coordination/test_followers.py
+++ b/tests/coordination/spread/test_followers.py
@@ -3,7 +3,7 @@
 import pytest
 
 from arbutuslift.clock import ManualClock
-from arbutuslift.coordination.followers import Followers
+from arbutuslift.coordination.spread.followers import Followers
 from arbutuslift.protocol.channel import Channel
 from arbutuslift.transport.bus import MemoryNetwork
 
--- a/tests/coordination/test_gossip.py
+++ b/tests/coordination/spread/test_gossip.py
@@ -9,8 +9,8 @@
 from arbutuslift.state.loads import UpstreamLoad
 from arbutuslift.state.upstreams import UpstreamState
 
-from ..builders import upstream
-from ..cluster import Cluster, Faults
+from ...builders import upstream
+from ...cluster import Cluster, Faults
 
 FAULTS = {
     "none": Faults(),
--- a/tests/coordination/test_inforce.py
+++ b/tests/coordination/spread/test_inforce.py
@@ -2,11 +2,11 @@
 
 import pytest
 
-from arbutuslift.coordination.inforce import HISTORY_REVISIONS, InForce
+from arbutuslift.coordination.spread.inforce import HISTORY_REVISIONS, InForce
 from arbutuslift.errors import StorageError
 from arbutuslift.state.revisionfile import DiskRevisionStore, MemoryRevisionStore
 
-from ..builders import configuration
+from ...builders import configuration
 
 
 @pytest.fixture(params=["disk", "memory"])
--- a/tests/coordination/test_join.py
+++ b/tests/coordination/spread/test_join.py
@@ -6,7 +6,7 @@
 
 from arbutuslift.protocol.gossip import StatePage, StatePageWanted
 
-from ..builders import configuration, upstream
+from ...builders import configuration, upstream
 
 
 async def _restart_cut_off(cluster, reachable):
--- a/tests/coordination/test_lapse.py
+++ b/tests/coordination/spread/test_lapse.py
@@ -3,12 +3,16 @@
 import pytest
 
 from arbutuslift.clock import ManualClock
-from arbutuslift.coordination.lapse import LAPSE_S, UNHEARD_LAPSE_S, LapseDetector
-from arbutuslift.coordination.registrar import Registrar
-from arbutuslift.coordination.services import ServiceTable
+from arbutuslift.coordination.routing.services import ServiceTable
+from arbutuslift.coordination.spread.lapse import (
+    LAPSE_S,
+    UNHEARD_LAPSE_S,
+    LapseDetector,
+)
+from arbutuslift.coordination.spread.registrar import Registrar
 from arbutuslift.state.upstreams import UpstreamView
 
-from .. import builders
+from ... import builders
 
 COUNT = 6
 
--- a/tests/coordination/test_membership.py
+++ b/tests/coordination/spread/test_membership.py
@@ -6,14 +6,14 @@
 from hypothesis import HealthCheck, given, reject, settings, strategies as st
 
 from arbutuslift.clock import ManualClock
-from arbutuslift.coordination.membership import Membership
+from arbutuslift.coordination.spread.membership import Membership
 from arbutuslift.protocol import gossip
 from arbutuslift.protocol.channel import Channel
 from arbutuslift.protocol.messages import Message, encode
 from arbutuslift.state.instances import InstanceRecord
 from arbutuslift.transport.bus import MemoryNetwork
 
-from ..builders import configuration
+from ...builders import configuration
 
 MESSAGES = [
     value
--- a/tests/coordination/test_probing.py
+++ b/tests/coordination/spread/test_probing.py
@@ -4,7 +4,7 @@
 
 from arbutuslift.state.instances import InstanceStatus
 
-from ..cluster import Faults
+from ...cluster import Faults
 
 
 def _all_see(cluster, names):
--- a/tests/coordination/test_registrar.py
+++ b/tests/coordination/spread/test_registrar.py
@@ -3,12 +3,12 @@
 import pytest
 
 from arbutuslift.clock import ManualClock
-from arbutuslift.coordination.registrar import MAX_CLOCK_AHEAD_S, Registrar
-from arbutuslift.coordination.services import ServiceTable
+from arbutuslift.coordination.routing.services import ServiceTable
+from arbutuslift.coordination.spread.registrar import MAX_CLOCK_AHEAD_S, Registrar
 from arbutuslift.errors import AnnouncementError
 from arbutuslift.state.upstreams import UpstreamState, UpstreamView
 
-from .. import builders
+from ... import builders
 
 
 @pytest.fixture
--- a/tests/coordination/test_revisions.py
+++ b/tests/coordination/spread/test_revisions.py
@@ -2,11 +2,11 @@
 
 import pytest
 
-from arbutuslift.coordination import revisions
+from arbutuslift.coordination.spread import revisions
 from arbutuslift.state.revisionfile import MemoryRevisionStore
 
-from ..builders import configuration, service
-from ..cluster import Faults
+from ...builders import configuration, service
+from ...cluster import Faults
 
 TARGET_S = 5.0
 
--- a/tests/coordination/test_startregistry.py
+++ b/tests/coordination/spread/test_startregistry.py
@@ -1,11 +1,11 @@
 """Guards against upstreams that vanish, come back or look alive by mistake."""
 
 from arbutuslift.clock import ManualClock
-from arbutuslift.coordination.startregistry import StartRegistry
+from arbutuslift.coordination.spread.startregistry import StartRegistry
 from arbutuslift.protocol.feed import StartNews
 from arbutuslift.state.starts import GONE_KEPT_S, Phase
 
-from ..builders import start
+from ...builders import start
 
 INTERVAL_S = 1.0
 
@@ -109,3 +109,24 @@
     assert not registry.is_settled
     clock.jump(6 * INTERVAL_S)
     assert registry.is_settled
+
+
+def test_a_report_of_loss_is_passed_on_once_and_is_no_verdict():
+    clock, registry, calls = open_registry()
+    registry.announce(start(1))
+    for _ in range(3):
+        registry.doubt(start(1).upstream_id, start(1).born_ms)
+    assert len(calls) == 2
+    (item,) = registry.news_after(1)
+    assert item.is_doubted
+    assert item.start.phase is Phase.READY
+    clock.jump(2.1)
+    assert not registry.all_news()[0].is_doubted
+
+
+def test_a_report_of_loss_of_another_start_is_ignored():
+    _, registry, _ = open_registry()
+    registry.announce(start(1))
+    registry.doubt(start(1).upstream_id, 5)
+    registry.doubt("i-99", 5)
+    assert registry.position == 1
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -9,8 +9,8 @@
 
 from arbutuslift.clock import ManualClock
 from arbutuslift.commands.environment import Environment
+from arbutuslift.coordination.agreement.store import ConfigurationStore, MemberStatus
 from arbutuslift.coordination.operators import OperatorsService, upstream_statuses
-from arbutuslift.coordination.store import ConfigurationStore, MemberStatus
 from arbutuslift.ctl import execute
 from arbutuslift.errors import (
     ConfigurationConflict,
--- a/tests/state/test_admission.py
+++ b/tests/state/test_admission.py
@@ -5,7 +5,7 @@
 import pytest
 
 from arbutuslift.clock import ManualClock
-from arbutuslift.coordination.limits import limit_plan_of
+from arbutuslift.coordination.routing.limits import limit_plan_of
 from arbutuslift.protocol.document import DataCentre, Document
 from arbutuslift.state import admission
 from arbutuslift.state.admission import AdmissionControl
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -6,15 +6,15 @@
 from pathlib import Path
 
 from arbutuslift.commands.outcome import ExitCode
-from arbutuslift.coordination.forwarding import BAD_PACKET
-from arbutuslift.coordination.router import Verdict
-from arbutuslift.coordination.store import MemberStatus
+from arbutuslift.coordination.agreement.store import MemberStatus
+from arbutuslift.coordination.routing.forwarding import BAD_PACKET
+from arbutuslift.coordination.routing.router import Verdict
 from arbutuslift.ctl import COMMANDS
 
 from .fakes import Site
 
 DOCS = Path(__file__).parents[1] / "docs"
-PAGE = (DOCS / "operations.md").read_text()
+PAGE = (DOCS / "OPERATIONS.md").read_text()
 PROGRAM = "    arbutusliftctl "
 LINES = [
     line.removeprefix(PROGRAM) for line in PAGE.splitlines() if line.startswith(PROGRAM)
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -7,10 +7,10 @@
 import pytest
 
 from arbutuslift.clock import ManualClock
-from arbutuslift.coordination.forwarding import Forwarder
-from arbutuslift.coordination.router import Router
-from arbutuslift.coordination.services import ServiceTable
-from arbutuslift.coordination.tracedforwarding import TracedForwarder
+from arbutuslift.coordination.routing.forwarding import Forwarder
+from arbutuslift.coordination.routing.router import Router
+from arbutuslift.coordination.routing.services import ServiceTable
+from arbutuslift.coordination.routing.tracedforwarding import TracedForwarder
 from arbutuslift.errors import StorageError
 from arbutuslift.protocol.packets import ACK
 from arbutuslift.state.flows import FlowCache
