--- a/arbutuslift/coordination/routing/prober.py
+++ b/arbutuslift/coordination/routing/prober.py
@@ -15,7 +15,10 @@
 CONNECT_TIMEOUT_S = 0.15
 # An attempt may be lost on the way; a refusal can't be mistaken.
 SILENT_ATTEMPTS_TO_LOSE = 2
-REPEAT_S = 0.5
+# A lost upstream is probed again after this time, doubled each time up to the longest:
+# one that never returns would take a tenth of a small instance's processor otherwise.
+FIRST_REPEAT_S = 0.5
+LONGEST_REPEAT_S = 4.0
 # Time in which an upstream that was reached isn't probed again.
 TRUSTED_S = 0.5
 MAX_PROBES = 64
@@ -100,6 +103,7 @@
 
     async def _probe(self, known: KnownStart) -> None:
         silent = 0
+        repeat_s = FIRST_REPEAT_S
         try:
             while not known.is_gone:
                 attempt = await self._connector.connect(known.start.address)
@@ -109,7 +113,8 @@
                 is_certain = attempt is Attempt.REFUSED
                 if is_certain or silent >= SILENT_ATTEMPTS_TO_LOSE:
                     self._set_lost(known, True)
-                    await self._clock.sleep(REPEAT_S)
+                    await self._clock.sleep(repeat_s)
+                    repeat_s = min(2 * repeat_s, LONGEST_REPEAT_S)
         finally:
             self._probed.discard(known.start.key)
         if known.is_gone:
--- a/tests/coordination/agreement/test_member.py
+++ b/tests/coordination/agreement/test_member.py
@@ -5,7 +5,7 @@
 import pytest
 
 from arbutuslift.clock import ManualClock
-from arbutuslift.coordination.agreement.memberstate import MemberState
+from arbutuslift.coordination.agreement.memberstate import AgreementTiming, MemberState
 from arbutuslift.errors import (
     DocumentError,
     MembershipChangeError,
@@ -390,3 +390,34 @@
     assert "injected" in cluster.members[leader].fault
     with pytest.raises(NoQuorum):
         await cluster.submit(leader, "r1", 1)
+
+
+async def test_after_a_stop_of_all_members_the_first_election_comes_early():
+    timing = AgreementTiming(election_timeout_s=3.0, first_election_timeout_s=0.25)
+    cluster = Cluster(timing=timing)
+    cluster.start()
+    await cluster.leader()
+    await cluster.submit("a", "r0", 0, "kept")
+    for name in cluster.names:
+        await cluster.kill(name)
+    cluster.start()
+    stopped_s = cluster.clock.monotonic_s()
+    await cluster.leader()
+    assert cluster.clock.monotonic_s() - stopped_s < timing.election_timeout_s
+    stored = await cluster.do(cluster.members["b"].current())
+    assert stored.submission.document == b"kept"
+    await cluster.close()
+
+
+async def test_a_restarted_member_does_not_disturb_a_leader():
+    timing = AgreementTiming(heartbeat_s=0.2, first_election_timeout_s=0.25)
+    cluster = Cluster(timing=timing)
+    cluster.start()
+    leader = await cluster.leader()
+    other = next(name for name in cluster.names if name != leader)
+    await cluster.kill(other)
+    await cluster.run(1.0)
+    cluster.start(other)
+    await cluster.run(3.0)
+    assert cluster.leaders() == [leader]
+    await cluster.close()
--- a/tests/coordination/cluster.py
+++ b/tests/coordination/cluster.py
@@ -69,9 +69,15 @@
     """Runs members; ``identities`` pins identities to names, as if a disk had none."""
 
     def __init__(
-        self, names=("a", "b", "c"), seed=1, identities=None, keeper_policy=None
+        self,
+        names=("a", "b", "c"),
+        seed=1,
+        identities=None,
+        keeper_policy=None,
+        timing=None,
     ):
         self.keeper_policy = keeper_policy
+        self.timing = timing
         self.clock = PruningClock()
         self.network = MemoryNetwork(self.clock)
         self.names = tuple(names)
@@ -99,6 +105,7 @@
                 initial_names=self.names if initial is None else initial,
                 traces=self.traces,
                 keeper_policy=self.keeper_policy,
+                timing=self.timing,
             )
             self._freeze_handler(channel, clock)
             self.reported[name] = []
--- a/tests/coordination/routing/test_prober.py
+++ b/tests/coordination/routing/test_prober.py
@@ -138,3 +138,11 @@
     bench.suspect()
     await bench.clock.advance(0.1)
     assert bench.connector.calls == 2
+
+
+async def test_an_upstream_that_never_returns_costs_few_probes(bench):
+    bench.connector.reachable = False
+    bench.suspect()
+    await bench.clock.advance(60.0)
+    # Two attempts, four while the pause doubles, then one in 4 s.
+    assert bench.connector.calls <= 2 + 4 + 60 / 4
