--- /dev/null
+++ b/measure/tags.py
@@ -0,0 +1,157 @@
+"""Time per packet and per routing table where flows carry tags, as slopes.
+
+The processor time of a whole entry process, sockets included, is what the users' bench
+charges; these figures tell how the parts that this project wrote grow.
+"""
+
+import random
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+from arbutuslift.clock import SystemClock
+from arbutuslift.coordination.routing.flowrouter import FlowRouter, Verdict
+from arbutuslift.coordination.routing.judge import Judge
+from arbutuslift.coordination.routing.picker import Picker
+from arbutuslift.coordination.routing.upstreamdirectory import UpstreamDirectory
+from arbutuslift.protocol.feed import StartNews
+from arbutuslift.state.flowtags import tag_of
+from arbutuslift.state.routing import (
+    Route,
+    RoutingTable,
+    ServiceLimits,
+    ServiceShare,
+    decode_table,
+    encode_table,
+)
+from arbutuslift.state.starts import UpstreamStart
+
+from .result import Measure, at_most, slope
+
+sys.path.append(str(Path(__file__).resolve().parents[1] / "platform"))
+
+from adapter.packets import PlatformCodec  # noqa: E402
+
+UPSTREAMS_A_SERVICE = 8
+SERVICE_COUNTS = (10, 100, 2_000)
+ROUTE_COUNTS = (13, 420, 1_400, 2_100)
+PACKETS = 5_000
+# What a packet may cost in the bench's accounting on the entry machines.
+PACKET_TARGET_US = 250.0
+
+
+def measure() -> list[Measure]:
+    """Return times per packet by the number of upstreams, and sizes of tables."""
+    return [*_packets(), *_tables()]
+
+
+def _packets() -> list[Measure]:
+    figures, points = [], []
+    for count in SERVICE_COUNTS:
+        router, starts = _router(count)
+        codec = PlatformCodec()
+        known = [_datagram(flow=n, flags=8, tag=tag_of(starts[0])) for n in range(100)]
+        opening = [_datagram(flow=n, flags=16) for n in range(PACKETS)]
+        upstreams = count * UPSTREAMS_A_SERVICE
+        for name, datagrams in (("new flow", opening), ("tagged", known)):
+            figure_us = _time_us(router, codec, datagrams)
+            title = f"{name}, {upstreams} upstreams"
+            figures.append(at_most(title, figure_us, "us/packet", PACKET_TARGET_US))
+            if name == "tagged":
+                points.append((float(upstreams), figure_us))
+    figures.append(
+        Measure(name="tagged, slope", figure=slope(points), unit="us/packet/upstream")
+    )
+    return figures
+
+
+def _tables() -> list[Measure]:
+    figures = []
+    for count in ROUTE_COUNTS:
+        table = _table(count)
+        body = encode_table(table)
+        decode_ms = _best_s(lambda body=body: decode_table(body)) * 1000
+        figures.append(
+            Measure(name=f"table, {count} routes", figure=len(body), unit="bytes")
+        )
+        figures.append(
+            Measure(name=f"table read, {count} routes", figure=decode_ms, unit="ms")
+        )
+    return figures
+
+
+def _router(services: int) -> tuple[FlowRouter, list[UpstreamStart]]:
+    clock = SystemClock()
+    directory = UpstreamDirectory(clock)
+    starts = [
+        UpstreamStart(
+            upstream_id=f"i-{number:x}",
+            number=number,
+            born_ms=number,
+            service=f"s{number // UPSTREAMS_A_SERVICE}",
+            ip=f"10.{number // 65_536}.{number // 256 % 256}.{number % 256}",
+            port=8080,
+            data_centre="dc-1",
+        )
+        for number in range(services * UPSTREAMS_A_SERVICE)
+    ]
+    news = [StartNews(start=start, is_silent=False) for start in starts]
+    directory.receive("control", news, is_complete=True, is_settled=True)
+    judge = Judge(clock)
+    picker = Picker(clock, directory, judge, "dc-1", random.Random(1))
+    router = FlowRouter(clock, directory, judge, picker)
+    router.apply(_table(services))
+    return router, starts
+
+
+def _table(count: int) -> RoutingTable:
+    routes = tuple(
+        Route(
+            ip=(0xC6120000 + number // 8).to_bytes(4, "big"),
+            port=443 + number % 8,
+            shares=(ServiceShare(service=f"s{number}", weight=1),),
+        )
+        for number in range(count)
+    )
+    limits = ServiceLimits(
+        name="s0", max_connections=2000, cold_new_flows_per_s=0, cold_start_s=2
+    )
+    return RoutingTable(revision=1, version=1, routes=routes, services=(limits,))
+
+
+def _datagram(flow: int, flags: int, tag: int = 0) -> bytes:
+    return b"".join(
+        (
+            (0xC6120000).to_bytes(4, "big"),
+            (0x64400000 + flow).to_bytes(4, "big"),
+            (443).to_bytes(2, "big"),
+            (40_000 + flow % 20_000).to_bytes(2, "big"),
+            bytes(2),
+            tag.to_bytes(4, "big"),
+            bytes(4),
+            bytes([flags, 0]),
+            bytes(8),
+        )
+    )
+
+
+def _time_us(router: FlowRouter, codec: PlatformCodec, datagrams: list[bytes]) -> float:
+    """Return the time to decode, decide and write one packet."""
+    started_s = time.perf_counter()
+    for number in range(PACKETS):
+        datagram = datagrams[number % len(datagrams)]
+        decision = router.route(codec.decode(datagram))
+        if decision.verdict in (Verdict.FORWARDED, Verdict.NEW_FLOW):
+            start = decision.upstream.start
+            codec.address_to(datagram, start.number, decision.upstream.tag)
+    return (time.perf_counter() - started_s) / PACKETS * 1e6
+
+
+def _best_s(work: Callable[[], object]) -> float:
+    times_s = []
+    for _ in range(5):
+        started_s = time.perf_counter()
+        work()
+        times_s.append(time.perf_counter() - started_s)
+    return min(times_s)
