--- a/arbutuslift/coordination/routing/prober.py
+++ b/arbutuslift/coordination/routing/prober.py
@@ -17,8 +17,9 @@
 SILENT_ATTEMPTS_TO_LOSE = 2
 # A lost upstream is probed again after this time, doubled each time up to the longest:
 # one that never returns would take a tenth of a small instance's processor otherwise.
+# The longest is well below the 4 s after a fault in which a reset is excused.
 FIRST_REPEAT_S = 0.5
-LONGEST_REPEAT_S = 4.0
+LONGEST_REPEAT_S = 2.0
 # Time in which an upstream that was reached isn't probed again.
 TRUSTED_S = 0.5
 MAX_PROBES = 64
--- a/tests/coordination/routing/test_prober.py
+++ b/tests/coordination/routing/test_prober.py
@@ -144,5 +144,15 @@
     bench.connector.reachable = False
     bench.suspect()
     await bench.clock.advance(60.0)
-    # Two attempts, four while the pause doubles, then one in 4 s.
-    assert bench.connector.calls <= 2 + 4 + 60 / 4
+    # Two attempts, three while the pause doubles, then one in 2 s.
+    assert bench.connector.calls <= 2 + 3 + 60 / 2
+
+
+async def test_a_loss_ends_soon_after_the_way_is_free_again(bench):
+    bench.connector.reachable = False
+    bench.suspect()
+    await bench.clock.advance(60.0)
+    bench.connector.reachable = True
+    # Resets are excused for 4 s after a fault.
+    await bench.clock.advance(3.0)
+    assert not bench.known.is_lost
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -5,11 +5,15 @@
 import shutil
 from pathlib import Path
 
+import pytest
+
 from arbutuslift.commands.outcome import ExitCode
 from arbutuslift.coordination.agreement.store import MemberStatus
+from arbutuslift.coordination.routing.flowrouter import Verdict as FlowVerdict
 from arbutuslift.coordination.routing.forwarding import BAD_PACKET
 from arbutuslift.coordination.routing.router import Verdict
 from arbutuslift.ctl import COMMANDS
+from arbutuslift.explanation import explain
 
 from .fakes import Site
 
@@ -23,6 +27,7 @@
 
 async def test_every_command_of_the_page_does_what_it_says(tmp_path, monkeypatch):
     monkeypatch.chdir(tmp_path)
+    shutil.copytree(DOCS / "examples", tmp_path / "examples")
     site = Site()
     names = ("madrid-1-1", "madrid-2-1", "madrid-3-1")
     site.store.member_list = [
@@ -41,6 +46,28 @@
     assert {line.split()[0] for line in LINES} == set(COMMANDS)
 
 
+@pytest.mark.parametrize(
+    ("identifier", "name", "cause"),
+    [
+        ("3e898f410340bb44", "data-centre-cut", "couldn't be reached"),
+        ("cf39e12f79d47cc2", "lost-upstream", "couldn't be reached"),
+        ("c61200046440000420fb0404", "no-route", "no route"),
+    ],
+)
+def test_the_recorded_cases_have_the_causes_that_the_page_gives(
+    identifier, name, cause
+):
+    lines = (DOCS / "examples" / f"{name}.log").read_text().splitlines()
+    found = explain(identifier, lines)
+    assert cause in found.cause
+    assert found.bad_lines == 0
+
+
+def test_every_verdict_of_flows_with_tags_is_explained():
+    explained = set(re.findall(r"`(\w+)`", PAGE))
+    assert {verdict.value for verdict in FlowVerdict} <= explained
+
+
 def first_cells() -> set[str]:
     return set(re.findall(r"^\| `?(\w+)`? \|", PAGE, re.MULTILINE))
 
