--- a/arbutuslift/control.py
+++ b/arbutuslift/control.py
@@ -1,11 +1,9 @@
 """A control instance: agreement, starts of upstreams, and the feed of both."""
 
-import asyncio
 import random
 import secrets
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from contextlib import AsyncExitStack
-from typing import Any
 
 import structlog
 
@@ -16,6 +14,7 @@
 from .coordination.agreement.memberstate import AgreementTiming
 from .coordination.agreement.orderdesk import OrderDesk
 from .coordination.spread.feedserver import FeedServer
+from .coordination.waiting import TaskSet
 from .errors import StorageError, TaskFailed
 from .protocol.channel import Channel
 from .roles import ControlSettings
@@ -24,7 +23,7 @@
 from .state.routing import RoutingTable
 from .state.starts import UpstreamStart
 from .state.storage import MemberStorage
-from .transport.zmqbus import ZmqBus
+from .transport.zmqbus import ZmqBus, endpoint_of_address
 
 # Control instances are a few ms apart; a change has to be in force within seconds of
 # a leader's loss.
@@ -76,7 +75,10 @@
         self._clock = clock
         self._stack = stack
         self._on_failure = on_failure
-        self._bus = ZmqBus(settings.name, allow_plain=True, endpoint_of=_endpoint_of)
+        self._tasks = TaskSet(self._fail)
+        self._bus = ZmqBus(
+            settings.name, allow_plain=True, endpoint_of=endpoint_of_address
+        )
         self._channel = Channel(self._bus)
         self._seeds = settings.seeds
         self._known: tuple[str, ...] = settings.seeds
@@ -97,6 +99,7 @@
         """
         settings = self._settings
         self._stack.push_async_callback(self._bus.close)
+        self._stack.push_async_callback(self._tasks.close)
         self.feed = FeedServer(
             self._channel,
             self._clock,
@@ -104,9 +107,9 @@
             settings.announcement_interval_s,
             self._other_controls,
         )
-        await self._bus.open(_endpoint_of(settings.listen))
-        self._start(self._keep_member())
-        self._start(self.feed.run())
+        await self._bus.open(endpoint_of_address(settings.listen))
+        self._tasks.spawn(self._keep_member())
+        self._tasks.spawn(self.feed.run())
         _log.info("started", name=settings.name, seeds=",".join(settings.seeds))
 
     async def submit(self, order: Order) -> int:
@@ -185,8 +188,10 @@
             member, self._channel, self._clock, settings.data_centre, self._seeds
         )
         self._desk = OrderDesk(member, self._clock)
-        for work in (self._enrolment.run(), self._desk.run()):
-            stack.callback(self._start(work).cancel)
+        tasks = TaskSet(self._fail)
+        stack.push_async_callback(tasks.close)
+        tasks.spawn(self._enrolment.run())
+        tasks.spawn(self._desk.run())
         return member
 
     def _on_commit(self, stored: StoredRevision) -> None:
@@ -204,19 +209,8 @@
             out_of_service=",".join(sorted(table.out_of_service)),
         )
 
-    def _start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        task = asyncio.create_task(work)
-        task.add_done_callback(self._note_end)
-        self._stack.callback(task.cancel)
-        return task
-
-    def _note_end(self, task: asyncio.Task[None]) -> None:
-        if task.cancelled() or task.exception() is None:
-            return
-        self.failure = TaskFailed(repr(task.exception()), step=task.get_name())
-        _log.error("task_failed", reason=str(self.failure), exc_info=task.exception())
+    def _fail(self, error: Exception) -> None:
+        """End the process if a task failed: a stopped part would go unnoticed."""
+        self.failure = TaskFailed(repr(error), step="run control instance")
+        _log.error("task_failed", reason=str(self.failure), exc_info=error)
         self._on_failure()
-
-
-def _endpoint_of(name: str) -> str:
-    return f"tcp://{name}"
--- a/arbutuslift/coordination/routing/upstreamdirectory.py
+++ b/arbutuslift/coordination/routing/upstreamdirectory.py
@@ -154,7 +154,7 @@
         now_s = self._clock.monotonic_s()
         known = self._known.get(start.key)
         if known is None:
-            cold_s = start.cold_left_ms / 1000
+            cold_s = start.warm_up_left_ms / 1000
             known = self._known[start.key] = KnownStart(
                 start=start,
                 tag=tag_of(start),
--- a/arbutuslift/coordination/spread/startregistry.py
+++ b/arbutuslift/coordination/spread/startregistry.py
@@ -191,7 +191,7 @@
             entry = self._entries[start.upstream_id] = _Entry(
                 start=start,
                 heard_s=now_s,
-                cold_until_s=now_s + start.cold_left_ms / 1000,
+                cold_until_s=now_s + start.warm_up_left_ms / 1000,
             )
         self._mark(entry)
         if origin is Origin.ANNOUNCED:
@@ -203,7 +203,7 @@
             phase=start.phase.name.lower(),
             born_ms=start.born_ms,
             sequence=start.sequence,
-            cold_left_ms=start.cold_left_ms,
+            warm_up_left_ms=start.warm_up_left_ms,
             data_centre=start.data_centre,
             origin=origin.value,
         )
@@ -229,7 +229,7 @@
         now_s = self._clock.monotonic_s()
         left_s = max(0.0, entry.cold_until_s - now_s)
         return StartNews(
-            start=evolve(entry.start, cold_left_ms=int(left_s * 1000)),
+            start=evolve(entry.start, warm_up_left_ms=int(left_s * 1000)),
             is_silent=entry.is_silent,
             is_doubted=now_s - entry.doubted_s < DOUBT_S,
         )
--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -5,9 +5,8 @@
 import socket
 import zlib
 from collections import Counter
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from contextlib import AsyncExitStack
-from typing import Any
 
 import structlog
 
@@ -18,6 +17,7 @@
 from .coordination.routing.prober import Prober, TcpConnector
 from .coordination.routing.upstreamdirectory import KnownStart, UpstreamDirectory
 from .coordination.spread.feedclient import FeedClient
+from .coordination.waiting import TaskSet
 from .errors import PacketError, TaskFailed
 from .protocol.channel import Channel
 from .protocol.feed import FeedAnswer
@@ -25,7 +25,7 @@
 from .state.routing import decode_table
 from .transport.callerpackets import CallerPacket, PacketCodec
 from .transport.readiness import ReadinessEndpoint
-from .transport.zmqbus import ZmqBus
+from .transport.zmqbus import ZmqBus, endpoint_of_address
 
 MAX_DATAGRAM_BYTES = 2048
 # Datagrams read in one turn of the event loop, so that control traffic gets its turn.
@@ -77,7 +77,7 @@
         self._stack = stack
         self._on_failure = on_failure
         self._is_stopping = False
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = TaskSet(self._fail)
         self._has_upstreams = False
         self._awake_s = clock.awake_s()
         self._socket = packets
@@ -87,7 +87,7 @@
             clock, self._directory, self._judge, settings.data_centre, random.Random()
         )
         self._prober = Prober(
-            clock, self._judge, TcpConnector(), self._start, self._on_lost
+            clock, self._judge, TcpConnector(), self._tasks.spawn, self._on_lost
         )
         self._router = FlowRouter(
             clock, self._directory, self._judge, self._picker, self._prober.suspect
@@ -108,13 +108,13 @@
         """
         settings = self._settings
         self._stack.callback(self._socket.close)
-        self._stack.callback(self._cancel_tasks)
+        self._stack.callback(self._tasks.cancel)
         endpoint = ReadinessEndpoint(
             settings.ready_path, lambda: self.is_ready, self._metrics_text
         )
         self._stack.push_async_callback(endpoint.close)
         await endpoint.open(settings.ready_ip, settings.ready_port)
-        bus = ZmqBus(settings.name, allow_plain=True, endpoint_of=_endpoint_of)
+        bus = ZmqBus(settings.name, allow_plain=True, endpoint_of=endpoint_of_address)
         self._stack.push_async_callback(bus.close)
         self._feed = FeedClient(
             Channel(bus),
@@ -125,8 +125,8 @@
             self._on_answer,
             self._directory.forget_source,
         )
-        self._start(self._feed.run())
-        self._start(self._expire())
+        self._tasks.spawn(self._feed.run())
+        self._tasks.spawn(self._expire())
         _log.info("started", listen_port=settings.listen_port)
 
     async def stop(self) -> None:
@@ -257,7 +257,7 @@
                 service=start.service,
                 phase=start.phase.name.lower(),
                 sequence=start.sequence,
-                cold_left_ms=start.cold_left_ms,
+                warm_up_left_ms=start.warm_up_left_ms,
                 source=source,
             )
         for item in answer.news:
@@ -275,7 +275,7 @@
 
     def _on_lost(self, known: KnownStart) -> None:
         start = known.start
-        self._start(self._feed.report_loss(start.upstream_id, start.born_ms))
+        self._tasks.spawn(self._feed.report_loss(start.upstream_id, start.born_ms))
 
     def _apply(self, source: str, encoded: bytes) -> None:
         table = decode_table(encoded)
@@ -310,23 +310,8 @@
         lines.append(f"arbutuslift_revision {self._revision()}")
         return "\n".join(lines) + "\n"
 
-    def _start(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._note_end)
-
-    def _cancel_tasks(self) -> None:
-        for task in list(self._tasks):
-            task.cancel()
-
-    def _note_end(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if task.cancelled() or task.exception() is None:
-            return
-        self.failure = TaskFailed(repr(task.exception()), step=task.get_name())
-        _log.error("task_failed", reason=str(self.failure), exc_info=task.exception())
+    def _fail(self, error: Exception) -> None:
+        """End the process if a task failed: a stopped part would go unnoticed."""
+        self.failure = TaskFailed(repr(error), step="run entry instance")
+        _log.error("task_failed", reason=str(self.failure), exc_info=error)
         self._on_failure()
-
-
-def _endpoint_of(name: str) -> str:
-    return f"tcp://{name}"
--- a/arbutuslift/protocol/feed.py
+++ b/arbutuslift/protocol/feed.py
@@ -36,7 +36,7 @@
     """A start of an upstream as a control instance knows it.
 
     Attributes:
-        start: The record; ``cold_left_ms`` counts from the sending.
+        start: The record; ``warm_up_left_ms`` counts from the sending.
         is_silent: Whether its announcements have stopped.
         is_doubted: Whether an entry instance has just found it lost. Others find out
             for themselves, since it may be their own way that is cut.
--- a/arbutuslift/state/starts.py
+++ b/arbutuslift/state/starts.py
@@ -35,7 +35,7 @@
         phase: Part of its life.
         sequence: Number of the announcement that says so; it orders announcements of
             one start.
-        cold_left_ms: How much longer it is in cold start, counted from the moment at
+        warm_up_left_ms: How much longer it is in cold start, counted from the moment at
             which this record was sent.
     """
 
@@ -49,7 +49,7 @@
     slots: int = 1
     phase: Phase = Phase.READY
     sequence: int = 0
-    cold_left_ms: int = 0
+    warm_up_left_ms: int = 0
 
     @property
     def key(self) -> tuple[str, int]:
--- a/arbutuslift/transport/zmqbus.py
+++ b/arbutuslift/transport/zmqbus.py
@@ -48,6 +48,11 @@
     allowed: "AllowedKeys"
 
 
+def endpoint_of_address(name: str) -> str:
+    """Return the endpoint of a peer whose name is its address and port."""
+    return f"tcp://{name}"
+
+
 class ZmqBus(Bus):
     """Bus between processes over TCP; created by :meth:`open`.
 
--- a/tests/coordination/routing/test_flowrouter.py
+++ b/tests/coordination/routing/test_flowrouter.py
@@ -181,7 +181,7 @@
 
 
 def test_cold_upstreams_get_new_flows_only_if_no_other_can():
-    entry = Entry(start(1, cold_left_ms=2000), start(2, data_centre="dc-2"))
+    entry = Entry(start(1, warm_up_left_ms=2000), start(2, data_centre="dc-2"))
     assert all(entry.syn(n).upstream.start.number == 2 for n in range(9))
     entry.learn(start(2, data_centre="dc-2", phase=Phase.GONE))
     assert entry.syn(20).upstream.start.number == 1
--- a/tests/coordination/routing/test_picker.py
+++ b/tests/coordination/routing/test_picker.py
@@ -33,7 +33,7 @@
     pickers = []
     for number in range(count):
         directory = UpstreamDirectory(clock)
-        news = (StartNews(start=start(1, cold_left_ms=60_000), is_silent=False),)
+        news = (StartNews(start=start(1, warm_up_left_ms=60_000), is_silent=False),)
         directory.receive("a", news, is_complete=True, is_settled=True)
         picker = Picker(clock, directory, Judge(clock), "dc-1", random.Random(number))
         picker.entry_count = believed or count
--- a/tests/coordination/spread/test_startregistry.py
+++ b/tests/coordination/spread/test_startregistry.py
@@ -99,9 +99,9 @@
 
 def test_the_rest_of_a_cold_start_is_counted_from_the_announcement():
     clock, registry, _ = open_registry()
-    registry.announce(start(1, cold_left_ms=2000))
+    registry.announce(start(1, warm_up_left_ms=2000))
     clock.jump(1.5)
-    assert registry.all_news()[0].start.cold_left_ms == 500
+    assert registry.all_news()[0].start.warm_up_left_ms == 500
 
 
 def test_a_new_instance_is_settled_once_everyone_had_time():
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -33,7 +33,7 @@
     assert start.address == ("10.128.0.9", 8080)
     assert (start.phase, start.data_centre) == (Phase.DRAINING, "caerdydd")
     assert (start.born_ms, start.sequence) == (1_700_000_000_000, 4)
-    assert start.cold_left_ms == 7
+    assert start.warm_up_left_ms == 7
 
 
 @pytest.mark.parametrize(
