--- a/arbutuslift/control.py
+++ b/arbutuslift/control.py
@@ -15,7 +15,7 @@
 from .coordination.agreement.orderdesk import OrderDesk
 from .coordination.spread.feedserver import FeedServer
 from .coordination.waiting import TaskSet
-from .errors import StorageError, TaskFailed
+from .errors import AnnouncementError, StorageError, TaskFailed
 from .protocol.channel import Channel
 from .roles import ControlSettings
 from .state.agreed import AgreedState, Order
@@ -40,11 +40,28 @@
 CHECK_S = 0.2
 _EPOCH_BITS = 62
 
+
 TableReader = Callable[[int, AgreedState], RoutingTable]
 
 _log = structlog.get_logger()
 
 
+def check_service(start: UpstreamStart, table: RoutingTable | None) -> None:
+    """Refuse a start of a service that the configuration in effect doesn't have.
+
+    Raises:
+        AnnouncementError: The service is unknown.
+    """
+    if table is None or not table.services:
+        return
+    if all(service.name != start.service for service in table.services):
+        raise AnnouncementError(
+            f"unknown service {start.service[:64]}",
+            step="take announcement",
+            peer=start.upstream_id,
+        )
+
+
 class ControlInstance:
     """Takes orders and announcements, and tells entry instances.
 
@@ -129,7 +146,13 @@
         return await self._open_desk().current()
 
     def announce(self, start: UpstreamStart) -> None:
-        """Take in what an upstream says of itself."""
+        """Take in what an upstream says of itself.
+
+        Raises:
+            AnnouncementError: The configuration in effect has no such service. A record
+                of it could end an upstream that runs at its address.
+        """
+        check_service(start, self._table)
         self.feed.registry.announce(start)
 
     def leave(self, upstream_id: str) -> None:
