--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -33,6 +33,9 @@
 EXPIRE_INTERVAL_S = 0.5
 # Routers need two missed checks half a second apart, and packets are under way.
 DRAIN_S = 1.5
+# Longest wait for a turn to stop. Routers have to see within 4 s of the signal that the
+# instance isn't ready any more, and need up to 1 s for it.
+LONGEST_TURN_WAIT_S = 2.0
 # Part of the time until the process is killed that closing sockets may take.
 CLOSING_S = 0.7
 # Ticks are half a second apart. After a longer gap what waited is out of date.
@@ -131,7 +134,8 @@
 
     async def stop(self) -> None:
         """Tell the routers, and forward what still arrives."""
-        limit_s = self._settings.stop_within_s - DRAIN_S - CLOSING_S
+        spare_s = self._settings.stop_within_s - DRAIN_S - CLOSING_S
+        limit_s = min(LONGEST_TURN_WAIT_S, spare_s)
         is_turn = await self._feed.wait_for_turn(limit_s)
         self._is_stopping = True
         self._feed.note_stopping()
