Choose traced packets by one expression, in the forwarder itself

Cause: with traces on, each packet paid for four slices, a comparison, two joins, a hash and two calls, which made 12 to 15% of its cost; the target is a tenth. Change: the sample is chosen by a multiplicative hash over what both directions of a flow have in common. The forwarder asks for it in place, without a call around every packet.

--- a/arbutuslift/coordination/routing/forwarding.py
+++ b/arbutuslift/coordination/routing/forwarding.py
@@ -1,6 +1,7 @@
 """The task that moves packets between the fabric and the router."""
 
 from collections import Counter
+from collections.abc import Callable
 
 import structlog
 
@@ -28,6 +29,7 @@
         self._router = router
         self._fabric_address = fabric_address
         self.counts: Counter[str] = Counter()
+        self._is_special: Callable[[bytes], bool] | None = None
 
     async def run(self) -> None:
         """Forward packets."""
@@ -36,6 +38,10 @@
 
     def forward(self, datagram: Datagram) -> None:
         """Forward one packet."""
+        # A check here costs less than a call more for each packet.
+        if self._is_special is not None and self._is_special(datagram.data):
+            self._forward_special(datagram)
+            return
         try:
             packet = decode(datagram.data)
         except PacketError as error:
@@ -46,3 +52,7 @@
         self.counts[decision.verdict] += 1
         for send in decision.sends:
             self._fabric.send(send.data, send.destination or self._fabric_address)
+
+    def _forward_special(self, datagram: Datagram) -> None:
+        """Forward a packet that ``_is_special`` chose, in a way of the subclass."""
+        raise NotImplementedError
--- a/arbutuslift/coordination/routing/tracedforwarding.py
+++ b/arbutuslift/coordination/routing/tracedforwarding.py
@@ -73,16 +73,14 @@
     ) -> None:
         super().__init__(fabric, router, fabric_address)
         self._traces = traces
+        self._is_special = traces.sampler()
         self._sampled = Forwarder(
             TracedFabric(fabric, traces), TracedRouter(router, traces), fabric_address
         )
         self._sampled.counts = self.counts
 
-    def forward(self, datagram: Datagram) -> None:
-        """Forward one packet."""
-        if not self._traces.samples(datagram.data):
-            super().forward(datagram)
-            return
+    def _forward_special(self, datagram: Datagram) -> None:
+        """Forward a packet with a span per hop."""
         with self._traces.packet_hop(RECEIVE, datagram.data) as hop:
             hop.note("source", f"{datagram.source.ip}:{datagram.source.port}")
             self._sampled.forward(datagram)
--- a/arbutuslift/spans.py
+++ b/arbutuslift/spans.py
@@ -1,7 +1,7 @@
 """Traces as spans of OpenTelemetry."""
 
 import sys
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager
 from pathlib import Path
 from typing import TextIO
@@ -14,7 +14,7 @@
 from opentelemetry.sdk.trace.export import BatchSpanProcessor, ConsoleSpanExporter
 
 from .errors import StorageError
-from .traces import Hop, Traces, flow_of, is_sampled
+from .traces import Hop, Traces, flow_of, flow_sampler
 
 
 class SpanHop(Hop):
@@ -42,7 +42,7 @@
 
     def __init__(self, trace_file: Path | None, ratio: float, instance: str) -> None:
         self._stack = ExitStack()
-        self._threshold = int(ratio * 2**64)
+        self._ratio = ratio
         out = sys.stdout
         if trace_file is not None:
             out = self._stack.enter_context(_open(trace_file))
@@ -53,9 +53,9 @@
         self._stack.callback(provider.shutdown)
         self._tracer = provider.get_tracer("arbutuslift")
 
-    def samples(self, data: bytes) -> bool:
-        """Whether the flow of a packet is traced."""
-        return is_sampled(data, self._threshold)
+    def sampler(self) -> Callable[[bytes], bool]:
+        """Return a function that tells whether the flow of a packet is traced."""
+        return flow_sampler(self._ratio)
 
     @contextmanager
     def packet_hop(self, name: str, data: bytes) -> Iterator[Hop]:
--- a/arbutuslift/traces.py
+++ b/arbutuslift/traces.py
@@ -1,6 +1,8 @@
 """Traces: a span per hop of a sampled packet and of a configuration change."""
 
+import struct
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from contextlib import AbstractContextManager, nullcontext
 
 import xxhash
@@ -13,6 +15,13 @@
 _DESTINATION_IP = slice(16, 20)
 _SOURCE_PORT = slice(20, 22)
 _DESTINATION_PORT = slice(22, 24)
+# Both addresses, then both ports, at offset 12.
+_ENDPOINTS = struct.Struct(">IIHH").unpack_from
+
+# 2**32 divided by the golden ratio: multiplied with it, consecutive numbers get hashes
+# that are far apart.
+_HASH_FACTOR = 0x9E3779B1
+_HASH_MASK = 2**32 - 1
 
 
 class Hop:
@@ -33,8 +42,8 @@
     is_enabled = True
 
     @abstractmethod
-    def samples(self, data: bytes) -> bool:
-        """Whether the flow of a packet is traced; both directions give the same."""
+    def sampler(self) -> Callable[[bytes], bool]:
+        """Return a function that tells whether the flow of a packet is traced."""
 
     @abstractmethod
     def packet_hop(self, name: str, data: bytes) -> AbstractContextManager[Hop]:
@@ -62,9 +71,9 @@
 
     is_enabled = False
 
-    def samples(self, data: bytes) -> bool:
-        """Return False."""
-        return False
+    def sampler(self) -> Callable[[bytes], bool]:
+        """Return a function that is always False."""
+        return flow_sampler(0.0)
 
     def packet_hop(self, name: str, data: bytes) -> AbstractContextManager[Hop]:
         """Record nothing."""
@@ -91,6 +100,25 @@
     return destination + source
 
 
-def is_sampled(data: bytes, threshold: int) -> bool:
-    """Whether the hash of a packet's flow is below a threshold of up to 2**64."""
-    return xxhash.xxh3_64_intdigest(flow_of(data)) < threshold
+def flow_sampler(ratio: float) -> Callable[[bytes], bool]:
+    """Return a function that tells whether the flow of a packet belongs to a sample.
+
+    Both directions of a flow give the same answer, at every instance. It is asked for
+    every packet, so it is one expression over what the directions have in common.
+
+    Args:
+        ratio: Part of the flows that belong to the sample.
+    """
+    threshold = int(ratio * (_HASH_MASK + 1))
+    endpoints = _ENDPOINTS
+
+    def samples(data: bytes) -> bool:
+        try:
+            source, destination, source_port, destination_port = endpoints(data, 12)
+        except struct.error:
+            # No whole header, so no flow either.
+            return xxhash.xxh3_64_intdigest(data) & _HASH_MASK < threshold
+        key = source ^ destination ^ source_port ^ destination_port
+        return key * _HASH_FACTOR & _HASH_MASK < threshold
+
+    return samples
