--- a/standins/soak/programs.py
+++ b/standins/soak/programs.py
@@ -6,13 +6,15 @@
 import signal
 import subprocess
 import sys
+import sysconfig
 from pathlib import Path
 
 from attrs import define, field
 
 from .proxy import Proxy
 
-PROGRAM = Path(__file__).with_name("faulty.py")
+FAULTY = Path(__file__).with_name("faulty.py")
+PLATFORM = Path(__file__).resolve().parents[2] / "platform"
 PACKET_PORT = 8172
 READY_PORT = 8167
 CONTROL_PORT = 8166
@@ -28,13 +30,16 @@
 
     Attributes:
         role: ``entry`` or ``control``.
-        ip: Its address; a control program's bus is reached through a proxy there.
-        listen_ip: Where its bus listens, behind the proxy.
+        ip: Its address.
+        listen_ip: Where its bus listens; if that is another address than ``ip``, a
+            control program's bus is reached through a proxy.
         data_centre: Where it runs.
         folder: Its settings, data and output.
         proxy: Carries the connections to its bus; None for entries.
         process: The running process.
         is_first_start: Whether it may form a cluster.
+        has_faults: Whether its disk and clock misbehave on demand; otherwise it runs
+            as it is deployed.
     """
 
     role: str
@@ -46,6 +51,7 @@
     proxy: Proxy | None = None
     process: subprocess.Popen | None = None
     is_first_start: bool = True
+    has_faults: bool = True
     _fault_file: Path = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -54,7 +60,7 @@
 
     async def open(self) -> None:
         """Open the proxy and start."""
-        if self.role == "control":
+        if self.role == "control" and self.listen_ip != self.ip:
             self.proxy = Proxy((self.ip, BUS_PORT), (self.listen_ip, BUS_PORT))
             await self.proxy.open()
         self.start()
@@ -66,10 +72,12 @@
         environment = os.environ | {
             "ARBUTUSLIFT_CONFIG": str(path),
             "SOAK_BUS_LISTEN_IP": self.listen_ip,
+            # Without site packages (-S) libraries are found by this variable only.
+            "PYTHONPATH": sysconfig.get_path("purelib"),
         }
         with (self.folder / "output").open("ab") as output:
             self.process = subprocess.Popen(
-                [sys.executable, str(PROGRAM), self.role, str(self._fault_file)],
+                self._command(),
                 env=environment,
                 stdout=output,
                 stderr=subprocess.STDOUT,
@@ -107,6 +115,11 @@
         if self.proxy is not None:
             await self.proxy.close()
 
+    def _command(self) -> list[str]:
+        if self.has_faults:
+            return [sys.executable, str(FAULTY), self.role, str(self._fault_file)]
+        return [sys.executable, "-S", str(PLATFORM), self.role]
+
     def _settings(self) -> dict[str, object]:
         entry = {
             "datagram_addr": f"{self.ip}:{PACKET_PORT}",
