Elect a leader sooner after all members lost power

Ruled out: disturbing a running leader. Members that heard it within 0.8 s refuse the pre-vote, and a member that starts beside it hears it within 0.2 s. Change: first_election_timeout_s is 0.08 s instead of 0.25 s for control instances.

--- a/arbutuslift/control.py
+++ b/arbutuslift/control.py
@@ -30,7 +30,7 @@
 TIMING = AgreementTiming(
     heartbeat_s=0.2,
     election_timeout_s=0.8,
-    first_election_timeout_s=0.25,
+    first_election_timeout_s=0.08,
     request_timeout_s=0.6,
     submit_timeout_s=3.5,
     catch_up_timeout_s=10.0,
