Remember starts of upstreams over a loss of power

Cause: after all control instances lost power they know no upstream until each has announced itself again, up to 1.2 s later. Ruled out: new flows to what was known before. The address may belong to another service by now (it is used again after 2 s), and a connection tells nothing of who answers. Change: a control instance saves the starts that aren't gone once a second if they changed, from a thread, and offers them to new followers until it has settled. An entry instance forwards the flows whose tags they explain. A start takes new flows as soon as it announces itself or has answered a flow there; whatever else contradicts it (its address or identity with another start, a settled source that doesn't know it) ends it. TagIndex now finds any item by tag, so the directory keeps one index instead of two.

--- a/arbutuslift/control.py
+++ b/arbutuslift/control.py
@@ -14,6 +14,7 @@
 from .coordination.agreement.memberstate import AgreementTiming
 from .coordination.agreement.orderdesk import OrderDesk
 from .coordination.spread.feedserver import FeedServer
+from .coordination.spread.startkeeper import StartKeeper
 from .coordination.waiting import TaskSet
 from .errors import AnnouncementError, StorageError, TaskFailed
 from .protocol.channel import Channel
@@ -22,6 +23,7 @@
 from .state.configuration import StoredRevision
 from .state.routing import RoutingTable
 from .state.starts import UpstreamStart
+from .state.startstore import DiskStartStore
 from .state.storage import MemberStorage
 from .transport.zmqbus import ZmqBus, endpoint_of_address
 
@@ -124,7 +126,11 @@
             settings.announcement_interval_s,
             self._other_controls,
         )
+        store = DiskStartStore(settings.data_folder)
+        keeper = StartKeeper(self.feed.registry, store, self._clock)
+        keeper.restore()
         await self._bus.open(endpoint_of_address(settings.listen))
+        self._tasks.spawn(keeper.run())
         self._tasks.spawn(self._keep_member())
         self._tasks.spawn(self.feed.run())
         _log.info("started", name=settings.name, seeds=",".join(settings.seeds))
--- a/arbutuslift/coordination/routing/flowrouter.py
+++ b/arbutuslift/coordination/routing/flowrouter.py
@@ -10,8 +10,9 @@
 from ...state.routing import Route, RoutingTable
 from ...transport.callerpackets import CallerPacket
 from .judge import Judge
+from .knownstart import KnownStart
 from .picker import Picker
-from .upstreamdirectory import KnownStart, UpstreamDirectory
+from .upstreamdirectory import UpstreamDirectory
 
 # Callers repeat a SYN after 200 ms; a copy that follows sooner went another way.
 UNANSWERED_S = 0.15
@@ -274,6 +275,8 @@
             flow.ack = packet.ack
             flow.is_unanswered = False
             self._judge.answered(upstream.start.key)
+            if upstream.is_remembered:
+                self._directory.confirm(upstream)
         elif self._is_overdue(packet, flow, now_s):
             is_repeated = True
             self._blame(flow)
--- a/arbutuslift/coordination/routing/picker.py
+++ b/arbutuslift/coordination/routing/picker.py
@@ -7,7 +7,8 @@
 from ...state.routing import Route, RoutingTable
 from ...state.starts import Phase
 from .judge import Judge
-from .upstreamdirectory import KnownStart, UpstreamDirectory
+from .knownstart import KnownStart
+from .upstreamdirectory import UpstreamDirectory
 
 # A flow to another data centre breaks when the two lose each other, and its bytes cost
 # more. It is opened only where upstreams nearby answer later than those far away by
--- a/arbutuslift/coordination/routing/prober.py
+++ b/arbutuslift/coordination/routing/prober.py
@@ -9,7 +9,7 @@
 
 from ...clock import Clock
 from .judge import Judge
-from .upstreamdirectory import KnownStart
+from .knownstart import KnownStart
 
 # Upstreams are at most a few ms away, and their system answers a connection at once.
 CONNECT_TIMEOUT_S = 0.15
--- a/arbutuslift/coordination/routing/upstreamdirectory.py
+++ b/arbutuslift/coordination/routing/upstreamdirectory.py
@@ -2,66 +2,21 @@
 
 from collections.abc import Iterable
 
-from attrs import define, field
+import structlog
+from attrs import define, evolve, field
 
 from ...clock import Clock
 from ...protocol.feed import StartNews
 from ...state.flowtags import TagIndex, tag_of
 from ...state.starts import GONE_KEPT_S, Phase, StartTable, UpstreamStart
+from .knownstart import KnownStart
+from .rememberedstarts import RememberedStarts
 
 # The end of a cold start is known to a few hundred ms only: the record travels, and
 # the clocks of timers differ.
 COLD_MARGIN_S = 0.3
-# Weight of a new response time: about the last ten count.
-RESPONSE_WEIGHT = 0.1
-# Longer than the pauses of callers between requests.
-RESPONSE_KEPT_S = 5.0
 
-
-@define(kw_only=True, eq=False)
-class KnownStart:
-    """A start with what this instance knows of it.
-
-    Attributes:
-        start: The newest record.
-        tag: Its flow tag.
-        cold_until_s: End of its cold start.
-        gone_since_s: When it was learned to be gone.
-        flow_count: Flows that this instance has seen there lately.
-        is_lost: Whether no connection to it can be made, so that its flows are lost.
-        response_s: Smoothed time from a request to the first acknowledged answer.
-        measured_s: When it was measured last.
-    """
-
-    start: UpstreamStart
-    tag: int
-    cold_until_s: float
-    gone_since_s: float = 0.0
-    flow_count: int = 0
-    is_lost: bool = False
-    response_s: float = 0.0
-    measured_s: float = 0.0
-
-    def observe_response(self, duration_s: float, now_s: float) -> None:
-        """Take one measured response time into the smoothed one."""
-        self.measured_s = now_s
-        if self.response_s == 0.0:
-            self.response_s = duration_s
-        self.response_s += RESPONSE_WEIGHT * (duration_s - self.response_s)
-
-    def recent_response_s(self, now_s: float) -> float:
-        """Return the smoothed response time, 0 if none was measured lately.
-
-        An upstream that is avoided for being slow isn't measured; once the measure
-        is old, new flows try the upstream again.
-        """
-        is_recent = now_s - self.measured_s < RESPONSE_KEPT_S
-        return self.response_s if is_recent else 0.0
-
-    @property
-    def is_gone(self) -> bool:
-        """Return whether its flows have ended with it."""
-        return self.start.phase is Phase.GONE
+_log = structlog.get_logger()
 
 
 @define
@@ -87,9 +42,9 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._table = StartTable()
-        self._tags = TagIndex()
+        self._tags: TagIndex[KnownStart] = TagIndex()
         self._known: dict[tuple[str, int], KnownStart] = {}
-        self._by_tag: dict[int, KnownStart] = {}
+        self._remembered = RememberedStarts()
         self._services: dict[str, list[KnownStart]] = {}
         self._sources: dict[str, _Source] = {}
 
@@ -98,7 +53,7 @@
 
     def find(self, tag: int) -> KnownStart | None:
         """Return the start that a flow tag stands for."""
-        return self._by_tag.get(tag)
+        return self._tags.find(tag)
 
     def find_start(self, key: tuple[str, int]) -> KnownStart | None:
         """Return the start with a key."""
@@ -136,8 +91,42 @@
             for record in self._table.merge(item.start):
                 self._store(record)
                 changed.append(record)
+        if is_settled:
+            for known in self._remembered:
+                self._end(known)
         return changed
 
+    def remember(self, starts: Iterable[UpstreamStart]) -> None:
+        """Take in starts of which no control instance has heard since its own start.
+
+        Packets of their flows are forwarded. They take new flows only once they are
+        heard of again or answer a flow: until then another process may have their
+        address. Whatever contradicts them is right.
+        """
+        for start in starts:
+            is_known = self._table.get(start.upstream_id) or start.key in self._known
+            if is_known or self._table.is_held(start.address):
+                continue
+            for known in self._remembered.contradicted_by(start):
+                self._end(known)
+            known = self._new(start)
+            known.is_remembered = True
+            self._remembered.add(known)
+            self._tags.put(start, known)
+
+    def confirm(self, known: KnownStart) -> None:
+        """Let a remembered start take new flows, since it has answered one."""
+        known.is_remembered = False
+        if not known.is_gone and self._tags.owns(known.start):
+            self._list(known)
+        _log.info(
+            "upstream_confirmed",
+            upstream=known.start.upstream_id,
+            service=known.start.service,
+            phase=known.start.phase.name.lower(),
+            sequence=known.start.sequence,
+        )
+
     def forget_source(self, source_name: str) -> None:
         """Drop the opinions of a control instance that can't be reached."""
         if len(self._sources) > 1:
@@ -150,32 +139,52 @@
             if known.is_gone and known.gone_since_s < oldest_s:
                 self._forget(key, known)
 
+    def _new(self, start: UpstreamStart) -> KnownStart:
+        known = KnownStart(start=start, tag=tag_of(start))
+        self._set_cold(known, start)
+        self._known[start.key] = known
+        return known
+
+    def _set_cold(self, known: KnownStart, start: UpstreamStart) -> None:
+        cold_s = start.warm_up_left_ms / 1000
+        end_s = self._clock.monotonic_s() + cold_s + COLD_MARGIN_S
+        known.cold_until_s = end_s if cold_s else 0.0
+
     def _store(self, start: UpstreamStart) -> None:
-        now_s = self._clock.monotonic_s()
-        known = self._known.get(start.key)
-        if known is None:
-            cold_s = start.warm_up_left_ms / 1000
-            known = self._known[start.key] = KnownStart(
-                start=start,
-                tag=tag_of(start),
-                cold_until_s=now_s + cold_s + COLD_MARGIN_S if cold_s else 0.0,
-            )
+        if start.phase is not Phase.GONE:
+            for contradicted in self._remembered.contradicted_by(start):
+                self._end(contradicted)
+        known = self._known.get(start.key) or self._new(start)
+        if self._remembered.take(start.key) is not None:
+            known.is_remembered = False
+            self._set_cold(known, start)
         known.start = start
-        if self._tags.put(start):
-            self._by_tag[known.tag] = known
-        listed = self._services.setdefault(start.service, [])
+        self._tags.put(start, known)
         if known.is_gone:
-            known.gone_since_s = now_s
-            if known in listed:
-                listed.remove(known)
-        elif known not in listed and self._tags.owns(start):
+            self._unlist(known)
+        elif self._tags.owns(start):
+            self._list(known)
+
+    def _list(self, known: KnownStart) -> None:
+        listed = self._services.setdefault(known.start.service, [])
+        if known not in listed:
             listed.append(known)
 
+    def _unlist(self, known: KnownStart) -> None:
+        known.gone_since_s = self._clock.monotonic_s()
+        listed = self._services.get(known.start.service, [])
+        if known in listed:
+            listed.remove(known)
+
+    def _end(self, known: KnownStart) -> None:
+        """Let a remembered start count as gone."""
+        self._remembered.take(known.start.key)
+        known.start = evolve(known.start, phase=Phase.GONE)
+        self._unlist(known)
+
     def _forget(self, key: tuple[str, int], known: KnownStart) -> None:
         del self._known[key]
         self._tags.remove(known.start)
-        if self._by_tag.get(known.tag) is known:
-            del self._by_tag[known.tag]
         held = self._table.get(known.start.upstream_id)
         if held is not None and held.key == key:
             self._table.remove(known.start.upstream_id)
--- a/arbutuslift/coordination/spread/feedserver.py
+++ b/arbutuslift/coordination/spread/feedserver.py
@@ -111,6 +111,7 @@
             table=self._table if newer else b"",
             controls=(self._channel.name, *self._controls()),
             entry_count=len(self._followers),
+            remembered=() if known else registry.remembered(),
         )
 
     def _has_news(self, request: FeedRequest) -> bool:
--- a/arbutuslift/coordination/spread/startregistry.py
+++ b/arbutuslift/coordination/spread/startregistry.py
@@ -73,6 +73,7 @@
         self._opened_s = clock.monotonic_s()
         self._unshared: dict[str, None] = {}
         self._heard: dict[str, None] = {}
+        self._remembered: tuple[UpstreamStart, ...] = ()
 
     @property
     def is_settled(self) -> bool:
@@ -85,6 +86,32 @@
         """Return whether something announced here waits to be shared."""
         return bool(self._unshared)
 
+    def remember(self, starts: tuple[UpstreamStart, ...]) -> None:
+        """Keep starts that were known before this process began.
+
+        They aren't part of the table: what they say may have changed since.
+        """
+        self._remembered = starts
+
+    def remembered(self) -> tuple[UpstreamStart, ...]:
+        """Return remembered starts whose upstreams may still announce themselves."""
+        if self.is_settled:
+            return ()
+        return tuple(
+            start
+            for start in self._remembered
+            if self._table.get(start.upstream_id) is None
+        )
+
+    def worth_remembering(self) -> tuple[UpstreamStart, ...]:
+        """Return the starts whose flows may go on after a restart of this process."""
+        announced = tuple(
+            entry.start
+            for entry in self._entries.values()
+            if entry.start.phase is not Phase.GONE and not entry.is_silent
+        )
+        return announced + self.remembered()
+
     def announce(self, start: UpstreamStart) -> None:
         """Take in what an upstream says of itself."""
         self._heard[start.upstream_id] = None
--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -13,9 +13,10 @@
 from .clock import Clock
 from .coordination.routing.flowrouter import RESETS, Decision, FlowRouter, Verdict
 from .coordination.routing.judge import Judge
+from .coordination.routing.knownstart import KnownStart
 from .coordination.routing.picker import Picker
 from .coordination.routing.prober import Prober, TcpConnector
-from .coordination.routing.upstreamdirectory import KnownStart, UpstreamDirectory
+from .coordination.routing.upstreamdirectory import UpstreamDirectory
 from .coordination.spread.feedclient import FeedClient
 from .coordination.waiting import TaskSet
 from .errors import PacketError, TaskFailed
@@ -264,6 +265,7 @@
                 warm_up_left_ms=start.warm_up_left_ms,
                 source=source,
             )
+        self._directory.remember(answer.remembered)
         for item in answer.news:
             if item.is_doubted:
                 self._probe(item.start.key)
--- a/arbutuslift/protocol/feed.py
+++ b/arbutuslift/protocol/feed.py
@@ -62,6 +62,9 @@
         table: Encoded routing table; empty if none was asked for or is newer.
         controls: Names of the control instances, by which they are reached.
         entry_count: Entry instances that follow the control instance.
+        remembered: Starts that it knew before its own start and hasn't heard since, in
+            a complete answer. Flows that they hold may go on; whether they take new
+            ones is unknown.
     """
 
     epoch: int
@@ -73,6 +76,7 @@
     table: bytes
     controls: tuple[str, ...]
     entry_count: int
+    remembered: tuple[UpstreamStart, ...] = ()
 
 
 @register
--- a/arbutuslift/state/flowtags.py
+++ b/arbutuslift/state/flowtags.py
@@ -5,8 +5,14 @@
 that knows the start can therefore forward a flow that it has never seen.
 """
 
+from typing import Generic, TypeVar
+
+from attrs import define
+
 from .hashing import hash_64
-from .starts import Phase, UpstreamStart
+from .starts import UpstreamStart
+
+T = TypeVar("T")
 
 NO_TAG = 0
 _TAG_BITS = 32
@@ -19,8 +25,21 @@
     return (mixed >> _TAG_BITS) or 1
 
 
-class TagIndex:
-    """Finds starts by their tags.
+@define(eq=False)
+class _Owner(Generic[T]):
+    """Owner of a tag.
+
+    Attributes:
+        start: The start.
+        item: What is found by the tag.
+    """
+
+    start: UpstreamStart
+    item: T
+
+
+class TagIndex(Generic[T]):
+    """Finds what belongs to a start by its tag.
 
     Two starts can have one tag (once in about 2 million pairs of 32-bit hashes at 75
     upstreams). The tag then belongs to the start that was born first, also after that
@@ -28,35 +47,33 @@
     """
 
     def __init__(self) -> None:
-        self._owners: dict[int, UpstreamStart] = {}
+        self._owners: dict[int, _Owner[T]] = {}
 
-    def put(self, start: UpstreamStart) -> bool:
+    def put(self, start: UpstreamStart, item: T) -> bool:
         """Add or update a start and return whether it owns its tag."""
         tag = tag_of(start)
         owner = self._owners.get(tag)
-        if owner is not None and owner.key != start.key and _precedes(owner, start):
+        is_other = owner is not None and owner.start.key != start.key
+        if is_other and _precedes(owner.start, start):
             return False
-        self._owners[tag] = start
+        self._owners[tag] = _Owner(start, item)
         return True
 
     def owns(self, start: UpstreamStart) -> bool:
         """Return whether a start owns its tag."""
         owner = self._owners.get(tag_of(start))
-        return owner is not None and owner.key == start.key
+        return owner is not None and owner.start.key == start.key
 
-    def find(self, tag: int) -> UpstreamStart | None:
-        """Return the owner of a tag; it may be gone."""
-        return self._owners.get(tag)
+    def find(self, tag: int) -> T | None:
+        """Return what belongs to the owner of a tag; the owner may be gone."""
+        owner = self._owners.get(tag)
+        return owner.item if owner is not None else None
 
     def remove(self, start: UpstreamStart) -> None:
         """Forget a start whose flows have all ended."""
         if self.owns(start):
             del self._owners[tag_of(start)]
 
-    def alive(self) -> list[UpstreamStart]:
-        """Return the owners that aren't gone."""
-        return [s for s in self._owners.values() if s.phase is not Phase.GONE]
-
 
 def _precedes(left: UpstreamStart, right: UpstreamStart) -> bool:
     return (left.born_ms, left.upstream_id) < (right.born_ms, right.upstream_id)
--- a/arbutuslift/state/starts.py
+++ b/arbutuslift/state/starts.py
@@ -83,6 +83,10 @@
         """Return the newest start of an upstream."""
         return self._newest.get(upstream_id)
 
+    def is_held(self, address: tuple[str, int]) -> bool:
+        """Return whether a start that isn't gone has an address."""
+        return address in self._holders
+
     def merge(self, start: UpstreamStart) -> list[UpstreamStart]:
         """Take a record in and return the records that changed.
 
--- a/tests/coordination/routing/test_picker.py
+++ b/tests/coordination/routing/test_picker.py
@@ -6,11 +6,9 @@
 
 from arbutuslift.clock import ManualClock
 from arbutuslift.coordination.routing.judge import Judge
+from arbutuslift.coordination.routing.knownstart import RESPONSE_KEPT_S
 from arbutuslift.coordination.routing.picker import Picker
-from arbutuslift.coordination.routing.upstreamdirectory import (
-    RESPONSE_KEPT_S,
-    UpstreamDirectory,
-)
+from arbutuslift.coordination.routing.upstreamdirectory import UpstreamDirectory
 from arbutuslift.protocol.feed import StartNews
 from arbutuslift.state.routing import ServiceLimits
 
--- a/tests/coordination/routing/test_prober.py
+++ b/tests/coordination/routing/test_prober.py
@@ -6,13 +6,13 @@
 
 from arbutuslift.clock import ManualClock
 from arbutuslift.coordination.routing.judge import Judge
+from arbutuslift.coordination.routing.knownstart import KnownStart
 from arbutuslift.coordination.routing.prober import (
     Attempt,
     Connector,
     Prober,
     TcpConnector,
 )
-from arbutuslift.coordination.routing.upstreamdirectory import KnownStart
 from arbutuslift.state.starts import Phase
 
 from ...builders import start
--- a/tests/coordination/spread/test_feed.py
+++ b/tests/coordination/spread/test_feed.py
@@ -28,6 +28,7 @@
         self.directory = UpstreamDirectory(self.clock)
         self.revision = 0
         self.tables = 0
+        self.remembered = []
         for epoch, name in enumerate(names, 1):
             self.open(name, epoch)
         self.client = FeedClient(
@@ -56,6 +57,7 @@
             is_settled=answer.is_settled,
         )
         self.entry_count = answer.entry_count
+        self.remembered.extend(answer.remembered)
         if answer.table:
             self.tables += 1
             self.revision = max(self.revision, decode_table(answer.table).revision)
@@ -170,3 +172,18 @@
     before_s = feed.clock.monotonic_s()
     assert not await feed.do(feed.client.wait_for_turn(2.0))
     assert feed.clock.monotonic_s() - before_s < 3.0
+
+
+async def test_a_new_follower_learns_what_a_restarted_control_remembers():
+    """Guards against flows that hang until each upstream announces itself again."""
+    feed = Feed("a")
+    registry = feed.servers["a"].registry
+    registry.remember((start(1), start(2)))
+    registry.announce(start(2, sequence=2))
+    await feed.run(0.5)
+    assert feed.remembered == [start(1)]
+    registry.announce(start(1, sequence=2))
+    await feed.run(1.5)
+    assert feed.remembered == [start(1)]
+    assert set(feed.phases()) == {1, 2}
+    await feed.close()
--- a/tests/state/test_flowtags.py
+++ b/tests/state/test_flowtags.py
@@ -23,14 +23,14 @@
     for order in ((first, second), (second, first)):
         index = TagIndex()
         for record in order:
-            index.put(record)
+            index.put(record, record)
         assert index.find(5).key == first.key
         assert not index.owns(second)
 
 
 def test_a_start_keeps_its_tag_while_it_is_remembered():
     index = TagIndex()
-    index.put(start(1))
+    index.put(start(1), start(1))
     assert index.find(tag_of(start(1))).key == start(1).key
     index.remove(start(1))
     assert index.find(tag_of(start(1))) is None
