Answer calls through h11 instead of aiohttp

Cause: loading aiohttp took half of the start of a control instance (processor time to load all modules: 282 ms with it, 136 ms without). Ruled out: loading aiohttp in a thread, which delays announcements just as much. Change: transport/httpserver.py is a small HTTP/1.1 server on h11, which entry processes have already; readiness and the calls of the platform share it.

--- /dev/null
+++ b/arbutuslift/transport/httpserver.py
@@ -0,0 +1,209 @@
+"""Small HTTP/1.1 server on h11, for processes that have to start quickly."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from urllib.parse import unquote, urlsplit
+
+import h11
+import structlog
+from attrs import frozen
+
+MAX_HEADER_BYTES = 16 * 1024
+READ_BYTES = 64 * 1024
+# Callers that keep connections open call once a second or less often.
+IDLE_TIMEOUT_S = 75.0
+# A request that has begun arrives within this time.
+REQUEST_TIMEOUT_S = 10.0
+MAX_CONNECTIONS = 2000
+
+_log = structlog.get_logger()
+
+
+@frozen(kw_only=True)
+class HttpRequest:
+    """A whole request.
+
+    Attributes:
+        method: Such as ``GET``.
+        path: Path without the query, unquoted.
+        body: Body, empty if there is none.
+    """
+
+    method: str
+    path: str
+    body: bytes = b""
+
+
+@frozen(kw_only=True)
+class HttpResponse:
+    """A whole response.
+
+    Attributes:
+        status: Status code.
+        body: Body, empty for none.
+        content_type: Type of the body.
+    """
+
+    status: int
+    body: bytes = b""
+    content_type: str = "text/plain; charset=utf-8"
+
+
+Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+
+
+class HttpServer:
+    """Answers requests, one at a time on each connection.
+
+    Args:
+        handler: Returns the response. Its errors are answered with 500.
+        max_body_bytes: Requests with a longer body are answered with 413.
+    """
+
+    def __init__(self, handler: Handler, max_body_bytes: int) -> None:
+        self._handler = handler
+        self._max_body_bytes = max_body_bytes
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def port(self) -> int:
+        """Return the port that it listens on."""
+        return self._server.sockets[0].getsockname()[1]
+
+    async def open(self, ip: str, port: int) -> None:
+        """Listen.
+
+        Raises:
+            OSError: The address can't be used.
+        """
+        self._server = await asyncio.start_server(self._accept, ip, port)
+
+    async def close(self) -> None:
+        """Stop listening and end all connections."""
+        if self._server is None:
+            return
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if len(self._tasks) >= MAX_CONNECTIONS:
+            _log.warning("connection_refused", connections=len(self._tasks))
+            writer.close()
+            return
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        connection = _Connection(reader, writer, self._max_body_bytes)
+        try:
+            await connection.serve(self._handler)
+        except (OSError, TimeoutError, h11.ProtocolError) as error:
+            # The caller is gone, or doesn't speak HTTP; others aren't concerned.
+            _log.debug("connection_ended", reason=repr(error))
+        finally:
+            writer.close()
+
+
+class _Connection:
+    """One connection of a caller."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        max_body_bytes: int,
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._max_body_bytes = max_body_bytes
+        self._protocol = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES
+        )
+
+    async def serve(self, handler: Handler) -> None:
+        """Answer requests until the connection ends.
+
+        Raises:
+            OSError: The connection broke.
+            TimeoutError: The caller sends nothing, or no whole request.
+            h11.ProtocolError: The caller doesn't speak HTTP.
+        """
+        while True:
+            head = await self._read_head()
+            if head is None:
+                return
+            async with asyncio.timeout(REQUEST_TIMEOUT_S):
+                body = await self._read_body()
+            if body is None:
+                await self._send(HttpResponse(status=413), is_last=True)
+                return
+            await self._send(await _answer(handler, _request_of(head, body)))
+            if self._protocol.our_state is not h11.DONE:
+                return
+            self._protocol.start_next_cycle()
+
+    async def _read_head(self) -> h11.Request | None:
+        async with asyncio.timeout(IDLE_TIMEOUT_S):
+            event = await self._next_event()
+        return event if isinstance(event, h11.Request) else None
+
+    async def _read_body(self) -> bytes | None:
+        """Return the body, None if it is too long."""
+        parts = []
+        size_bytes = 0
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return b"".join(parts)
+            if not isinstance(event, h11.Data):
+                raise h11.RemoteProtocolError("the caller ended amid a request")
+            size_bytes += len(event.data)
+            if size_bytes > self._max_body_bytes:
+                return None
+            parts.append(bytes(event.data))
+
+    async def _next_event(self) -> object:
+        while True:
+            event = self._protocol.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            if self._protocol.they_are_waiting_for_100_continue:
+                go_on = h11.InformationalResponse(status_code=100, headers=[])
+                self._writer.write(self._protocol.send(go_on))
+            self._protocol.receive_data(await self._reader.read(READ_BYTES))
+
+    async def _send(self, response: HttpResponse, *, is_last: bool = False) -> None:
+        headers = [("Content-Length", str(len(response.body)))]
+        if response.body:
+            headers.append(("Content-Type", response.content_type))
+        if is_last:
+            headers.append(("Connection", "close"))
+        events = [
+            h11.Response(status_code=response.status, headers=headers),
+            h11.Data(data=response.body),
+            h11.EndOfMessage(),
+        ]
+        self._writer.write(b"".join(self._protocol.send(event) for event in events))
+        await self._writer.drain()
+
+
+async def _answer(handler: Handler, request: HttpRequest) -> HttpResponse:
+    try:
+        return await handler(request)
+    except Exception:
+        # One faulty call must not end the process.
+        _log.exception("call_failed", method=request.method, path=request.path)
+        return HttpResponse(status=500)
+
+
+def _request_of(head: h11.Request, body: bytes) -> HttpRequest:
+    target = head.target.decode("ascii", "replace")
+    return HttpRequest(
+        method=head.method.decode("ascii"),
+        path=unquote(urlsplit(target).path),
+        body=body,
+    )
--- a/measure/start.py
+++ b/measure/start.py
@@ -38,10 +38,10 @@
 
 @frozen(kw_only=True)
 class Start:
-    """One start of an entry process.
+    """One start of a process.
 
     Attributes:
-        wall_s: Time until its readiness check succeeded.
+        wall_s: Time until it answered as one that serves.
         processor_s: Processor time that it had used by then.
         resident_mb: Its memory by then.
     """
@@ -52,32 +52,36 @@
 
 
 def measure() -> list[Measure]:
-    """Start an entry instance several times beside three control instances."""
+    """Start instances of both roles several times, beside others that run."""
     with tempfile.TemporaryDirectory() as folder:
-        starts = asyncio.run(_measure(Path(folder)))
+        entry, control = asyncio.run(_measure(Path(folder)))
+    return [*_measures("an entry instance", entry), *_measures("control", control)]
+
+
+def _measures(name: str, starts: list[Start]) -> list[Measure]:
     processor_s = statistics.median(start.processor_s for start in starts)
     note = f"median of {STARTS} starts, {TARGETS} upstreams"
     return [
         Measure(
-            name="start of an entry instance: until it is ready",
+            name=f"start of {name}: until it serves",
             figure=round(statistics.median(start.wall_s for start in starts), 3),
             unit="s",
             note=note,
         ),
         Measure(
-            name="start of an entry instance: processor time until it is ready",
+            name=f"start of {name}: processor time until it serves",
             figure=round(processor_s, 3),
             unit="s",
             note=note,
         ),
         Measure(
-            name=f"start of an entry instance: the same on {SMALLEST_CORE} core",
+            name=f"start of {name}: the same on {SMALLEST_CORE} core",
             figure=round(processor_s / SMALLEST_CORE, 2),
             unit="s",
             note="by division",
         ),
         at_most(
-            "start of an entry instance: memory when it is ready",
+            f"start of {name}: memory when it serves",
             max(start.resident_mb for start in starts),
             "MB",
             SMALLEST_MEMORY_MB,
@@ -85,12 +89,17 @@
     ]
 
 
-async def _measure(folder: Path) -> list[Start]:
+async def _measure(folder: Path) -> tuple[list[Start], list[Start]]:
     async with AsyncExitStack() as stack:
         seeds = tuple(f"127.92.0.{number + 1}" for number in range(3))
         controls = [f"{ip}:{CONTROL_PORT}" for ip in seeds]
-        for number, ip in enumerate(seeds):
-            await _open(stack, _program("control", ip, number, seeds, folder))
+        programs = [
+            _program("control", ip, number, seeds, folder)
+            for number, ip in enumerate(seeds)
+        ]
+        for program in programs:
+            stack.push_async_callback(program.close)
+            await program.open()
         ledger = Ledger()
         for number in range(TARGETS):
             target = Target(
@@ -107,7 +116,12 @@
         rng = random.Random(1)
         await Operator(controls, SERVICES, HOST, ledger, rng).put()
         entry = _program("entry", "127.92.1.1", 0, seeds, folder)
-        return [await _start(entry) for _ in range(STARTS)]
+        ready = f"http://{entry.ip}:{READY_PORT}/ready"
+        entries = [await _start(entry, ready) for _ in range(STARTS)]
+        last = programs[-1]
+        read = f"http://{last.ip}:{CONTROL_PORT}/Config.Get"
+        await last.close()
+        return entries, [await _start(last, read) for _ in range(STARTS)]
 
 
 def _program(
@@ -124,30 +138,26 @@
     )
 
 
-async def _open(stack: AsyncExitStack, program: Program) -> None:
-    stack.push_async_callback(program.close)
-    await program.open()
-
-
-async def _start(entry: Program) -> Start:
+async def _start(program: Program, url: str) -> Start:
+    """Start a program, wait until it answers a GET with 200, and end it."""
     started_s = time.monotonic()
-    await entry.open()
+    await program.open()
     try:
         async with asyncio.timeout(LIMIT_S), aiohttp.ClientSession() as session:
-            while not await _is_ready(session, entry.ip):
+            while not await _serves(session, url):
                 await asyncio.sleep(POLL_S)
         return Start(
             wall_s=time.monotonic() - started_s,
-            processor_s=_processor_s(entry.process.pid),
-            resident_mb=_resident_mb(entry.process.pid),
+            processor_s=_processor_s(program.process.pid),
+            resident_mb=_resident_mb(program.process.pid),
         )
     finally:
-        await entry.close()
+        await program.close()
 
 
-async def _is_ready(session: aiohttp.ClientSession, ip: str) -> bool:
+async def _serves(session: aiohttp.ClientSession, url: str) -> bool:
     try:
-        async with session.get(f"http://{ip}:{READY_PORT}/ready") as answer:
+        async with session.get(url) as answer:
             return answer.status == 200
     except aiohttp.ClientError:
         # Nothing listens yet.
--- /dev/null
+++ b/tests/platform/test_calls.py
@@ -0,0 +1,139 @@
+"""Guards against calls that are answered as if they had been done."""
+
+import json
+
+import pytest
+from adapter.calls import MAX_BODY_BYTES, CallEndpoint
+
+from arbutuslift.errors import AnnouncementError, NoQuorum
+from arbutuslift.state.agreed import AgreedState, PutConfiguration, SetInService
+from arbutuslift.transport.httpserver import HttpRequest
+
+from .test_announcements import REPORT
+from .test_configurations import CONFIGURATION
+
+
+class Control:
+    """Stands in for a control instance."""
+
+    def __init__(self):
+        self.announced = []
+        self.left = []
+        self.orders = []
+        self.state = AgreedState()
+        self.refusal = None
+
+    def announce(self, start):
+        if self.refusal is not None:
+            raise self.refusal
+        self.announced.append(start)
+
+    def leave(self, identity):
+        self.left.append(identity)
+
+    async def submit(self, order):
+        if self.refusal is not None:
+            raise self.refusal
+        self.orders.append(order)
+        return len(self.orders)
+
+    async def current(self):
+        if self.refusal is not None:
+            raise self.refusal
+        return self.state
+
+
+class Calls:
+    """Calls without a network."""
+
+    def __init__(self):
+        self.control = Control()
+        self.endpoint = CallEndpoint(self.control, frozenset({"dc-1", "dc-2"}))
+
+    async def __call__(self, method, path, body=b""):
+        request = HttpRequest(method=method, path=path, body=body)
+        return await self.endpoint._answer(request)
+
+
+@pytest.fixture
+def call():
+    return Calls()
+
+
+async def test_a_report_is_taken_in(call):
+    body = json.dumps(REPORT).encode()
+    answer = await call("POST", "/Instances.Heartbeat/i-7f3a91c2", body)
+    assert (answer.status, answer.body) == (200, b"{}")
+    assert [start.upstream_id for start in call.control.announced] == ["i-7f3a91c2"]
+
+
+async def test_a_report_that_can_not_be_used_is_refused(call):
+    path = "/Instances.Heartbeat/i-7f3a91c2"
+    assert (await call("POST", path, b"{")).status == 400
+    assert (await call("POST", path, b" " * (MAX_BODY_BYTES + 1))).status == 413
+    call.control.refusal = AnnouncementError("unknown service", step="announce")
+    assert (await call("POST", path, json.dumps(REPORT).encode())).status == 400
+    assert call.control.announced == []
+
+
+async def test_a_leave_names_its_upstream(call):
+    assert (await call("POST", "/Instances.Leave/i-7f3a91c2")).status == 200
+    assert call.control.left == ["i-7f3a91c2"]
+
+
+async def test_a_configuration_is_submitted_as_it_was_sent(call):
+    body = json.dumps(CONFIGURATION).encode()
+    assert (await call("POST", "/Config.Put", body)).status == 200
+    assert call.control.orders == [
+        PutConfiguration(version=CONFIGURATION["version"], source=body)
+    ]
+
+
+@pytest.mark.parametrize("body", [b"", b"{", b"[]", b"{}", b"\xff"])
+async def test_an_invalid_configuration_is_refused_and_not_submitted(call, body):
+    assert (await call("POST", "/Config.Put", body)).status == 400
+    assert call.control.orders == []
+
+
+async def test_an_order_without_a_quorum_is_not_acknowledged(call):
+    call.control.refusal = NoQuorum("no leader", step="submit")
+    body = json.dumps(CONFIGURATION).encode()
+    assert (await call("POST", "/Config.Put", body)).status == 503
+    assert (await call("POST", "/Evacuations.Begin/dc-1")).status == 503
+    assert (await call("GET", "/Config.Get")).status == 503
+
+
+async def test_a_read_returns_what_was_sent(call):
+    assert (await call("GET", "/Config.Get")).status == 503
+    call.control.state = AgreedState(version=3, source=b'{"version":3}')
+    answer = await call("GET", "/Config.Get")
+    assert (answer.status, answer.body) == (200, b'{"version":3}')
+
+
+async def test_a_data_centre_is_taken_out_and_back(call):
+    assert (await call("POST", "/Evacuations.Begin/dc-1")).status == 200
+    assert (await call("POST", "/Evacuations.Finish/dc-1")).status == 200
+    assert (await call("POST", "/Evacuations.Begin/dc-9")).status == 404
+    assert call.control.orders == [
+        SetInService(data_centre="dc-1", in_service=False),
+        SetInService(data_centre="dc-1", in_service=True),
+    ]
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [
+        ("POST", "/Instances.Heartbeat/", 404),
+        ("POST", "/Instances.Heartbeat", 404),
+        ("POST", "/Instances.Heartbeat/a/b", 404),
+        ("POST", "/Config.Put/more", 404),
+        ("POST", "/Other", 404),
+        ("GET", "/", 404),
+        ("GET", "/Config.Put", 405),
+        ("POST", "/Config.Get", 405),
+        ("DELETE", "/Instances.Leave/i-7f3a91c2", 405),
+    ],
+)
+async def test_other_calls_do_nothing(call, method, path, status):
+    assert (await call(method, path)).status == status
+    assert (call.control.announced, call.control.left) == ([], [])
--- /dev/null
+++ b/tests/transport/test_httpserver.py
@@ -0,0 +1,168 @@
+"""Guards against calls that are taken for others, or that hold the server up."""
+
+import asyncio
+
+import pytest
+
+from arbutuslift.transport import httpserver
+from arbutuslift.transport.httpserver import HttpRequest, HttpResponse, HttpServer
+
+MAX_BODY_BYTES = 100
+
+
+class Site:
+    """A server that keeps the requests it gets, and raw connections to it."""
+
+    def __init__(self):
+        self.requests = []
+        self.gate = asyncio.Event()
+        self.gate.set()
+        self.server = HttpServer(self.answer, MAX_BODY_BYTES)
+
+    async def answer(self, request):
+        self.requests.append(request)
+        await self.gate.wait()
+        if request.path == "/fault":
+            raise RuntimeError("a fault of the handler")
+        return HttpResponse(status=200, body=request.path.encode())
+
+    async def connect(self):
+        return await asyncio.open_connection("127.0.0.1", self.server.port)
+
+    async def exchange(self, *parts, end=False):
+        """Send parts on one connection and return all that comes back."""
+        reader, writer = await self.connect()
+        for part in parts:
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        if end:
+            writer.write_eof()
+        answer = await asyncio.wait_for(reader.read(), 5.0)
+        writer.close()
+        return answer
+
+
+@pytest.fixture
+async def site():
+    opened = Site()
+    await opened.server.open("127.0.0.1", 0)
+    yield opened
+    opened.gate.set()
+    await opened.server.close()
+
+
+def post(path, body, *headers, length=None):
+    size = len(body) if length is None else length
+    lines = [f"POST {path} HTTP/1.1", "Host: x", f"Content-Length: {size}", *headers]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+LAST = "Connection: close"
+
+
+async def test_requests_on_one_connection_are_answered_in_order(site):
+    answer = await site.exchange(post("/a", b"1"), post("/b", b"2", LAST))
+    assert answer.count(b"HTTP/1.1 200") == 2
+    assert answer.index(b"/a") < answer.index(b"/b")
+    assert site.requests == [
+        HttpRequest(method="POST", path="/a", body=b"1"),
+        HttpRequest(method="POST", path="/b", body=b"2"),
+    ]
+
+
+async def test_requests_that_come_together_are_answered_each(site):
+    answer = await site.exchange(post("/a", b"1") + post("/b", b"2", LAST))
+    assert answer.count(b"HTTP/1.1 200") == 2
+
+
+async def test_a_body_may_come_in_parts_or_chunks(site):
+    whole = post("/a", b"0123456789", LAST)
+    await site.exchange(whole[:20], whole[20:-4], whole[-4:])
+    head = b"POST /b HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+    chunks = b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+    await site.exchange(head + chunks)
+    assert [request.body for request in site.requests] == [b"0123456789", b"abcde"]
+
+
+async def test_the_path_is_unquoted_and_has_no_query(site):
+    await site.exchange(post("/a%2Fb%20c?d=e", b"", LAST))
+    assert site.requests[0].path == "/a/b c"
+
+
+async def test_a_body_that_is_cut_short_reaches_no_handler(site):
+    """Guards against half an order that is taken for a whole one."""
+    await site.exchange(post("/a", b"0123", length=10), end=True)
+    head = b"POST /b HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+    await site.exchange(head + b"3\r\nabc\r\n", end=True)
+    assert site.requests == []
+
+
+async def test_a_body_that_is_too_long_is_refused(site):
+    """Guards against a caller that fills the memory."""
+    answer = await site.exchange(post("/a", b"x" * (MAX_BODY_BYTES + 1)))
+    assert answer.startswith(b"HTTP/1.1 413")
+    assert site.requests == []
+    await site.exchange(post("/a", b"x" * MAX_BODY_BYTES, LAST))
+    assert len(site.requests) == 1
+
+
+async def test_a_caller_that_waits_for_permission_gets_it(site):
+    head = post("/a", b"", "Expect: 100-continue", LAST, length=3)
+    answer = await site.exchange(head, b"abc")
+    assert answer.startswith(b"HTTP/1.1 100")
+    assert b"HTTP/1.1 200" in answer
+
+
+async def test_a_faulty_handler_ends_neither_connection_nor_server(site):
+    answer = await site.exchange(post("/fault", b""), post("/a", b"", LAST))
+    assert answer.startswith(b"HTTP/1.1 500")
+    assert b"HTTP/1.1 200" in answer
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [
+        b"nonsense\r\n\r\n",
+        b"GET /" + b"a" * 20_000,
+        b"GET / HTTP/1.1\r\nHost: x\r\nContent-Length: -1\r\n\r\n",
+        b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+        b"\x16\x03\x01\x02\x00",
+        b"",
+    ],
+)
+async def test_what_is_no_request_ends_its_own_connection_only(site, sent):
+    await site.exchange(sent, end=True)
+    assert site.requests == []
+    assert b"200" in await site.exchange(post("/a", b"", LAST))
+
+
+async def test_a_caller_that_stops_amid_a_request_is_dropped(site, monkeypatch):
+    monkeypatch.setattr(httpserver, "REQUEST_TIMEOUT_S", 0.05)
+    assert await site.exchange(post("/a", b"0123", length=10)) == b""
+    assert site.requests == []
+
+
+async def test_a_silent_caller_is_dropped(site, monkeypatch):
+    monkeypatch.setattr(httpserver, "IDLE_TIMEOUT_S", 0.05)
+    assert await site.exchange(b"") == b""
+
+
+async def test_no_more_connections_than_permitted(site, monkeypatch):
+    monkeypatch.setattr(httpserver, "MAX_CONNECTIONS", 1)
+    _, first = await site.connect()
+    await asyncio.sleep(0.01)
+    assert await site.exchange(b"") == b""
+    first.close()
+
+
+async def test_closing_ends_calls_that_are_open(site):
+    """Guards against a process that can't end because of a caller that waits."""
+    site.gate.clear()
+    reader, writer = await site.connect()
+    writer.write(post("/a", b""))
+    while not site.requests:
+        await asyncio.sleep(0.005)
+    await asyncio.wait_for(site.server.close(), 1.0)
+    assert await reader.read() == b""
+    writer.close()
--- a/tests/transport/test_readiness.py
+++ b/tests/transport/test_readiness.py
@@ -16,7 +16,7 @@
 
     async def open(self):
         await self.endpoint.open("127.0.0.1", 0)
-        self.port = self.endpoint._server.sockets[0].getsockname()[1]
+        self.port = self.endpoint.port
 
     async def ask(self, text):
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
