--- a/arbutuslift/coordination/spread/feedclient.py
+++ b/arbutuslift/coordination/spread/feedclient.py
@@ -9,7 +9,6 @@
 from ...errors import ArbutusliftError, MessageError
 from ...protocol.channel import Channel
 from ...protocol.feed import FeedAnswer, FeedRequest, LossReport
-from ...protocol.stopping import StopAnswer, StopRequest
 
 # Three control instances in different places: the news of any one of them is enough.
 SUBSCRIPTIONS = 3
@@ -93,6 +92,8 @@
             await self._channel.send(name, report)
 
     async def _ask_turn(self, name: str) -> bool:
+        from ...protocol.stopping import StopAnswer, StopRequest
+
         request = StopRequest(data_centre=self._data_centre)
         answer = await self._channel.request(name, request, TURN_TIMEOUT_S)
         return isinstance(answer, StopAnswer) and answer.is_turn
--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -27,7 +27,6 @@
 from .roles import EntrySettings
 from .state.routing import decode_table
 from .transport.callerpackets import CallerPacket, PacketCodec
-from .transport.readiness import ReadinessEndpoint
 from .transport.zmqbus import ZmqBus, endpoint_of_address
 
 MAX_DATAGRAM_BYTES = 2048
@@ -39,6 +38,8 @@
 # Longest wait for a turn to stop. Routers have to see within 4 s of the signal that the
 # instance isn't ready any more, and need up to 1 s for it.
 LONGEST_TURN_WAIT_S = 2.0
+# Time in which the first questions to control instances go out.
+ASKING_S = 0.005
 # Part of the time until the process is killed that closing sockets may take.
 CLOSING_S = 0.7
 # Ticks are half a second apart. After a longer gap what waited is out of date.
@@ -116,11 +117,6 @@
         settings = self._settings
         self._stack.callback(self._socket.close)
         self._stack.callback(self._tasks.cancel)
-        endpoint = ReadinessEndpoint(
-            settings.ready_path, lambda: self.is_ready, self.metrics.families
-        )
-        self._stack.push_async_callback(endpoint.close)
-        await endpoint.open(settings.ready_ip, settings.ready_port)
         bus = ZmqBus(settings.name, allow_plain=True, endpoint_of=endpoint_of_address)
         self._stack.push_async_callback(bus.close)
         self._feed = FeedClient(
@@ -134,8 +130,21 @@
         )
         self._tasks.spawn(self._feed.run())
         self._tasks.spawn(self._expire())
+        await self._clock.sleep(ASKING_S)
+        await self._open_readiness()
         _log.info("started", listen_port=settings.listen_port)
 
+    async def _open_readiness(self) -> None:
+        # Loaded while the answers are under way; packets may come before it is open.
+        from .transport.readiness import ReadinessEndpoint
+
+        settings = self._settings
+        endpoint = ReadinessEndpoint(
+            settings.ready_path, lambda: self.is_ready, self.metrics.families
+        )
+        self._stack.push_async_callback(endpoint.close)
+        await endpoint.open(settings.ready_ip, settings.ready_port)
+
     async def stop(self) -> None:
         """Tell the routers, and forward what still arrives."""
         spare_s = self._settings.stop_within_s - DRAIN_S - CLOSING_S
--- a/arbutuslift/transport/zmqbus.py
+++ b/arbutuslift/transport/zmqbus.py
@@ -1,7 +1,7 @@
 """Bus over ZeroMQ: one listening ROUTER, one DEALER and task per peer."""
 
 import asyncio
-import ipaddress
+import socket
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -26,6 +26,8 @@
 MAX_SOCKETS = 4096
 RECONNECT_MS = 100
 RECONNECT_MAX_MS = 2000
+_IPV4_LOOPBACK = 127
+_IPV6_LOOPBACK = bytes(15) + b"\x01"
 
 if TYPE_CHECKING:
     from zmq.auth.asyncio import AsyncioAuthenticator
@@ -166,8 +168,8 @@
     def _check_plain(self, endpoint: str) -> None:
         host = endpoint.removeprefix("tcp://").rpartition(":")[0].strip("[]")
         try:
-            is_loopback = ipaddress.ip_address(host).is_loopback
-        except ValueError as error:
+            is_loopback = _is_loopback(host)
+        except OSError as error:
             raise TransportError(
                 "not tcp://ip:port", step="check endpoint", peer=endpoint
             ) from error
@@ -282,3 +284,16 @@
         """Whether a client key may connect."""
         del domain
         return self._bus.allowed_name(key) is not None
+
+
+def _is_loopback(host: str) -> bool:
+    """Return whether an IP address is this machine's own.
+
+    The standard module for addresses takes long to load on a small share of a core.
+
+    Raises:
+        OSError: It is no IP address.
+    """
+    if ":" in host:
+        return socket.inet_pton(socket.AF_INET6, host) == _IPV6_LOOPBACK
+    return socket.inet_pton(socket.AF_INET, host)[0] == _IPV4_LOOPBACK
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,6 +1,8 @@
 """Guards against an entry instance that stays ready long after it was told to stop."""
 
 import asyncio
+import subprocess
+import sys
 from contextlib import AsyncExitStack
 
 from adapter.packets import PlatformCodec
@@ -59,3 +61,21 @@
         assert not instance.is_ready
         await clock.advance(3.0)
         assert stopping.done()
+
+
+def test_modules_can_be_hidden_while_others_are_loaded():
+    """Guards against an entry process that loads TLS, which it doesn't use, first."""
+    code = (
+        "import sys\n"
+        "from arbutuslift.lightimports import hidden\n"
+        "with hidden('ssl'):\n"
+        "    import asyncio\n"
+        "assert 'ssl' not in sys.modules\n"
+        "import ssl\n"
+        "with hidden('ssl', 'json'):\n"
+        "    import ssl as again\n"
+        "assert again is ssl\n"
+        "import json\n"
+        "asyncio.run(asyncio.sleep(0))\n"
+    )
+    assert subprocess.run([sys.executable, "-c", code], check=False).returncode == 0
