Log every request that ends without an answer

Ruled out: reading the id of every request as it passes (0.7 us a packet, a tenth of it). Change: while a flow waits for an answer, its request's packet is kept (for the first 10,000 flows); if the wait ends without one, `request_unanswered` tells the request, its upstream, how long and why. For an id that no line names `explain` prints which instances were away. Flow and Unanswered have a module of their own.

--- a/arbutuslift/coordination/routing/flowrouter.py
+++ b/arbutuslift/coordination/routing/flowrouter.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from enum import StrEnum
 
-from attrs import define, frozen
+from attrs import frozen
 
 from ...clock import Clock
 from ...state.routing import Route, RoutingTable
@@ -12,6 +12,7 @@
 from .judge import Judge
 from .knownstart import KnownStart
 from .picker import Picker
+from .trackedflows import Ending, Flow, Unanswered
 from .upstreamdirectory import UpstreamDirectory
 
 # Callers repeat a SYN after 200 ms; a copy that follows sooner went another way.
@@ -26,6 +27,9 @@
 MAX_TRIED = 4
 MAX_CALLERS = 10_000
 MAX_FLOWS = 200_000
+# With more flows than this the packets of requests under way, up to 1.2 KB each, aren't
+# kept for the log: entry processes have 139 MB.
+MAX_REQUESTS_KEPT = 10_000
 
 
 class Verdict(StrEnum):
@@ -71,36 +75,6 @@
     upstream: KnownStart | None = None
 
 
-@define(eq=False)
-class Flow:
-    """A flow as this instance has seen it.
-
-    Attributes:
-        upstream: The start that holds it.
-        seen_s: When its last packet came.
-        opened_s: When its SYN was forwarded.
-        is_open: Whether a packet after the SYN came.
-        ack: Last acknowledgement of the caller.
-        sent_seq: Sequence number of the newest data.
-        sent_s: When that data was first forwarded.
-        is_waiting: Whether the caller has acknowledged nothing since.
-        is_counted: Whether it counts as load of the upstream.
-        is_unanswered: Whether it was taken as evidence against the upstream since
-            the last answer.
-    """
-
-    upstream: KnownStart
-    seen_s: float
-    opened_s: float
-    is_open: bool = False
-    ack: int = -1
-    sent_seq: int = -1
-    sent_s: float = 0.0
-    is_waiting: bool = False
-    is_counted: bool = True
-    is_unanswered: bool = False
-
-
 class FlowRouter:
     """Routes packets; a packet of an open flow goes to its own upstream or nowhere.
 
@@ -110,6 +84,7 @@
         judge: Takes the evidence that flows give.
         picker: Chooses upstreams of new flows.
         on_suspicion: Called with the upstream of each flow without an answer.
+        on_unanswered: Called with each request that ends without an answer.
 
     Attributes:
         table: Routing table in force; None before the first.
@@ -122,6 +97,7 @@
         judge: Judge,
         picker: Picker,
         on_suspicion: Callable[[KnownStart], None] = lambda known: None,
+        on_unanswered: Callable[[Unanswered], None] = lambda request: None,
     ) -> None:
         self.table: RoutingTable | None = None
         self._clock = clock
@@ -129,6 +105,7 @@
         self._judge = judge
         self._picker = picker
         self._on_suspicion = on_suspicion
+        self._on_unanswered = on_unanswered
         self._routes: dict[tuple[bytes, int], Route] = {}
         self._flows: OrderedDict[bytes, Flow] = OrderedDict()
         self._opening: deque[Flow] = deque()
@@ -166,7 +143,7 @@
             key, flow = next(iter(self._flows.items()))
             if flow.seen_s > oldest_s:
                 return
-            self._remove(key, flow)
+            self._remove(key, flow, Ending.IDLE)
 
     def _open(self, packet: CallerPacket, route: Route | None) -> Decision:
         if route is None:
@@ -185,7 +162,7 @@
         if upstream is None:
             return Decision(Verdict.REFUSED_NO_UPSTREAM)
         if flow is not None:
-            self._remove(packet.flow, flow)
+            self._remove(packet.flow, flow, Ending.REOPENED)
         flow = Flow(upstream, now_s, now_s)
         self._add(packet.flow, flow)
         self._note_opening(packet, flow)
@@ -235,16 +212,16 @@
                 return Decision(Verdict.DROPPED_UNKNOWN_TAG)
             upstream = flow.upstream
         if upstream.is_gone:
-            self._close(packet.flow)
+            self._close(packet.flow, Ending.RESET_HERE)
             return Decision(Verdict.RESET_UPSTREAM_GONE, upstream)
         if route is None:
-            self._close(packet.flow)
+            self._close(packet.flow, Ending.RESET_HERE)
             return Decision(Verdict.RESET_ROUTE_REMOVED, upstream)
         if packet.is_reset:
-            self._close(packet.flow)
+            self._close(packet.flow, Ending.CALLER_RESET)
             return Decision(Verdict.FORWARDED, upstream)
         if upstream.is_lost:
-            self._close(packet.flow)
+            self._close(packet.flow, Ending.RESET_HERE)
             return Decision(Verdict.RESET_UPSTREAM_LOST, upstream)
         is_repeated = self._observe(packet, flow, upstream)
         verdict = Verdict.REPEATED if is_repeated else Verdict.FORWARDED
@@ -261,7 +238,7 @@
         now_s = self._clock.monotonic_s()
         is_repeated = False
         if flow is None or flow.upstream is not upstream:
-            self._close(packet.flow)
+            self._close(packet.flow, Ending.REOPENED)
             # Taken over from another instance: its first packet proves nothing.
             flow = Flow(upstream, now_s, now_s, ack=packet.ack)
             self._add(packet.flow, flow)
@@ -272,6 +249,7 @@
             if flow.is_waiting and not packet.data_length_bytes:
                 upstream.observe_response(now_s - flow.sent_s, now_s)
             flow.is_waiting = False
+            flow.request = b""
             flow.ack = packet.ack
             flow.is_unanswered = False
             self._judge.answered(upstream.start.key)
@@ -283,8 +261,11 @@
         if packet.data_length_bytes and packet.seq != flow.sent_seq:
             flow.sent_seq = packet.seq
             flow.sent_s = now_s
+            if not flow.is_waiting and len(self._flows) <= MAX_REQUESTS_KEPT:
+                flow.request = packet.datagram
             flow.is_waiting = True
         if packet.is_fin:
+            self._end_waiting(packet.flow, flow, Ending.CALLER_ENDED)
             self._discount(flow)
         return is_repeated
 
@@ -302,19 +283,37 @@
 
     def _add(self, key: bytes, flow: Flow) -> None:
         if len(self._flows) >= MAX_FLOWS:
-            self._remove(*next(iter(self._flows.items())))
+            self._remove(*next(iter(self._flows.items())), Ending.FORGOTTEN)
         self._flows[key] = flow
         flow.upstream.flow_count += 1
 
-    def _close(self, key: bytes) -> None:
+    def _close(self, key: bytes, ending: Ending) -> None:
         flow = self._flows.get(key)
         if flow is not None:
-            self._remove(key, flow)
+            self._remove(key, flow, ending)
 
-    def _remove(self, key: bytes, flow: Flow) -> None:
+    def _remove(self, key: bytes, flow: Flow, ending: Ending) -> None:
         del self._flows[key]
+        self._end_waiting(key, flow, ending)
         self._discount(flow)
 
+    def _end_waiting(self, key: bytes, flow: Flow, ending: Ending) -> None:
+        """Tell of a request that nobody waits for any more."""
+        if not flow.is_waiting:
+            return
+        flow.is_waiting = False
+        request, flow.request = flow.request, b""
+        waited_s = self._clock.monotonic_s() - flow.sent_s
+        self._on_unanswered(
+            Unanswered(
+                flow=key,
+                upstream=flow.upstream,
+                datagram=request,
+                waited_s=waited_s,
+                ending=ending,
+            )
+        )
+
     def _discount(self, flow: Flow) -> None:
         if flow.is_counted:
             flow.is_counted = False
--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -17,6 +17,7 @@
 from .coordination.routing.knownstart import KnownStart
 from .coordination.routing.picker import Picker
 from .coordination.routing.prober import Prober, TcpConnector
+from .coordination.routing.trackedflows import Unanswered
 from .coordination.routing.upstreamdirectory import UpstreamDirectory
 from .coordination.spread.feedclient import FeedClient
 from .coordination.waiting import TaskSet
@@ -44,6 +45,7 @@
 CLOSING_S = 0.7
 # Ticks are half a second apart. After a longer gap what waited is out of date.
 MAX_GAP_S = 1.5
+UNANSWERED_EVENT = "request_unanswered"
 LOGGED_VERDICTS = frozenset(Verdict) - {Verdict.FORWARDED, Verdict.SYN_REPEATED}
 # Of requests that go their way one flow in so many is logged, all of its requests.
 SAMPLED_FLOWS = 16
@@ -96,7 +98,12 @@
             clock, self._judge, TcpConnector(), self._tasks.spawn, self._on_lost
         )
         self._router = FlowRouter(
-            clock, self._directory, self._judge, self._picker, self._prober.suspect
+            clock,
+            self._directory,
+            self._judge,
+            self._picker,
+            self._prober.suspect,
+            self._log_unanswered,
         )
         self.metrics = EntryMetrics(self._router, self._directory)
         self._heard_s = clock.monotonic_s()
@@ -268,6 +275,20 @@
             revision=table.revision if table else 0,
         )
 
+    def _log_unanswered(self, request: Unanswered) -> None:
+        if logs.drops(UNANSWERED_EVENT):
+            return
+        start = request.upstream.start
+        _log.info(
+            UNANSWERED_EVENT,
+            flow=request.flow.hex(),
+            request=self._codec.request_id(request.datagram),
+            upstream=start.upstream_id,
+            upstream_phase=start.phase.name.lower(),
+            waited_ms=round(1000 * request.waited_s),
+            ending=request.ending,
+        )
+
     def _revision(self) -> int:
         return self._router.table.revision if self._router.table else 0
 
--- a/arbutuslift/explanation.py
+++ b/arbutuslift/explanation.py
@@ -24,6 +24,7 @@
     ("draining", "the instance was being stopped"),
     ("started", "the instance had just been started again"),
     ("repeated", "the upstream gave no answer within 150 ms, or it was lost"),
+    ("request_unanswered", "the upstream gave no answer before the caller gave up"),
     ("syn_moved", "the first upstream left the opening unanswered"),
 )
 _BELIEFS = (
@@ -34,7 +35,12 @@
     "configuration_in_effect",
 )
 NO_CAUSE = "no line speaks for a cause here: look at the upstream, or at the network"
-UNKNOWN = "no line names it: it never reached an instance, or its lines were dropped"
+UNKNOWN = (
+    "no line names it: its upstream answered or refused it, or it reached no instance "
+    "that was running; the lines tell which instances weren't"
+)
+# Changes of instances, shown for a request that no line names.
+_ABSENCES = ("started", "process_was_frozen", "draining", "process_ends")
 
 
 @frozen(kw_only=True)
@@ -66,7 +72,8 @@
     reader = LogReader()
     events = list(reader.read(lines))
     own = _own_lines(identifier, events)
-    shown = sorted([*own, *_context(own, events)], key=lambda line: line.time_s)
+    context = _context(own, events) if own else _absences(events)
+    shown = sorted([*own, *context], key=lambda line: line.time_s)
     cause, evidence = _cause(shown) if own else (UNKNOWN, ())
     return Explanation(
         identifier=identifier,
@@ -84,10 +91,12 @@
     return [line for line in events if line.value("flow") in flows]
 
 
+def _absences(events: list[LogLine]) -> list[LogLine]:
+    return [line for line in events if line.event in _ABSENCES]
+
+
 def _context(own: list[LogLine], events: list[LogLine]) -> list[LogLine]:
     """Return changes of belief about the same upstreams or at the same instances."""
-    if not own:
-        return []
     first_s = min(line.time_s for line in own) - CONTEXT_S
     last_s = max(line.time_s for line in own) + CONTEXT_S
     upstreams = {line.value("upstream") for line in own} - {""}
--- a/arbutuslift/transport/callerpackets.py
+++ b/arbutuslift/transport/callerpackets.py
@@ -18,12 +18,14 @@
         seq: Sequence number.
         ack: Acknowledged sequence number; in a SYN the number of earlier copies.
         data_length_bytes: Length of the data.
+        datagram: The packet as it was received.
     """
 
     __slots__ = (
         "ack",
         "caller_ip",
         "data_length_bytes",
+        "datagram",
         "flow",
         "is_fin",
         "is_reset",
@@ -48,6 +50,7 @@
         seq: int = 0,
         ack: int = 0,
         data_length_bytes: int = 0,
+        datagram: bytes = b"",
     ) -> None:
         self.flow = flow
         self.service_ip = service_ip
@@ -60,6 +63,7 @@
         self.seq = seq
         self.ack = ack
         self.data_length_bytes = data_length_bytes
+        self.datagram = datagram
 
 
 class PacketCodec(ABC):
--- a/tests/coordination/routing/test_flowrouter.py
+++ b/tests/coordination/routing/test_flowrouter.py
@@ -5,6 +5,7 @@
 import pytest
 
 from arbutuslift.clock import ManualClock
+from arbutuslift.coordination.routing import flowrouter
 from arbutuslift.coordination.routing.flowrouter import FlowRouter, Verdict
 from arbutuslift.coordination.routing.judge import Judge
 from arbutuslift.coordination.routing.picker import Picker
@@ -286,3 +287,65 @@
     entry.wait(0.2)
     entry.router.expire()
     assert entry.suspected == []
+
+
+def unanswered(entry):
+    """Return a list that the router fills."""
+    found = []
+    entry.router._on_unanswered = found.append
+    return found
+
+
+def request(entry, number=1, **fields):
+    return entry.data(number, tag=tag_of(start(1)), datagram=b"GET", **fields)
+
+
+@pytest.mark.parametrize(
+    ("end", "ending"),
+    [
+        (lambda entry: entry.data(is_fin=True, data_length_bytes=0), "caller_ended"),
+        (lambda entry: entry.data(is_reset=True, data_length_bytes=0), "caller_reset"),
+        (lambda entry: entry.syn(), "reopened"),
+        (
+            lambda entry: entry.learn(start(1, phase=Phase.GONE)) or entry.data(),
+            "reset_here",
+        ),
+        (lambda entry: entry.wait(20.0) or entry.router.expire(), "idle"),
+    ],
+)
+def test_a_request_without_an_answer_is_told_once(end, ending):
+    """Guards against failed requests that leave no line."""
+    entry = Entry(start(1))
+    found = unanswered(entry)
+    request(entry)
+    entry.wait(0.4)
+    end(entry)
+    entry.wait(20.0)
+    entry.router.expire()
+    assert [item.ending for item in found] == [ending]
+    assert found[0].datagram == b"GET"
+    assert found[0].upstream.start.upstream_id == start(1).upstream_id
+    assert found[0].waited_s > 0.39
+
+
+def test_an_answered_request_is_not_told():
+    entry = Entry(start(1))
+    found = unanswered(entry)
+    request(entry)
+    entry.data(seq=2, ack=2, data_length_bytes=0)
+    entry.data(is_fin=True, ack=2, data_length_bytes=0)
+    entry.wait(20.0)
+    entry.router.expire()
+    assert found == []
+
+
+def test_packets_of_requests_are_not_kept_without_bound(monkeypatch):
+    """Guards against an entry process that is killed for its memory."""
+    monkeypatch.setattr(flowrouter, "MAX_REQUESTS_KEPT", 1)
+    entry = Entry(start(1))
+    found = unanswered(entry)
+    for number in (1, 2):
+        request(entry, number)
+    entry.wait(20.0)
+    entry.router.expire()
+    assert [item.datagram for item in found] == [b"GET", b""]
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -81,3 +81,16 @@
     text = line(1, "x", reason='"a \\"b\\" c"')
     (read,) = LogReader().read([text])
     assert read.value("reason") == 'a "b" c'
+
+
+def test_a_request_that_no_line_names_is_shown_who_was_away():
+    """Guards against a page that ends where an instance died with the request."""
+    away = line(5, "started", instance="front-2")
+    found = explain("r9", [away, request(5, "forwarded", request="r2", flow="f2")])
+    assert found.cause == UNKNOWN
+    assert found.time_line == (away,)
+
+
+def test_a_request_without_an_answer_is_explained():
+    lines = [request(6, "request_unanswered", upstream="u", ending="caller_reset")]
+    assert "no answer before the caller gave up" in explain("r1", lines).cause
