--- a/arbutuslift/control.py
+++ b/arbutuslift/control.py
@@ -18,8 +18,9 @@
 from .coordination.spread.feedserver import FeedServer
 from .coordination.spread.startkeeper import StartKeeper
 from .coordination.waiting import TaskSet
-from .errors import AnnouncementError, ArbutusliftError, StorageError, TaskFailed
+from .errors import AnnouncementError, ArbutusliftError, StorageError
 from .protocol.channel import Channel
+from .roleinstance import RoleInstance
 from .roles import ControlSettings
 from .state.agreed import AgreedState, Order
 from .state.configuration import StoredRevision
@@ -27,7 +28,7 @@
 from .state.starts import UpstreamStart
 from .state.startstore import DiskStartStore
 from .state.storage import MemberStorage
-from .transport.zmqbus import ZmqBus, endpoint_of_address
+from .transport.zmqbus import endpoint_of_address
 
 # Control instances are a few ms apart; a change has to be in force within seconds of
 # a leader's loss.
@@ -69,7 +70,7 @@
         )
 
 
-class ControlInstance:
+class ControlInstance(RoleInstance):
     """Takes orders and announcements, and tells entry instances.
 
     Args:
@@ -80,7 +81,6 @@
         on_failure: Called when a task failed and the process has to end.
 
     Attributes:
-        failure: Why a task failed, if one did.
         feed: Feed of entry instances.
         metrics: What it counts and measures.
     """
@@ -93,19 +93,12 @@
         stack: AsyncExitStack,
         on_failure: Callable[[], None],
     ) -> None:
-        self.failure: TaskFailed | None = None
+        super().__init__("run control instance", clock, stack, on_failure)
         self.feed: FeedServer | None = None
         self.metrics = ControlMetrics()
         self._settings = settings
         self._read_table = read_table
-        self._clock = clock
-        self._stack = stack
-        self._on_failure = on_failure
-        self._tasks = TaskSet(self._fail)
-        self._bus = ZmqBus(
-            settings.name, allow_plain=True, endpoint_of=endpoint_of_address
-        )
-        self._channel = Channel(self._bus)
+        self._channel: Channel | None = None
         self._seeds = settings.seeds
         self._known: tuple[str, ...] = settings.seeds
         self._enrolment: Enrolment | None = None
@@ -124,7 +117,8 @@
             TransportError: A port can't be used.
         """
         settings = self._settings
-        self._stack.push_async_callback(self._bus.close)
+        bus = self._make_bus(settings.name)
+        self._channel = Channel(bus)
         self._stack.push_async_callback(self._tasks.close)
         self.feed = FeedServer(
             self._channel,
@@ -136,7 +130,7 @@
         store = DiskStartStore(settings.data_folder)
         keeper = StartKeeper(self.feed.registry, store, self._clock)
         keeper.restore()
-        await self._bus.open(endpoint_of_address(settings.listen))
+        await bus.open(endpoint_of_address(settings.listen))
         self._tasks.spawn(keeper.run())
         self._tasks.spawn(self._keep_member())
         self._tasks.spawn(self.feed.run())
@@ -261,9 +255,3 @@
             routes=len(table.routes),
             out_of_service=",".join(sorted(table.out_of_service)),
         )
-
-    def _fail(self, error: Exception) -> None:
-        """End the process if a task failed: a stopped part would go unnoticed."""
-        self.failure = TaskFailed(repr(error), step="run control instance")
-        _log.error("task_failed", reason=str(self.failure), exc_info=error)
-        self._on_failure()
--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -4,31 +4,28 @@
 import random
 import socket
 import time
-import zlib
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 
 import structlog
 
-from . import logs
 from .clock import Clock
 from .coordination.routing.flowrouter import RESETS, Decision, FlowRouter, Verdict
 from .coordination.routing.judge import Judge
 from .coordination.routing.knownstart import KnownStart
 from .coordination.routing.picker import Picker
 from .coordination.routing.prober import Prober, TcpConnector
-from .coordination.routing.trackedflows import Unanswered
 from .coordination.routing.upstreamdirectory import UpstreamDirectory
 from .coordination.spread.feedclient import FeedClient
-from .coordination.waiting import TaskSet
+from .decisionlog import DecisionLog
 from .entrymetrics import EntryMetrics
-from .errors import PacketError, TaskFailed
+from .errors import PacketError
 from .protocol.channel import Channel
 from .protocol.feed import FeedAnswer
+from .roleinstance import RoleInstance
 from .roles import EntrySettings
 from .state.routing import decode_table
 from .transport.callerpackets import CallerPacket, PacketCodec
-from .transport.zmqbus import ZmqBus, endpoint_of_address
 
 MAX_DATAGRAM_BYTES = 2048
 # Datagrams read in one turn of the event loop, so that control traffic gets its turn.
@@ -45,15 +42,11 @@
 CLOSING_S = 0.7
 # Ticks are half a second apart. After a longer gap what waited is out of date.
 MAX_GAP_S = 1.5
-UNANSWERED_EVENT = "request_unanswered"
-LOGGED_VERDICTS = frozenset(Verdict) - {Verdict.FORWARDED, Verdict.SYN_REPEATED}
-# Of requests that go their way one flow in so many is logged, all of its requests.
-SAMPLED_FLOWS = 16
 
 _log = structlog.get_logger()
 
 
-class EntryInstance:
+class EntryInstance(RoleInstance):
     """Forwards callers' packets.
 
     Args:
@@ -66,7 +59,6 @@
 
     Attributes:
         metrics: Figures of its metrics page.
-        failure: Why a task failed, if one did.
     """
 
     def __init__(
@@ -78,17 +70,14 @@
         stack: AsyncExitStack,
         on_failure: Callable[[], None],
     ) -> None:
-        self.failure: TaskFailed | None = None
+        super().__init__("run entry instance", clock, stack, on_failure)
         self._settings = settings
         self._codec = codec
-        self._clock = clock
-        self._stack = stack
-        self._on_failure = on_failure
         self._is_stopping = False
-        self._tasks = TaskSet(self._fail)
         self._has_upstreams = False
         self._awake_s = clock.awake_s()
         self._socket = packets
+        self._decisions = DecisionLog(codec)
         self._directory = UpstreamDirectory(clock)
         self._judge = Judge(clock)
         self._picker = Picker(
@@ -103,7 +92,7 @@
             self._judge,
             self._picker,
             self._prober.suspect,
-            self._log_unanswered,
+            self._decisions.note_unanswered,
         )
         self.metrics = EntryMetrics(self._router, self._directory)
         self._heard_s = clock.monotonic_s()
@@ -124,10 +113,8 @@
         settings = self._settings
         self._stack.callback(self._socket.close)
         self._stack.callback(self._tasks.cancel)
-        bus = ZmqBus(settings.name, allow_plain=True, endpoint_of=endpoint_of_address)
-        self._stack.push_async_callback(bus.close)
         self._feed = FeedClient(
-            Channel(bus),
+            Channel(self._make_bus(settings.name)),
             self._clock,
             settings.seeds,
             settings.data_centre,
@@ -231,13 +218,7 @@
             self._forward(datagram, decision)
         elif verdict in RESETS and not packet.is_reset:
             self._reset(packet)
-        if verdict in LOGGED_VERDICTS or self._is_sampled(packet):
-            self._log_decision(datagram, packet, decision)
-
-    @staticmethod
-    def _is_sampled(packet: CallerPacket) -> bool:
-        is_request = packet.data_length_bytes > 0
-        return is_request and zlib.crc32(packet.flow) % SAMPLED_FLOWS == 0
+        self._decisions.note(packet, decision, self._router.table)
 
     def _forward(self, datagram: bytes, decision: Decision) -> None:
         start = decision.upstream.start
@@ -255,40 +236,6 @@
             # A full socket loses the datagram like the network does.
             _log.warning("send_failed", peer=address[0], reason=str(error))
 
-    def _log_decision(
-        self, datagram: bytes, packet: CallerPacket, decision: Decision
-    ) -> None:
-        if logs.drops(decision.verdict.value):
-            return
-        table = self._router.table
-        start = decision.upstream.start if decision.upstream else None
-        _log.info(
-            decision.verdict.value,
-            flow=packet.flow.hex(),
-            copies=packet.ack if packet.is_syn else 0,
-            request=self._codec.request_id(datagram),
-            upstream=start.upstream_id if start else "",
-            upstream_phase=start.phase.name.lower() if start else "",
-            upstream_sequence=start.sequence if start else 0,
-            load_flows=decision.upstream.flow_count if start else 0,
-            version=table.version if table else 0,
-            revision=table.revision if table else 0,
-        )
-
-    def _log_unanswered(self, request: Unanswered) -> None:
-        if logs.drops(UNANSWERED_EVENT):
-            return
-        start = request.upstream.start
-        _log.info(
-            UNANSWERED_EVENT,
-            flow=request.flow.hex(),
-            request=self._codec.request_id(request.datagram),
-            upstream=start.upstream_id,
-            upstream_phase=start.phase.name.lower(),
-            waited_ms=round(1000 * request.waited_s),
-            ending=request.ending,
-        )
-
     def _revision(self) -> int:
         return self._router.table.revision if self._router.table else 0
 
@@ -351,9 +298,3 @@
             self._awake_s = self._clock.awake_s()
             self._router.expire()
             self._directory.expire()
-
-    def _fail(self, error: Exception) -> None:
-        """End the process if a task failed: a stopped part would go unnoticed."""
-        self.failure = TaskFailed(repr(error), step="run entry instance")
-        _log.error("task_failed", reason=str(self.failure), exc_info=error)
-        self._on_failure()
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -194,6 +194,6 @@
         "flow": number.to_bytes(12, "big"),
         "service_ip": SERVICE.ip,
         "service_port": 443,
-        "caller_ip": bytes([100, 64, 0, number]),
+        "caller_ip": bytes([100, 64, *number.to_bytes(2, "big")]),
     }
     return CallerPacket(**(fields | changes))
