Store values through the codec of messages, by field names as before

Change: the codec of rows moves to state/fieldcodec.py and also writes maps by field names, the format of stored values, so data folders stay readable. It is strict: a stored number is no text. cattrs is left to documents of the daemon.

--- a/arbutuslift/protocol/messages.py
+++ b/arbutuslift/protocol/messages.py
@@ -6,7 +6,7 @@
 from attrs import frozen
 
 from ..errors import MessageError
-from .rows import from_row, to_row
+from ..state.fieldcodec import from_row, to_row
 
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 
--- a/arbutuslift/protocol/records.py
+++ b/arbutuslift/protocol/records.py
@@ -8,7 +8,7 @@
 import msgpack
 
 from ..errors import MessageError
-from .rows import from_row, to_row
+from ..state.fieldcodec import from_row, to_row
 
 
 def encode_record(record: Any) -> bytes:
--- a/arbutuslift/state/codec.py
+++ b/arbutuslift/state/codec.py
@@ -2,20 +2,17 @@
 
 from typing import TypeVar
 
-import cattrs
 import msgpack
-from cattrs.preconf.msgpack import make_converter
 
 from ..errors import StorageError
+from .fieldcodec import from_map, to_map
 
 T = TypeVar("T")
 
-_converter = make_converter(forbid_extra_keys=True)
-
 
 def encode_value(value: object) -> bytes:
     """Return an attrs object as bytes."""
-    return msgpack.packb(_converter.unstructure(value))
+    return msgpack.packb(to_map(value))
 
 
 def decode_value(body: bytes, value_class: type[T]) -> T:
@@ -25,12 +22,10 @@
         StorageError: The bytes don't hold such an object.
     """
     try:
-        return _converter.structure(msgpack.unpackb(body), value_class)
+        return from_map(msgpack.unpackb(body), value_class)
     except (
-        cattrs.BaseValidationError,
         msgpack.UnpackException,
-        AttributeError,
-        KeyError,
+        ArithmeticError,
         TypeError,
         ValueError,
     ) as error:
--- /dev/null
+++ b/arbutuslift/state/fieldcodec.py
@@ -0,0 +1,215 @@
+"""Strict codec of attrs objects: as rows without names, or as maps by field names.
+
+Nothing is converted: a peer's float is no integer, and a number is no bytes. The plan
+of a class is made when an object of it is first encoded or decoded, since an entry
+process with a small share of a core uses few of the classes that it loads.
+"""
+
+import math
+import types
+from collections.abc import Callable
+from enum import Enum
+from functools import cache
+from typing import Any, TypeVar, get_args, get_origin
+
+import attrs
+from attrs import frozen
+
+T = TypeVar("T")
+
+Convert = Callable[[Any], Any]
+
+_Decode = Callable[[Any, type], Any]
+
+_PLAIN = (int, str, bytes, bool)
+
+
+@frozen
+class _Column:
+    """How one field is encoded and decoded.
+
+    Attributes:
+        name: Name of the field.
+        plain: Type of a value that is sent as it is, None for other types.
+        encode: Returns what is sent for a value.
+        decode: Returns the value for what was sent; raises TypeError or ValueError.
+    """
+
+    name: str
+    plain: type | None
+    encode: Convert
+    decode: Convert
+
+
+def to_row(value: Any) -> list[Any]:
+    """Return the values of an attrs object, ready for msgpack."""
+    return [_encoded(value, column) for column in _columns_of(type(value))]
+
+
+def from_row(row: Any, wanted: type[T], *, ignores_more: bool = False) -> T:
+    """Return the object in a row.
+
+    Args:
+        row: What msgpack returned.
+        wanted: Class of the object.
+        ignores_more: Whether values after the last field are ignored; a newer version
+            of the sender may have added them.
+
+    Raises:
+        TypeError: A value has another type, or one without a default is missing.
+        ValueError: A value isn't permitted, or there are too many.
+        ArithmeticError: A number is too large for its field.
+    """
+    if type(row) is not list:
+        raise TypeError(f"{type(row).__name__} instead of a row")
+    columns = _columns_of(wanted)
+    if len(row) > len(columns) and not ignores_more:
+        raise ValueError(f"{len(row)} values for {len(columns)} fields")
+    pairs = zip(columns, row, strict=False)
+    return wanted(**{column.name: _decoded(value, column) for column, value in pairs})
+
+
+def to_map(value: Any) -> dict[str, Any]:
+    """Return an attrs object by field names, and so all objects in it."""
+    columns = _named_columns_of(type(value))
+    return {column.name: _encoded(value, column) for column in columns}
+
+
+def from_map(fields: Any, wanted: type[T]) -> T:
+    """Return the object that a map by field names holds.
+
+    Raises:
+        TypeError: A value has another type, or one without a default is missing.
+        ValueError: A value isn't permitted, or a field is unknown.
+        ArithmeticError: A number is too large for its field.
+    """
+    if type(fields) is not dict:
+        raise TypeError(f"{type(fields).__name__} instead of a map")
+    columns = _named_columns_of(wanted)
+    unknown = fields.keys() - {column.name for column in columns}
+    if unknown:
+        raise ValueError(f"unknown fields {sorted(map(str, unknown))}")
+    present = (column for column in columns if column.name in fields)
+    return wanted(**{c.name: _decoded(fields[c.name], c) for c in present})
+
+
+def _encoded(value: Any, column: _Column) -> Any:
+    found = getattr(value, column.name)
+    return found if column.plain else column.encode(found)
+
+
+def _decoded(value: Any, column: _Column) -> Any:
+    if column.plain is None:
+        return column.decode(value)
+    if type(value) is not column.plain:
+        raise _wrong_type(value, column.plain)
+    return value
+
+
+@cache
+def _columns_of(owner: type) -> tuple[_Column, ...]:
+    return _columns(owner, to_row, from_row)
+
+
+@cache
+def _named_columns_of(owner: type) -> tuple[_Column, ...]:
+    return _columns(owner, to_map, from_map)
+
+
+def _columns(owner: type, encode: Convert, decode: _Decode) -> tuple[_Column, ...]:
+    attrs.resolve_types(owner)
+    plan = _Plan(encode, decode)
+    return tuple(plan.column(field.name, field.type) for field in attrs.fields(owner))
+
+
+@frozen
+class _Plan:
+    """How objects inside of an object are encoded and decoded.
+
+    Attributes:
+        encode: Encodes an attrs object.
+        decode: Decodes one, given its class.
+    """
+
+    encode: Convert
+    decode: _Decode
+
+    def column(self, name: str, wanted: Any) -> _Column:
+        """Return the column of a field."""
+        plain = wanted if wanted in _PLAIN else None
+        encode, decode = self._converters(wanted)
+        return _Column(name, plain, encode, decode)
+
+    def _converters(self, wanted: Any) -> tuple[Convert, Convert]:
+        """Return the functions that encode and decode values of a type.
+
+        Raises:
+            TypeError: Values of this type can't be encoded.
+        """
+        if wanted in _PLAIN:
+            return _same, lambda value: _check_type(value, wanted)
+        if wanted is float:
+            return _same, _finite
+        if get_origin(wanted) is tuple:
+            return self._tuple_converters(wanted)
+        if get_origin(wanted) is types.UnionType:
+            return self._optional_converters(wanted)
+        if isinstance(wanted, type) and issubclass(wanted, Enum):
+            return _value_of, lambda value: _member(value, wanted)
+        if attrs.has(wanted):
+            return self.encode, lambda value: self.decode(value, wanted)
+        raise TypeError(f"no codec for {wanted}")
+
+    def _tuple_converters(self, wanted: Any) -> tuple[Convert, Convert]:
+        element, *rest = get_args(wanted)
+        if rest != [Ellipsis]:
+            raise TypeError(f"no codec for {wanted}")
+        encode, decode = self._converters(element)
+
+        def encode_all(values: tuple[Any, ...]) -> list[Any]:
+            return [encode(value) for value in values]
+
+        def decode_all(values: Any) -> tuple[Any, ...]:
+            return tuple([decode(value) for value in _check_type(values, list)])
+
+        return encode_all, decode_all
+
+    def _optional_converters(self, wanted: Any) -> tuple[Convert, Convert]:
+        present = [kind for kind in get_args(wanted) if kind is not types.NoneType]
+        if len(present) != 1:
+            raise TypeError(f"no codec for {wanted}")
+        encode, decode = self._converters(present[0])
+        return (
+            lambda value: None if value is None else encode(value),
+            lambda value: None if value is None else decode(value),
+        )
+
+
+def _same(value: Any) -> Any:
+    return value
+
+
+def _value_of(member: Enum) -> Any:
+    return member.value
+
+
+def _check_type(value: Any, wanted: type) -> Any:
+    if type(value) is not wanted:
+        raise _wrong_type(value, wanted)
+    return value
+
+
+def _finite(value: Any) -> float:
+    if type(value) not in (int, float) or not math.isfinite(value):
+        raise TypeError("not a finite number")
+    return float(value)
+
+
+def _member(value: Any, wanted: type[Enum]) -> Enum:
+    if type(value) not in (int, str):
+        raise _wrong_type(value, wanted)
+    return wanted(value)
+
+
+def _wrong_type(value: Any, wanted: type) -> TypeError:
+    return TypeError(f"{type(value).__name__} instead of {wanted.__name__}")
--- a/tests/protocol/test_rows.py
+++ b/tests/state/test_fieldcodec.py
@@ -1,4 +1,4 @@
-"""Rows: every message comes back equal, and no value is turned into another type."""
+"""Objects come back equal, and no value is turned into another type."""
 
 from enum import IntEnum
 
@@ -6,7 +6,7 @@
 import pytest
 from attrs import frozen
 
-from arbutuslift.protocol.rows import from_row, to_row
+from arbutuslift.state.fieldcodec import from_map, from_row, to_map, to_row
 
 
 class Grade(IntEnum):
@@ -103,6 +103,36 @@
         from_row(row, Outer)
 
 
+def test_a_map_holds_the_names_of_all_fields():
+    """Guards against stored values that a later version can't read any more."""
+    stored = msgpack.unpackb(msgpack.packb(to_map(OUTER)))
+    assert stored["inner"] == {"name": "a", "grade": 2}
+    assert stored["many"] == [stored["inner"], stored["inner"]]
+    assert from_map(stored, Outer) == OUTER
+    del stored["added"]
+    assert from_map(stored, Outer).added == 7
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"unknown": 1},
+        {1: 2},
+        {"count": "3"},
+        {"inner": ["a", 2]},
+        {"inner": {"name": "a"}},
+        {"inner": {"name": "a", "grade": 9}},
+        {"many": {}},
+    ],
+)
+def test_a_map_that_does_not_fit_is_refused(changes):
+    stored = to_map(OUTER) | changes
+    with pytest.raises((TypeError, ValueError)):
+        from_map(stored, Outer)
+    with pytest.raises(TypeError):
+        from_map(list(stored.items()), Outer)
+
+
 def test_a_class_with_fields_that_can_not_be_sent_is_refused():
     @frozen
     class Odd:
