Try connections of the roles again quickly, and give up those that hang

A leader was elected at 50.16 s, but the ten entry instances had a configuration only between 50.25 and 50.53 s: times between tries to connect double from 0.1 s, and the three that began while the other machines had no power waited for the repetition of a handshake packet after 1 s. Ruled out: the answers of control (the commit index is pushed at once). Change: processes of the two roles, which have few peers, try again after 20 to 80 ms, and a try counts as failed after 0.3 s. Test: a peer that listens 0.75 s late (failed first).

--- a/arbutuslift/roleinstance.py
+++ b/arbutuslift/roleinstance.py
@@ -10,6 +10,14 @@
 from .errors import TaskFailed
 from .transport.zmqbus import ZmqBus, endpoint_of_address
 
+# Each process has a few peers only. After a loss of power an entry instance asks before
+# control listens; with longer times between its tries it came up to 0.45 s late.
+RECONNECT_MS = 20
+RECONNECT_MAX_MS = 80
+# Longer than a round trip between far regions. A machine without power answers nothing,
+# and a try that began before it was back would hang for a second.
+CONNECT_TIMEOUT_MS = 300
+
 _log = structlog.get_logger()
 
 
@@ -46,7 +54,14 @@
         Args:
             name: Name of this process on it.
         """
-        bus = ZmqBus(name, allow_plain=True, endpoint_of=endpoint_of_address)
+        bus = ZmqBus(
+            name,
+            allow_plain=True,
+            endpoint_of=endpoint_of_address,
+            reconnect_ms=RECONNECT_MS,
+            reconnect_max_ms=RECONNECT_MAX_MS,
+            connect_timeout_ms=CONNECT_TIMEOUT_MS,
+        )
         self._stack.push_async_callback(bus.close)
         return bus
 
--- a/arbutuslift/transport/zmqbus.py
+++ b/arbutuslift/transport/zmqbus.py
@@ -64,6 +64,10 @@
         allow_plain: Permit clear text on addresses other than loopback.
         max_message_bytes: Larger messages close the connection of their sender.
         endpoint_of: Endpoint of a peer that was never connected, from its name.
+        reconnect_ms: Time until a connection is tried again, doubled each time.
+        reconnect_max_ms: Longest time between two tries.
+        connect_timeout_ms: Time after which a try counts as failed; 0 leaves it to the
+            operating system, which repeats a lost packet of the handshake after 1 s.
     """
 
     def __init__(
@@ -74,6 +78,9 @@
         allow_plain: bool = False,
         max_message_bytes: int = MAX_MESSAGE_BYTES,
         endpoint_of: Callable[[str], str | None] = lambda name: None,
+        reconnect_ms: int = RECONNECT_MS,
+        reconnect_max_ms: int = RECONNECT_MAX_MS,
+        connect_timeout_ms: int = 0,
     ) -> None:
         super().__init__(name)
         self.counters = BusCounters()
@@ -82,6 +89,9 @@
         self._allow_plain = allow_plain
         self._max_message_bytes = max_message_bytes
         self._endpoint_of = endpoint_of
+        self._reconnect_ms = reconnect_ms
+        self._reconnect_max_ms = reconnect_max_ms
+        self._connect_timeout_ms = connect_timeout_ms
         self._context = zmq.asyncio.Context()
         self._context.set(zmq.MAX_SOCKETS, MAX_SOCKETS)
         self._authenticator: AsyncioAuthenticator | None = None
@@ -207,8 +217,9 @@
             socket.curve_secretkey = self._security.keys.secret
         # Without this option messages to an absent peer wait and arrive stale.
         socket.setsockopt(zmq.IMMEDIATE, 1)
-        socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
-        socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        socket.setsockopt(zmq.CONNECT_TIMEOUT, self._connect_timeout_ms)
+        socket.setsockopt(zmq.RECONNECT_IVL, self._reconnect_ms)
+        socket.setsockopt(zmq.RECONNECT_IVL_MAX, self._reconnect_max_ms)
         socket.connect(endpoint)
         peer = ZmqPeer(self.name, socket, self.counters, self._max_message_bytes)
         self._peers[name] = peer
--- a/tests/transport/test_bus.py
+++ b/tests/transport/test_bus.py
@@ -1,11 +1,15 @@
 """Contract of Bus, on the memory and the ZeroMQ version."""
 
 import asyncio
+import socket
+import time
+from contextlib import AsyncExitStack
 
 import pytest
 
-from arbutuslift.clock import SystemClock
+from arbutuslift.clock import ManualClock, SystemClock
 from arbutuslift.errors import PeerTimeout, TransportError
+from arbutuslift.roleinstance import RoleInstance
 from arbutuslift.transport import zmqpeer
 from arbutuslift.transport.bus import MemoryNetwork
 from arbutuslift.transport.keys import AllowedKeys, create_key_files, load_key_pair
@@ -246,3 +250,29 @@
             await peer._socket.send_multipart(frames)
         assert await left.request("right", b"x", 10.0) == b"left:x"
         assert (right.counters.malformed, right.counters.impostors) == (2, 1)
+
+
+async def test_a_peer_that_listens_late_is_reached_soon_after():
+    """Guards against entry instances that ask before control listens and wait long.
+
+    With times between tries that double from 0.1 s the next one came 0.75 s later.
+    """
+    async with AsyncExitStack() as stack:
+        asking = RoleInstance("test", ManualClock(), stack, lambda: None)
+        bus = asking._make_bus("one")
+        late = ZmqBus("two")
+        stack.push_async_callback(late.close)
+
+        async def answer(peer, body):
+            return body
+
+        late.handler = answer
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            port = probe.getsockname()[1]
+        request = asyncio.create_task(bus.request(f"127.0.0.1:{port}", b"x", 5.0))
+        await asyncio.sleep(0.75)
+        await late.open(f"tcp://127.0.0.1:{port}")
+        opened_s = time.monotonic()
+        assert await request == b"x"
+        assert time.monotonic() - opened_s < 0.3
