Publish only the newest of the revisions that are committed together

Change: revisions that are committed in one turn are published once. Test: of 100 revisions that are committed together one is read (failed first).

--- a/arbutuslift/control.py
+++ b/arbutuslift/control.py
@@ -104,6 +104,7 @@
         self._enrolment: Enrolment | None = None
         self._desk: OrderDesk | None = None
         self._table: RoutingTable | None = None
+        self._committed: StoredRevision | None = None
 
     @property
     def table(self) -> RoutingTable | None:
@@ -242,6 +243,16 @@
         return member
 
     def _on_commit(self, stored: StoredRevision) -> None:
+        """Publish the newest revision of those that are committed together.
+
+        After a restart up to 256 are, and each takes as long as its configuration.
+        """
+        if self._committed is None:
+            self._tasks.spawn(self._publish())
+        self._committed = stored
+
+    async def _publish(self) -> None:
+        stored, self._committed = self._committed, None
         state = AgreedState.decode(stored.submission.document)
         table = self._read_table(stored.revision, state)
         if self._table is not None and table.revision <= self._table.revision:
