Let virtual time wait for threads in the test of large documents

The test advances a manual clock while a thread checks the document in real time; its 10 virtual seconds had passed before the thread got a core. Ruled out: the check itself, which takes a few ms. Change: in these tests virtual time stands still while a thread works. Nothing else of the test changes.

--- a/tests/coordination/test_operators.py
+++ b/tests/coordination/test_operators.py
@@ -1,5 +1,7 @@
 """Operators' service: checks, forwarding and its deadline."""
 
+import asyncio
+
 import pytest
 from attrs import evolve
 
@@ -19,7 +21,7 @@
 )
 
 from .. import builders
-from ..fakes import FakeStore, Site, drive
+from ..fakes import FakeStore, Site, ThreadCount, drive
 
 APPLY = ApplyDocument(
     timeout_s=10.0,
@@ -37,12 +39,20 @@
 
 
 @pytest.fixture
-def ask(site):
+def threads(monkeypatch):
+    """Let virtual time wait for threads, which take real time."""
+    count = ThreadCount()
+    monkeypatch.setattr(asyncio, "to_thread", count.to_thread)
+    return count
+
+
+@pytest.fixture
+def ask(site, threads):
     channel = Channel(site.network.bus("client"))
 
     async def ask_server(message, server="e1"):
         work = channel.request(server, message, message.timeout_s)
-        return await drive(site.clock, work)
+        return await drive(site.clock, work, threads)
 
     return ask_server
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import TypeVar
 
 from attrs import evolve
@@ -79,10 +79,32 @@
         self.on_accept()
 
 
-async def drive(clock: ManualClock, work: Coroutine[None, None, T]) -> T:
-    """Advance the clock until the work is done."""
+class ThreadCount:
+    """Counts the threads that work for coroutines, while it stands in for to_thread."""
+
+    def __init__(self) -> None:
+        self.active = 0
+        self._to_thread = asyncio.to_thread
+
+    async def to_thread(self, function: Callable[..., T], *arguments: object) -> T:
+        """Run a function in a thread."""
+        self.active += 1
+        try:
+            return await self._to_thread(function, *arguments)
+        finally:
+            self.active -= 1
+
+
+async def drive(
+    clock: ManualClock,
+    work: Coroutine[None, None, T],
+    threads: ThreadCount | None = None,
+) -> T:
+    """Advance the clock until the work is done; it stands still while threads work."""
     task = asyncio.create_task(work)
     while not task.done():
+        while threads is not None and threads.active:
+            await asyncio.sleep(0.001)
         await clock.advance(0.05)
     return task.result()
 
