Hand the leadership over before a planned stop

Cause: when the leader of control instances is restarted, orders wait until the others have noticed its silence: 0.8 s to 1.6 s, in each rolling restart of control. Ruled out: shorter election timeouts, which slowed machines would turn into elections. Change: a leader that is told to stop offers the leadership to the voter that has its whole log and answered last; that one stands at once, without asking whether the others hear a leader. The stop waits 0.5 s for it at most. Figures: a new leader within 0.2 s in the test, where it takes an election timeout otherwise. Five tests: hand-over and the orders after it, no leader, an isolated leader, a voter without the whole log, an offer of an old term.

--- a/arbutuslift/control.py
+++ b/arbutuslift/control.py
@@ -41,6 +41,8 @@
     catch_up_timeout_s=10.0,
     retry_s=0.05,
 )
+# An election takes a few round trips; a process has seconds until it is killed.
+HAND_OVER_S = 0.5
 REOPEN_S = 0.5
 CHECK_S = 0.2
 _EPOCH_BITS = 62
@@ -103,6 +105,7 @@
         self._known: tuple[str, ...] = settings.seeds
         self._enrolment: Enrolment | None = None
         self._desk: OrderDesk | None = None
+        self._member: Member | None = None
         self._table: RoutingTable | None = None
         self._committed: StoredRevision | None = None
 
@@ -137,6 +140,11 @@
         self._tasks.spawn(self.feed.run())
         _log.info("started", name=settings.name, seeds=",".join(settings.seeds))
 
+    async def stop(self) -> None:
+        """Let another member lead, so that orders don't wait for an election."""
+        if self._member is not None:
+            await self._member.hand_over(HAND_OVER_S)
+
     async def submit(self, order: Order) -> int:
         """Accept an order; see ``OrderDesk.submit``.
 
@@ -211,7 +219,7 @@
                     _log.error("member_reopens", reason=member.fault)
             except StorageError as error:
                 _log.error("data_folder_unusable", reason=str(error))
-            self._desk = None
+            self._desk = self._member = None
             await self._clock.sleep(REOPEN_S)
 
     async def _open_member(self, stack: AsyncExitStack) -> Member:
@@ -232,6 +240,7 @@
         stack.push_async_callback(member.close)
         member.on_commit(self._on_commit)
         member.start()
+        self._member = member
         self._enrolment = Enrolment(
             member, self._channel, self._clock, settings.data_centre, self._seeds
         )
--- a/arbutuslift/coordination/agreement/election.py
+++ b/arbutuslift/coordination/agreement/election.py
@@ -7,7 +7,7 @@
 
 from ...clock import Clock
 from ...errors import MessageError, PeerFailure, TransportError
-from ...protocol.agreement import VoteAnswer, VoteRequest
+from ...protocol.agreement import TakeOver, VoteAnswer, VoteRequest
 from ...protocol.channel import Channel
 from ...state.membership import MemberRecord
 from .memberstate import AgreementTiming, MemberState, Role
@@ -43,6 +43,7 @@
         self._clock: Clock = state.clock
         self._voted_s = float("-inf")
         channel.on(VoteRequest, self._on_vote_request)
+        channel.on(TakeOver, self._on_take_over)
 
     async def run(self) -> None:
         """Watch the leader, or the quorum while leading, until cancelled."""
@@ -52,6 +53,41 @@
             elif await self._silence():
                 await self._campaign()
 
+    async def hand_over(self, timeout_s: float) -> bool:
+        """Let a voter that has the whole log lead, and return whether one does.
+
+        Without this the others notice the end of a leader by its silence.
+        """
+        state = self._state
+        if state.role is not Role.LEADER:
+            return False
+        ready = [
+            peer
+            for peer in self._replicator.peers
+            if state.membership.is_voter(peer.member.identity)
+            and peer.matched_index == state.last_index
+        ]
+        if not ready:
+            return False
+        chosen = max(ready, key=lambda peer: peer.contact_s)
+        offer = TakeOver(
+            target=chosen.member.identity, cluster=state.cluster, term=state.term
+        )
+        _log.info("leadership_offered", member=chosen.member.name, term=state.term)
+        await self._channel.send(chosen.member.name, offer)
+        return await state.changed.wait_for(
+            lambda: state.role is not Role.LEADER, timeout_s
+        )
+
+    async def _on_take_over(self, peer: str, offer: TakeOver) -> None:
+        state = self._state
+        state.check_addressed(offer.target, offer.cluster)
+        is_voter = state.membership.is_voter(state.identity)
+        if offer.term != state.term or not is_voter or state.role is Role.LEADER:
+            return
+        _log.info("leadership_taken_over", peer=peer, term=offer.term + 1)
+        await self._stand(offer.term + 1)
+
     async def _watch_quorum(self) -> None:
         await self._clock.sleep(self._timing.heartbeat_s)
         if self._state.role is not Role.LEADER:
@@ -83,8 +119,11 @@
         term = state.term + 1
         if not await self._poll(term, pre_vote=True):
             return
-        if state.term != term - 1 or self._leader_heard():
-            return
+        if state.term == term - 1 and not self._leader_heard():
+            await self._stand(term)
+
+    async def _stand(self, term: int) -> None:
+        state = self._state
         state.stand(term)
         won = await self._poll(term, pre_vote=False)
         if won and state.term == term and state.role is Role.CANDIDATE:
--- a/arbutuslift/coordination/agreement/member.py
+++ b/arbutuslift/coordination/agreement/member.py
@@ -169,6 +169,14 @@
         if self._keeper is not None:
             self._tasks.spawn(self._keeper.run())
 
+    async def hand_over(self, timeout_s: float) -> bool:
+        """Let another member lead, before a planned stop.
+
+        Returns:
+            Whether this member led and another one does now.
+        """
+        return await self._elector.hand_over(timeout_s)
+
     async def close(self) -> None:
         """Stop the member's tasks; it answers no other member from now on."""
         self._state.on_failure = lambda: None
--- a/arbutuslift/protocol/agreement.py
+++ b/arbutuslift/protocol/agreement.py
@@ -119,6 +119,22 @@
     cluster: bytes
 
 
+@register
+@frozen(kw_only=True)
+class TakeOver(Message):
+    """A leader that stops asks a voter to stand for election at once.
+
+    Attributes:
+        target: Identity of the voter.
+        cluster: Cluster of the leader.
+        term: Term of the leader.
+    """
+
+    target: bytes
+    cluster: bytes
+    term: int
+
+
 @register
 @frozen(kw_only=True)
 class IdentityRequest(Message):
--- a/tests/coordination/agreement/test_member.py
+++ b/tests/coordination/agreement/test_member.py
@@ -14,6 +14,7 @@
     SettingsError,
     StorageError,
 )
+from arbutuslift.protocol.agreement import TakeOver
 from arbutuslift.state.logstore import EntryKind, LogEntry
 from arbutuslift.state.snapshots import Snapshot
 from arbutuslift.state.storage import MemberStorage
@@ -421,3 +422,56 @@
     await cluster.run(3.0)
     assert cluster.leaders() == [leader]
     await cluster.close()
+
+
+async def test_a_leader_that_stops_hands_over(cluster):
+    """Guards against orders that wait for an election in each rolling restart."""
+    leader, *others = await roles(cluster)
+    await cluster.submit(leader, "r0", 0, "kept")
+    assert await cluster.do(cluster.members[leader].hand_over(0.5))
+    await cluster.kill(leader)
+    started_s = cluster.clock.monotonic_s()
+    successor = await cluster.leader()
+    assert cluster.clock.monotonic_s() - started_s < 0.2
+    assert successor in others
+    stored = await cluster.do(cluster.members[successor].current())
+    assert stored.submission.document == b"kept"
+    assert (await cluster.submit(successor, "r1", 1)).revision == 2
+
+
+async def test_only_a_leader_hands_over(cluster):
+    leader, other, _ = await roles(cluster)
+    assert not await cluster.do(cluster.members[other].hand_over(0.5))
+    assert cluster.leaders() == [leader]
+
+
+async def test_a_leader_that_nobody_hears_keeps_its_role_until_the_time_is_over(
+    cluster,
+):
+    """Guards against a process that can't end because its offer is lost."""
+    leader, *_ = await roles(cluster)
+    cluster.isolate(leader)
+    started_s = cluster.clock.monotonic_s()
+    assert not await cluster.do(cluster.members[leader].hand_over(0.5))
+    assert cluster.clock.monotonic_s() - started_s < 1.0
+
+
+async def test_a_member_without_the_whole_log_gets_no_offer(cluster):
+    """Guards against an election that nobody can win."""
+    leader, behind, other = await roles(cluster)
+    await kill(cluster, other)
+    cluster.isolate(behind)
+    before = cluster.members[leader]._state.term
+    cluster.members[leader]._replicator.propose(EntryKind.NO_OP, b"")
+    await cluster.run(0.1)
+    assert not await cluster.do(cluster.members[leader].hand_over(0.5))
+    assert cluster.members[leader]._state.term == before
+
+
+async def test_an_offer_of_an_old_term_is_ignored(cluster):
+    leader, other, _ = await roles(cluster)
+    state = cluster.members[other]._state
+    offer = TakeOver(target=state.identity, cluster=state.cluster, term=state.term - 1)
+    await cluster.members[leader]._channel.send(other, offer)
+    await cluster.run(0.3)
+    assert cluster.leaders() == [leader]
