Log messages that are refused, since senders that expect no answer never hear of it

Cause: a handler's MessageError became the answer of a request; for a message without an answer it was lost without a line. Change: one warning, message_refused, with peer, step and reason. Test: malformed bytes and a message without a handler leave one line each (failed first: there was no such event).

--- a/arbutuslift/protocol/channel.py
+++ b/arbutuslift/protocol/channel.py
@@ -3,6 +3,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import structlog
+
 from ..errors import ArbutusliftError, MessageError, PeerFailure
 from ..transport.bus import Bus
 from .messages import Failure, Message, decode, encode
@@ -11,6 +13,8 @@
 # so the owner of an operator's key can't act as an instance.
 OPERATOR_PREFIX = "operator-"
 
+_log = structlog.get_logger()
+
 MessageHandler = Callable[[str, Any], Awaitable[Message | None]]
 
 
@@ -80,6 +84,12 @@
                 raise MessageError(f"no handler for {name}", step="handle message")
             self._check_permission(peer, type(message))
             answer = await handler(peer, message)
+        except MessageError as error:
+            # The sender of a message without an answer would never hear of it.
+            _log.warning(
+                "message_refused", peer=peer, step=error.step, reason=error.message
+            )
+            answer = Failure(step=error.step, reason=error.message)
         except ArbutusliftError as error:
             answer = Failure(step=error.step, reason=error.message)
         return encode(answer) if answer is not None else None
--- a/tests/protocol/test_channel.py
+++ b/tests/protocol/test_channel.py
@@ -4,11 +4,12 @@
 
 import pytest
 from attrs import frozen
+from structlog.testing import capture_logs
 
 from arbutuslift.clock import ManualClock
 from arbutuslift.errors import MessageError, PeerFailure, PeerTimeout
 from arbutuslift.protocol.channel import Channel
-from arbutuslift.protocol.messages import Message, decode, register
+from arbutuslift.protocol.messages import Failure, Message, decode, encode, register
 from arbutuslift.transport.bus import MemoryNetwork
 
 
@@ -86,3 +87,14 @@
     else:
         with pytest.raises(PeerFailure, match="operator"):
             await task
+
+
+async def test_a_message_without_an_answer_that_is_refused_leaves_a_line():
+    """Guards against a peer of another version that fails without a trace."""
+    network = MemoryNetwork(ManualClock())
+    channel = Channel(network.bus("a"))
+    with capture_logs() as lines:
+        assert await channel._handle("b", b"\xc1") is not None
+        await channel._handle("b", encode(Failure(step="s", reason="r")))
+    refused = [(line["event"], line["peer"]) for line in lines]
+    assert refused == [("message_refused", "b")] * 2
