Send long lists of upstreams to entry instances in bounded answers

A new follower got all starts in one answer, 210 KB, and the remembered ones besides, from three control instances at once: 5 s on a link of 2 Mbit/s against a timeout of 2 s, so that every try ended and began again. Change: an answer holds 200 records at most, about 15 KB, in the order of their positions; the next request gets the next ones. Remembered starts are records of the same list. A control instance counts as settled for a follower once nothing is left. Tests: pages without gaps or repetitions, changes between pages, a list of 599 starts to a follower (failed first: one answer).

--- a/arbutuslift/coordination/routing/upstreamdirectory.py
+++ b/arbutuslift/coordination/routing/upstreamdirectory.py
@@ -96,16 +96,19 @@
         source_name: str,
         news: Iterable[StartNews],
         *,
-        is_complete: bool,
+        is_first: bool,
         is_settled: bool,
     ) -> list[UpstreamStart]:
         """Take in an answer of a control instance; return the records that changed."""
         source = self._sources.setdefault(source_name, _Source())
-        if is_complete:
+        if is_first:
             source.silent.clear()
         source.is_settled = is_settled
         changed = []
         for item in news:
+            if item.is_remembered:
+                self._remember(item.start)
+                continue
             source.silent[item.start.upstream_id] = item.is_silent
             for record in self._table.merge(item.start):
                 self._store(record)
@@ -115,24 +118,6 @@
                 self._end(known)
         return changed
 
-    def remember(self, starts: Iterable[UpstreamStart]) -> None:
-        """Take in starts of which no control instance has heard since its own start.
-
-        Packets of their flows are forwarded. They take new flows only once they are
-        heard of again or answer a flow: until then another process may have their
-        address. Whatever contradicts them is right.
-        """
-        for start in starts:
-            is_known = self._table.get(start.upstream_id) or start.key in self._known
-            if is_known or self._table.is_held(start.address):
-                continue
-            for known in self._remembered.contradicted_by(start):
-                self._end(known)
-            known = self._new(start)
-            known.is_remembered = True
-            self._remembered.add(known)
-            self._tags.put(start, known)
-
     def confirm(self, known: KnownStart) -> None:
         """Let a remembered start take new flows, since it has answered one."""
         known.is_remembered = False
@@ -158,6 +143,23 @@
             if known.is_gone and known.gone_since_s < oldest_s:
                 self._forget(key, known)
 
+    def _remember(self, start: UpstreamStart) -> None:
+        """Take in a start that a control instance hasn't heard of since its own start.
+
+        Packets of its flows are forwarded. It takes new flows only once it is heard of
+        again or answers a flow: until then another process may have its address.
+        Whatever contradicts it is right.
+        """
+        is_known = self._table.get(start.upstream_id) or start.key in self._known
+        if is_known or self._table.is_held(start.address):
+            return
+        for known in self._remembered.contradicted_by(start):
+            self._end(known)
+        known = self._new(start)
+        known.is_remembered = True
+        self._remembered.add(known)
+        self._tags.put(start, known)
+
     def _new(self, start: UpstreamStart) -> KnownStart:
         known = KnownStart(start=start, tag=tag_of(start))
         self._set_cold(known, start)
--- a/arbutuslift/coordination/spread/feedserver.py
+++ b/arbutuslift/coordination/spread/feedserver.py
@@ -17,6 +17,9 @@
 from .startregistry import StartRegistry
 
 MAX_HOLD_S = 2.0
+# About 15 KB, which take 60 ms on a link of 2 Mbit/s: the first upstreams can be used
+# before the last ones have come, and no answer is late.
+MAX_NEWS = 200
 SHARE_INTERVAL_S = 0.5
 # Comparison repairs what an update that was lost left out.
 COMPARE_INTERVAL_S = 3.0
@@ -135,20 +138,18 @@
         hold_s = min(request.hold_ms / 1000, MAX_HOLD_S)
         await self._changed.wait_for(lambda: self._has_news(request), hold_s)
         known = request.epoch == self._epoch
-        registry = self.registry
-        news = registry.news_after(request.position) if known else registry.all_news()
+        page = self.registry.page_after(request.position if known else 0, MAX_NEWS)
         newer = request.wants_table and self._revision > request.revision
         return FeedAnswer(
             epoch=self._epoch,
-            position=registry.position,
-            is_complete=not known,
-            is_settled=registry.is_settled,
-            news=news,
+            position=page.position,
+            is_first=not known,
+            is_settled=self.registry.is_settled and page.is_last,
+            news=page.news,
             revision=self._revision,
             table=self._table if newer else b"",
             controls=(self._channel.name, *self._controls()),
             entry_count=len(self._followers),
-            remembered=() if known else registry.remembered(),
         )
 
     def _note_in_effect(self, peer: str, revision: int) -> None:
--- a/arbutuslift/coordination/spread/startregistry.py
+++ b/arbutuslift/coordination/spread/startregistry.py
@@ -4,7 +4,7 @@
 from enum import Enum
 
 import structlog
-from attrs import define, evolve
+from attrs import define, evolve, frozen
 
 from ...clock import Clock
 from ...histograms import Histogram, doubling
@@ -51,6 +51,34 @@
     doubted_s: float = float("-inf")
 
 
+@define(kw_only=True)
+class _Remembered:
+    """A start that was known before this process began.
+
+    Attributes:
+        start: The record.
+        position: Its position in the feed.
+    """
+
+    start: UpstreamStart
+    position: int
+
+
+@frozen(kw_only=True)
+class Page:
+    """A part of the feed.
+
+    Attributes:
+        news: Records in the order of their positions.
+        position: Position after which the next part begins.
+        is_last: Whether nothing is left now.
+    """
+
+    news: tuple[StartNews, ...]
+    position: int
+    is_last: bool
+
+
 class StartRegistry:
     """Keeps the starts, their freshness and the order of changes.
 
@@ -79,7 +107,7 @@
         self._opened_s = clock.monotonic_s()
         self._unshared: dict[str, None] = {}
         self._heard: dict[str, None] = {}
-        self._remembered: tuple[UpstreamStart, ...] = ()
+        self._remembered: dict[str, _Remembered] = {}
 
     @property
     def is_settled(self) -> bool:
@@ -97,17 +125,15 @@
 
         They aren't part of the table: what they say may have changed since.
         """
-        self._remembered = starts
+        for start in starts:
+            self.position += 1
+            self._remembered[start.upstream_id] = _Remembered(
+                start=start, position=self.position
+            )
 
     def remembered(self) -> tuple[UpstreamStart, ...]:
         """Return remembered starts whose upstreams may still announce themselves."""
-        if self.is_settled:
-            return ()
-        return tuple(
-            start
-            for start in self._remembered
-            if self._table.get(start.upstream_id) is None
-        )
+        return tuple(item.start for item in self._still_remembered())
 
     def worth_remembering(self) -> tuple[UpstreamStart, ...]:
         """Return the starts whose flows may go on after a restart of this process."""
@@ -180,10 +206,28 @@
             elif silence_s > limit_s:
                 self._set_silent(entry, True)
 
-    def news_after(self, position: int) -> tuple[StartNews, ...]:
-        """Return the starts that changed after a position."""
-        entries = [e for e in self._entries.values() if e.position > position]
-        return tuple(self._news(entry) for entry in entries)
+    def page_after(self, position: int, limit: int) -> Page:
+        """Return the starts that changed after a position, the earliest ones first.
+
+        Args:
+            position: 0 for all starts; those that are gone are left out then.
+            limit: Most records to return.
+        """
+        changed: list[_Entry | _Remembered] = [
+            entry
+            for entry in self._entries.values()
+            if entry.position > position
+            and (position > 0 or entry.start.phase is not Phase.GONE)
+        ]
+        changed.extend(i for i in self._still_remembered() if i.position > position)
+        changed.sort(key=lambda item: item.position)
+        is_last = len(changed) <= limit
+        page = changed[:limit]
+        return Page(
+            news=tuple(self._news(item) for item in page),
+            position=self.position if is_last else page[-1].position,
+            is_last=is_last,
+        )
 
     def all_news(self) -> tuple[StartNews, ...]:
         """Return every start that isn't gone."""
@@ -281,7 +325,15 @@
         self.position += 1
         entry.position = self.position
 
-    def _news(self, entry: _Entry) -> StartNews:
+    def _still_remembered(self) -> list[_Remembered]:
+        if self.is_settled:
+            return []
+        remembered = self._remembered.items()
+        return [item for name, item in remembered if self._table.get(name) is None]
+
+    def _news(self, entry: _Entry | _Remembered) -> StartNews:
+        if isinstance(entry, _Remembered):
+            return StartNews(start=entry.start, is_silent=False, is_remembered=True)
         now_s = self._clock.monotonic_s()
         left_s = max(0.0, entry.cold_until_s - now_s)
         return StartNews(
--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -244,7 +244,7 @@
         changed = self._directory.receive(
             source,
             answer.news,
-            is_complete=answer.is_complete,
+            is_first=answer.is_first,
             is_settled=answer.is_settled,
         )
         for start in changed:
@@ -257,7 +257,6 @@
                 warm_up_left_ms=start.warm_up_left_ms,
                 source=source,
             )
-        self._directory.remember(answer.remembered)
         for item in answer.news:
             if item.is_doubted:
                 self._probe(item.start.key)
--- a/arbutuslift/protocol/feed.py
+++ b/arbutuslift/protocol/feed.py
@@ -40,11 +40,15 @@
         is_silent: Whether its announcements have stopped.
         is_doubted: Whether an entry instance has just found it lost. Others find out
             for themselves, since it may be their own way that is cut.
+        is_remembered: Whether the control instance knew it before its own start and
+            hasn't heard of it since. Flows that it holds may go on; whether it takes
+            new ones is unknown.
     """
 
     start: UpstreamStart
     is_silent: bool
     is_doubted: bool = False
+    is_remembered: bool = False
 
 
 @register
@@ -54,29 +58,27 @@
 
     Attributes:
         epoch: Process of the control instance.
-        position: Position of the newest record.
-        is_complete: Whether ``news`` holds every start that isn't gone.
-        is_settled: Whether every running upstream had time to announce itself.
-        news: Records after the position asked for.
+        position: Position of the last record in ``news``, or of the newest one.
+        is_first: Whether ``news`` begins the list of all starts; more may follow with
+            the next answers.
+        is_settled: Whether every running upstream had time to announce itself, and
+            nothing is left to follow.
+        news: Records after the position asked for, a bounded number.
         revision: Newest committed revision of the control instance.
         table: Encoded routing table; empty if none was asked for or is newer.
         controls: Names of the control instances, by which they are reached.
         entry_count: Entry instances that follow the control instance.
-        remembered: Starts that it knew before its own start and hasn't heard since, in
-            a complete answer. Flows that they hold may go on; whether they take new
-            ones is unknown.
     """
 
     epoch: int
     position: int
-    is_complete: bool
+    is_first: bool
     is_settled: bool
     news: tuple[StartNews, ...]
     revision: int
     table: bytes
     controls: tuple[str, ...]
     entry_count: int
-    remembered: tuple[UpstreamStart, ...] = ()
 
 
 @register
--- a/tests/coordination/routing/test_flowrouter.py
+++ b/tests/coordination/routing/test_flowrouter.py
@@ -40,7 +40,7 @@
 
     def learn(self, *starts, silent=False, source="control"):
         news = [StartNews(start=s, is_silent=silent) for s in starts]
-        self.directory.receive(source, news, is_complete=False, is_settled=False)
+        self.directory.receive(source, news, is_first=False, is_settled=False)
 
     def syn(self, number=1, copies=0):
         return self.router.route(caller_packet(number, is_syn=True, ack=copies))
--- a/tests/coordination/routing/test_picker.py
+++ b/tests/coordination/routing/test_picker.py
@@ -32,7 +32,7 @@
     for number in range(count):
         directory = UpstreamDirectory(clock)
         news = (StartNews(start=start(1, warm_up_left_ms=60_000), is_silent=False),)
-        directory.receive("a", news, is_complete=True, is_settled=True)
+        directory.receive("a", news, is_first=True, is_settled=True)
         picker = Picker(clock, directory, Judge(clock), "dc-1", random.Random(number))
         picker.entry_count = believed or count
         pickers.append(picker)
@@ -80,7 +80,7 @@
     clock = ManualClock()
     directory = UpstreamDirectory(clock)
     news = [StartNews(start=start(n), is_silent=False) for n in range(1, 5)]
-    directory.receive("a", news, is_complete=True, is_settled=True)
+    directory.receive("a", news, is_first=True, is_settled=True)
     picker = Picker(clock, directory, Judge(clock), "dc-1", random.Random(1))
     known = directory.of_service("alerts")
     for upstream in known:
--- a/tests/coordination/routing/test_rememberedstarts.py
+++ b/tests/coordination/routing/test_rememberedstarts.py
@@ -13,10 +13,15 @@
 
 def remembering(*starts):
     entry = Entry()
-    entry.directory.remember(starts)
+    remember(entry, *starts)
     return entry
 
 
+def remember(entry, *starts):
+    news = [StartNews(start=s, is_silent=False, is_remembered=True) for s in starts]
+    entry.directory.receive("control", news, is_first=False, is_settled=False)
+
+
 def answered(entry, remembered):
     """Let a flow of the start carry a request, and then show that it was answered."""
     tag = tag_of(remembered)
@@ -92,7 +97,7 @@
 )
 def test_it_never_replaces_what_is_known(known):
     entry = Entry(known)
-    entry.directory.remember((start(1),))
+    remember(entry, start(1))
     before = [k.start.key for k in entry.directory.of_service("alerts")]
     assert before == ([] if known.phase is Phase.GONE else [known.key])
     decision = entry.data(tag=tag_of(start(1)))
@@ -101,7 +106,7 @@
 
 def test_it_is_gone_once_every_running_upstream_has_announced_itself():
     entry = remembering(start(1))
-    entry.directory.receive("control", (), is_complete=False, is_settled=True)
+    entry.directory.receive("control", (), is_first=False, is_settled=True)
     decision = entry.data(tag=tag_of(start(1)))
     assert decision.verdict is Verdict.RESET_UPSTREAM_GONE
 
@@ -116,7 +121,7 @@
 def test_news_of_a_settled_source_keep_what_they_confirm():
     entry = remembering(start(1))
     news = [StartNews(start=start(1), is_silent=False)]
-    entry.directory.receive("control", news, is_complete=True, is_settled=True)
+    entry.directory.receive("control", news, is_first=True, is_settled=True)
     assert entry.data(tag=tag_of(start(1))).verdict is Verdict.FORWARDED
 
 
--- a/tests/coordination/spread/test_feed.py
+++ b/tests/coordination/spread/test_feed.py
@@ -7,7 +7,7 @@
 from arbutuslift.clock import ManualClock
 from arbutuslift.coordination.routing.upstreamdirectory import UpstreamDirectory
 from arbutuslift.coordination.spread.feedclient import FeedClient
-from arbutuslift.coordination.spread.feedserver import FeedServer
+from arbutuslift.coordination.spread.feedserver import MAX_NEWS, FeedServer
 from arbutuslift.protocol.channel import Channel
 from arbutuslift.protocol.feed import StartNews
 from arbutuslift.state.routing import decode_table
@@ -54,11 +54,11 @@
         self.directory.receive(
             source,
             answer.news,
-            is_complete=answer.is_complete,
+            is_first=answer.is_first,
             is_settled=answer.is_settled,
         )
         self.entry_count = answer.entry_count
-        self.remembered.extend(answer.remembered)
+        self.remembered.extend(n.start for n in answer.news if n.is_remembered)
         if answer.table:
             self.tables += 1
             self.revision = max(self.revision, decode_table(answer.table).revision)
@@ -220,3 +220,23 @@
     await feed.run(4.0)
     assert len(registries[0].all_news()) == 200
     assert 0 < len(received) < 40
+
+
+async def test_a_new_follower_gets_a_long_list_in_bounded_answers():
+    """Guards against a first answer that takes longer than its timeout."""
+    feed = Feed("a")
+    registry = feed.servers["a"].registry
+    for number in range(1, 3 * MAX_NEWS):
+        registry.announce(start(number, ip=f"127.20.{number // 250}.{number % 250}"))
+    sizes = []
+    on_answer = feed.client._on_answer
+
+    def record(source, answer):
+        sizes.append(len(answer.news))
+        on_answer(source, answer)
+
+    feed.client._on_answer = record
+    await feed.run(1.0)
+    assert len(feed.phases()) == 3 * MAX_NEWS - 1
+    assert max(sizes) <= MAX_NEWS
+    await feed.close()
--- a/tests/coordination/spread/test_startregistry.py
+++ b/tests/coordination/spread/test_startregistry.py
@@ -27,7 +27,7 @@
     registry.announce(start(1, sequence=2))
     assert (registry.position, len(calls)) == (1, 1)
     registry.announce(start(1, sequence=3, phase=Phase.DRAINING))
-    assert [n.start.phase for n in registry.news_after(1)] == [Phase.DRAINING]
+    assert [n.start.phase for n in registry.page_after(1, 10).news] == [Phase.DRAINING]
 
 
 def test_a_start_without_announcements_turns_silent_and_is_heard_again():
@@ -76,10 +76,10 @@
     registry.announce(start(1))
     registry.leave(start(1).upstream_id)
     assert registry.all_news() == ()
-    assert [n.start.phase for n in registry.news_after(1)] == [Phase.GONE]
+    assert [n.start.phase for n in registry.page_after(1, 10).news] == [Phase.GONE]
     clock.jump(GONE_KEPT_S + 1)
     registry.check_silence()
-    assert registry.news_after(0) == ()
+    assert registry.page_after(0, 10).news == ()
 
 
 def test_leaving_of_an_unknown_upstream_is_no_error():
@@ -117,7 +117,7 @@
     for _ in range(3):
         registry.doubt(start(1).upstream_id, start(1).born_ms)
     assert len(calls) == 2
-    (item,) = registry.news_after(1)
+    (item,) = registry.page_after(1, 10).news
     assert item.is_doubted
     assert item.start.phase is Phase.READY
     clock.jump(2.1)
@@ -130,3 +130,41 @@
     registry.doubt(start(1).upstream_id, 5)
     registry.doubt("i-99", 5)
     assert registry.position == 1
+
+
+def test_a_long_list_comes_in_pages():
+    """Guards against answers that a link of 2 Mbit/s can't carry before they are due.
+
+    With 3,000 starts in one answer each try ended by its timeout, so that entry
+    instances never got a list after a restart.
+    """
+    _, registry, _ = open_registry()
+    registry.remember(tuple(start(number) for number in range(200, 220)))
+    for number in range(1, 101):
+        registry.announce(start(number, ip=f"127.20.1.{number}"))
+    seen, position = [], 0
+    for _ in range(100):
+        page = registry.page_after(position, 7)
+        assert len(page.news) <= 7
+        seen += page.news
+        position = page.position
+        if page.is_last:
+            break
+    assert position == registry.position
+    assert len({item.start.key for item in seen}) == len(seen) == 120
+    assert sum(item.is_remembered for item in seen) == 20
+    assert registry.page_after(position, 7).news == ()
+
+
+def test_a_change_while_pages_are_under_way_is_not_missed():
+    _, registry, _ = open_registry()
+    for number in range(1, 21):
+        registry.announce(start(number))
+    page = registry.page_after(0, 10)
+    first = page.news[0].start
+    registry.announce(start(first.number, sequence=2, phase=Phase.DRAINING))
+    rest = registry.page_after(page.position, 50)
+    assert [i.start.phase for i in rest.news if i.start.key == first.key] == [
+        Phase.DRAINING
+    ]
+    assert rest.is_last
