--- a/measure/entrylogs.py
+++ b/measure/entrylogs.py
@@ -110,7 +110,7 @@
     answer = FeedAnswer(
         epoch=1,
         position=1,
-        is_complete=True,
+        is_first=True,
         is_settled=True,
         news=tuple(StartNews(start=start, is_silent=False) for start in starts),
         revision=1,
--- a/measure/tags.py
+++ b/measure/tags.py
@@ -97,7 +97,7 @@
         for number in range(services * UPSTREAMS_A_SERVICE)
     ]
     news = [StartNews(start=start, is_silent=False) for start in starts]
-    directory.receive("control", news, is_complete=True, is_settled=True)
+    directory.receive("control", news, is_first=True, is_settled=True)
     judge = Judge(clock)
     picker = Picker(clock, directory, judge, "dc-1", random.Random(1))
     router = FlowRouter(clock, directory, judge, picker)
