Remove a list that only tests read, and share what tests and measurements wrote twice

Cause: entry instances get starts in pages now, so no code of the product called StartRegistry.all_news any more; the settings of an entry instance stood both in a test and in a measurement, and resident memory was read by two functions. Change: the method goes; tests read the same starts through pages, with the assertions they had. entry_settings is a builder, resident_mb serves both measurements. Figures: behaviour is unchanged; no executed line of the product differs.

--- a/arbutuslift/coordination/spread/startregistry.py
+++ b/arbutuslift/coordination/spread/startregistry.py
@@ -229,11 +229,6 @@
             is_last=is_last,
         )
 
-    def all_news(self) -> tuple[StartNews, ...]:
-        """Return every start that isn't gone."""
-        entries = self._entries.values()
-        return tuple(self._news(e) for e in entries if e.start.phase is not Phase.GONE)
-
     def news_of(self, buckets: frozenset[int]) -> tuple[StartNews, ...]:
         """Return the starts in some buckets, those that are gone too."""
         return tuple(
--- a/measure/entrylogs.py
+++ b/measure/entrylogs.py
@@ -13,7 +13,6 @@
 from arbutuslift.entry import EntryInstance
 from arbutuslift.logstream import NonBlockingStream
 from arbutuslift.protocol.feed import FeedAnswer, StartNews
-from arbutuslift.roles import EntrySettings
 from arbutuslift.state.flowtags import tag_of
 from arbutuslift.state.routing import encode_table
 from arbutuslift.transport.packetsocket import open_packet_socket
@@ -89,20 +88,10 @@
 
 
 def _instance(stack: AsyncExitStack) -> EntryInstance:
-    settings = EntrySettings(
-        name="entry",
-        data_centre="dc-1",
-        listen_ip="127.0.0.1",
-        listen_port=1,
-        ready_ip="127.0.0.1",
-        ready_port=0,
-        ready_path="/ready",
-        seeds=(),
-        stop_within_s=6.0,
-    )
     packets = open_packet_socket("127.0.0.1", 0)
     stack.callback(packets.close)
     clock = SystemClock()
+    settings = builders.entry_settings()
     instance = EntryInstance(
         settings, packets, PlatformCodec(), clock, stack, lambda: None
     )
--- a/measure/process.py
+++ b/measure/process.py
@@ -26,7 +26,7 @@
         before_s = [processor_s(instance) for instance in deployment.instances]
         time.sleep(PERIOD_S)
         after_s = [processor_s(instance) for instance in deployment.instances]
-        memory_mb = max(resident_mb(instance) for instance in deployment.instances)
+        memory_mb = max(resident_mb(i.process.pid) for i in deployment.instances)
     used = [
         (after - before) / PERIOD_S
         for before, after in zip(before_s, after_s, strict=True)
@@ -47,8 +47,8 @@
     return ticks / os.sysconf("SC_CLK_TCK")
 
 
-def resident_mb(instance: Instance) -> float:
-    """Return the resident memory of an instance."""
-    status = Path(f"/proc/{instance.process.pid}/status").read_text()
+def resident_mb(pid: int) -> float:
+    """Return the resident memory of a process."""
+    status = Path(f"/proc/{pid}/status").read_text()
     line = next(line for line in status.splitlines() if line.startswith("VmRSS"))
     return int(line.split()[1]) / 1024
--- a/measure/start.py
+++ b/measure/start.py
@@ -1,7 +1,6 @@
 """Processor time, memory and time from the start of a process until it serves."""
 
 import asyncio
-import os
 import random
 import statistics
 import tempfile
@@ -23,6 +22,7 @@
 )
 from standins.soak.targets import Target
 
+from .process import resident_mb
 from .result import Measure, at_most
 
 STARTS = 10
@@ -149,7 +149,7 @@
         return Start(
             wall_s=time.monotonic() - started_s,
             processor_s=_processor_s(program.process.pid),
-            resident_mb=_resident_mb(program.process.pid),
+            resident_mb=resident_mb(program.process.pid),
         )
     finally:
         await program.close()
@@ -169,8 +169,3 @@
     tasks = Path(f"/proc/{pid}/task").iterdir()
     spent_ns = [int((task / "schedstat").read_text().split()[0]) for task in tasks]
     return sum(spent_ns) / 1e9
-
-
-def _resident_mb(pid: int) -> float:
-    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
-    return pages * os.sysconf("SC_PAGE_SIZE") / 2**20
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -12,6 +12,7 @@
     Service,
 )
 from arbutuslift.protocol.packets import PROTOCOL_TCP, SYN, encode_tcp
+from arbutuslift.roles import EntrySettings
 from arbutuslift.state.flowkey import Endpoint, FlowKey
 from arbutuslift.state.routing import (
     Route,
@@ -171,6 +172,20 @@
     return UpstreamStart(**(fields | changes))
 
 
+def entry_settings() -> EntrySettings:
+    return EntrySettings(
+        name="127.0.0.1:1",
+        data_centre="dc-1",
+        listen_ip="127.0.0.1",
+        listen_port=1,
+        ready_ip="127.0.0.1",
+        ready_port=0,
+        ready_path="/ready",
+        seeds=(),
+        stop_within_s=6.0,
+    )
+
+
 def route(port: int = 443, services=("alerts",)) -> Route:
     shares = tuple(ServiceShare(service=name, weight=1) for name in services)
     return Route(ip=SERVICE.ip, port=port, shares=shares)
--- a/tests/coordination/spread/test_feed.py
+++ b/tests/coordination/spread/test_feed.py
@@ -15,6 +15,7 @@
 from arbutuslift.transport.bus import MemoryNetwork
 
 from ...builders import routing_table, start
+from .test_startregistry import listed
 
 
 class Feed:
@@ -102,17 +103,17 @@
 async def test_control_instances_tell_each_other(feed):
     feed.servers["a"].registry.announce(start(1))
     await feed.run(0.1)
-    assert len(feed.servers["c"].registry.all_news()) == 1
+    assert len(listed(feed.servers["c"].registry)) == 1
 
 
 async def test_a_lost_update_is_repaired_by_comparison(feed):
     feed.network.cut(["a"], ["b", "c"])
     feed.servers["a"].registry.announce(start(1))
     await feed.run(0.5)
-    assert feed.servers["c"].registry.all_news() == ()
+    assert listed(feed.servers["c"].registry) == ()
     feed.network.heal()
     await feed.run(4.0)
-    assert len(feed.servers["c"].registry.all_news()) == 1
+    assert len(listed(feed.servers["c"].registry)) == 1
 
 
 async def test_the_newest_table_arrives_and_is_sent_once(feed):
@@ -196,7 +197,7 @@
     for number in range(1, 30):
         registries[number % 3].announce(start(number))
     await feed.run(4.0)
-    assert all(len(registry.all_news()) == 29 for registry in registries)
+    assert all(len(listed(registry)) == 29 for registry in registries)
     received = []
     for registry in registries:
         registry.receive = lambda news, heard: received.extend(news)
@@ -218,7 +219,7 @@
         receive(news, heard),
     )
     await feed.run(4.0)
-    assert len(registries[0].all_news()) == 200
+    assert len(listed(registries[0])) == 200
     assert 0 < len(received) < 40
 
 
--- a/tests/coordination/spread/test_startkeeper.py
+++ b/tests/coordination/spread/test_startkeeper.py
@@ -9,6 +9,7 @@
 from arbutuslift.state.startstore import MemoryStartStore
 
 from ...builders import start
+from .test_startregistry import listed
 
 INTERVAL_S = 1.0
 
@@ -63,7 +64,7 @@
     await first.stop()
     second = Control(store)
     assert second.registry.remembered() == (start(1), start(2))
-    assert second.registry.all_news() == ()
+    assert listed(second.registry) == ()
     await second.stop()
 
 
--- a/tests/coordination/spread/test_startregistry.py
+++ b/tests/coordination/spread/test_startregistry.py
@@ -17,8 +17,15 @@
     return clock, registry, calls
 
 
+def listed(registry):
+    """Return the news of every start that isn't gone and was announced."""
+    page = registry.page_after(0, 10_000)
+    assert page.is_last
+    return tuple(item for item in page.news if not item.is_remembered)
+
+
 def silent(registry):
-    return {item.start.upstream_id for item in registry.all_news() if item.is_silent}
+    return {item.start.upstream_id for item in listed(registry) if item.is_silent}
 
 
 def test_only_changes_move_the_feed():
@@ -75,7 +82,7 @@
     clock, registry, _ = open_registry()
     registry.announce(start(1))
     registry.leave(start(1).upstream_id)
-    assert registry.all_news() == ()
+    assert listed(registry) == ()
     assert [n.start.phase for n in registry.page_after(1, 10).news] == [Phase.GONE]
     clock.jump(GONE_KEPT_S + 1)
     registry.check_silence()
@@ -101,7 +108,7 @@
     clock, registry, _ = open_registry()
     registry.announce(start(1, warm_up_left_ms=2000))
     clock.jump(1.5)
-    assert registry.all_news()[0].start.warm_up_left_ms == 500
+    assert listed(registry)[0].start.warm_up_left_ms == 500
 
 
 def test_a_new_instance_is_settled_once_everyone_had_time():
@@ -121,7 +128,7 @@
     assert item.is_doubted
     assert item.start.phase is Phase.READY
     clock.jump(2.1)
-    assert not registry.all_news()[0].is_doubted
+    assert not listed(registry)[0].is_doubted
 
 
 def test_a_report_of_loss_of_another_start_is_ignored():
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -9,10 +9,9 @@
 
 from arbutuslift.clock import ManualClock
 from arbutuslift.entry import EntryInstance
-from arbutuslift.roles import EntrySettings
 from arbutuslift.transport.packetsocket import open_packet_socket
 
-from .builders import routing_table
+from .builders import entry_settings, routing_table
 
 # Routers may count an instance as ready for 4 s after the signal; they take two checks,
 # half a second apart, to notice, and a late timer more.
@@ -35,22 +34,11 @@
 
 async def test_readiness_ends_in_time_without_a_turn():
     clock = ManualClock()
-    settings = EntrySettings(
-        name="127.0.0.1:1",
-        data_centre="dc-1",
-        listen_ip="127.0.0.1",
-        listen_port=1,
-        ready_ip="127.0.0.1",
-        ready_port=0,
-        ready_path="/ready",
-        seeds=(),
-        stop_within_s=6.0,
-    )
     async with AsyncExitStack() as stack:
         packets = open_packet_socket("127.0.0.1", 0)
         stack.callback(packets.close)
         instance = EntryInstance(
-            settings, packets, PlatformCodec(), clock, stack, lambda: None
+            entry_settings(), packets, PlatformCodec(), clock, stack, lambda: None
         )
         instance._feed = NoTurn(clock)
         instance._router.apply(routing_table())
