Believe that an upstream is lost only if another one answers meanwhile

Cause: two attempts without an answer in 0.15 s each made an upstream lost, and its open flows were reset. A time-out that fires late, after the process was paused, counted as silence though the answer was already there, and so did an error of this machine such as too few descriptors.

Ruled out: loss only from a refusal (flows of an upstream that falls silent hang until their callers' time-outs); agreement of several instances (a cut between two data centres is a loss to one side only, and rightly).

Change: three attempts, with a time-out from the observed round trips (RFC 6298, 0.1 s to 1 s), the third beside one to the upstream that answered last. If that one is silent too, or a time-out fires late, or this machine fails, nobody is lost. Without loss of packets the time to a loss stays 0.3 s.

Conclusion: silence of everybody is one's own.

--- a/arbutuslift/coordination/routing/healthchecker.py
+++ b/arbutuslift/coordination/routing/healthchecker.py
@@ -1,6 +1,7 @@
 """Active health checks: TCP connections to suspected upstreams."""
 
 import asyncio
+import errno
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from enum import Enum
@@ -9,14 +10,25 @@
 
 from ...clock import Clock
 from .outlierdetector import OutlierDetector
+from .retransmissiontimeout import RetransmissionTimeout
 from .trackedstart import TrackedStart
 
-# The round trip to an upstream takes a few ms at most, and its operating system accepts
-# a connection at once.
-CONNECT_TIMEOUT_S = 0.15
-# A single attempt without an answer may be due to packet loss. A refusal is certain and
-# needs no second attempt.
-SILENT_ATTEMPTS_UNTIL_LOST = 2
+# Attempts without an answer may be due to packet loss. A refusal is certain and needs
+# no second attempt.
+SILENT_ATTEMPTS_UNTIL_LOST = 3
+# A time-out that fires later than this means that this process didn't run, and an
+# answer may have waited for it.
+MAX_LATENESS_S = 0.03
+# Errors of this machine, which say nothing about the upstream.
+_LOCAL_ERRORS = frozenset(
+    {
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.EADDRNOTAVAIL,
+    }
+)
 # Delay before the next attempt at a lost upstream, doubled each time up to the maximum.
 # Without the back-off, an upstream that never returns would take a tenth of a small
 # instance's processor. The maximum is well below the 4 s after a fault during which
@@ -36,29 +48,53 @@
     ACCEPTED = "accepted"
     REFUSED = "refused"
     SILENT = "silent"
+    INCONCLUSIVE = "inconclusive"
 
 
 class Connector(ABC):
     """Attempts connections."""
 
     @abstractmethod
-    async def connect(self, address: tuple[str, int]) -> ConnectResult:
-        """Attempt a connection and close it at once."""
+    async def connect(
+        self, address: tuple[str, int], timeout_s: float
+    ) -> ConnectResult:
+        """Attempt a connection and close it at once.
+
+        Args:
+            address: Address and port of the upstream.
+            timeout_s: Time after which a missing answer counts as silence.
+        """
 
 
 class TcpConnector(Connector):
-    """Attempts TCP connections."""
+    """Attempts TCP connections.
+
+    Args:
+        max_lateness_s: How late a time-out may fire and still mean silence.
+    """
 
-    async def connect(self, address: tuple[str, int]) -> ConnectResult:
+    def __init__(self, max_lateness_s: float = MAX_LATENESS_S) -> None:
+        self._max_lateness_s = max_lateness_s
+
+    async def connect(
+        self, address: tuple[str, int], timeout_s: float
+    ) -> ConnectResult:
         """Attempt a connection and close it at once."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + timeout_s
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with asyncio.timeout_at(end_s):
                 _, writer = await asyncio.open_connection(*address)
         except ConnectionRefusedError:
             return ConnectResult.REFUSED
-        except (OSError, TimeoutError):
-            # Without a route or an answer, no flow from here to the upstream can
-            # continue.
+        except TimeoutError:
+            is_late = loop.time() - end_s > self._max_lateness_s
+            return ConnectResult.INCONCLUSIVE if is_late else ConnectResult.SILENT
+        except OSError as error:
+            if error.errno in _LOCAL_ERRORS:
+                _log.warning("connect_failed", peer=address[0], reason=str(error))
+                return ConnectResult.INCONCLUSIVE
+            # Without a route, no flow from here to the upstream can continue.
             return ConnectResult.SILENT
         writer.close()
         return ConnectResult.ACCEPTED
@@ -68,7 +104,9 @@
     """Marks suspected upstreams as lost while no connection can be made.
 
     Flows without answers don't distinguish a dead upstream from a slow one, and flows
-    may be reset only if their upstream can't be reached.
+    may be reset only if their upstream can't be reached. Silence doesn't distinguish a
+    dead upstream from a link or processor of this instance that is too busy. It counts
+    only if another upstream answers this instance at the same time.
 
     Args:
         clock: Source of time.
@@ -76,6 +114,7 @@
         connector: Attempts connections.
         spawn: Runs a coroutine as a task.
         on_lost: Called with each upstream that becomes lost.
+        reference: Returns another upstream that answered lately, None without one.
     """
 
     def __init__(
@@ -85,12 +124,15 @@
         connector: Connector,
         spawn: Callable[..., object],
         on_lost: Callable[[TrackedStart], None] = lambda tracked: None,
+        reference: Callable[[TrackedStart], TrackedStart | None] = lambda tracked: None,
     ) -> None:
         self._clock = clock
         self._outlier_detector = outlier_detector
         self._connector = connector
         self._spawn = spawn
         self._on_lost = on_lost
+        self._reference = reference
+        self._timeout = RetransmissionTimeout()
         self._running: set[tuple[str, int]] = set()
         self._reached_s: dict[tuple[str, int], float] = {}
 
@@ -107,19 +149,16 @@
         self._spawn(self._check_until_reachable(tracked))
 
     async def _check_until_reachable(self, tracked: TrackedStart) -> None:
-        failed_attempts = 0
         retry_s = INITIAL_RETRY_S
         try:
             while not tracked.is_gone:
-                attempt = await self._connector.connect(tracked.start.address)
-                if attempt is ConnectResult.ACCEPTED:
+                result = await self._judge(tracked)
+                if result is ConnectResult.ACCEPTED:
                     break
-                failed_attempts += 1
-                is_certain = attempt is ConnectResult.REFUSED
-                if is_certain or failed_attempts >= SILENT_ATTEMPTS_UNTIL_LOST:
+                if result is not ConnectResult.INCONCLUSIVE:
                     self._set_lost(tracked, True)
-                    await self._clock.sleep(retry_s)
-                    retry_s = min(2 * retry_s, MAX_RETRY_S)
+                await self._clock.sleep(retry_s)
+                retry_s = min(2 * retry_s, MAX_RETRY_S)
         finally:
             self._running.discard(tracked.start.key)
         if tracked.is_gone:
@@ -131,6 +170,42 @@
             self._set_lost(tracked, False)
         self._outlier_detector.clear_failures(tracked.start.key)
 
+    async def _judge(self, tracked: TrackedStart) -> ConnectResult:
+        """Return the result of as many attempts as are needed to believe it.
+
+        The last attempt is made beside one to a reference. If that one isn't answered
+        either, the silence is that of this instance and the result is inconclusive.
+        """
+        if tracked.is_lost:
+            return await self._attempt(tracked)
+        for _ in range(SILENT_ATTEMPTS_UNTIL_LOST - 1):
+            result = await self._attempt(tracked)
+            if result is not ConnectResult.SILENT:
+                return result
+        reference = self._reference(tracked)
+        if reference is None:
+            return await self._attempt(tracked)
+        result, reference_result = await asyncio.gather(
+            self._attempt(tracked), self._attempt(reference)
+        )
+        is_heard = reference_result in (ConnectResult.ACCEPTED, ConnectResult.REFUSED)
+        if result is ConnectResult.SILENT and not is_heard:
+            _log.info(
+                "own_path_silent",
+                upstream=tracked.start.upstream_id,
+                reference=reference.start.upstream_id,
+            )
+            return ConnectResult.INCONCLUSIVE
+        return result
+
+    async def _attempt(self, tracked: TrackedStart) -> ConnectResult:
+        began_s = self._clock.monotonic_s()
+        address = tracked.start.address
+        result = await self._connector.connect(address, self._timeout.timeout_s)
+        if result is ConnectResult.ACCEPTED:
+            self._timeout.observe(self._clock.monotonic_s() - began_s)
+        return result
+
     def _set_lost(self, tracked: TrackedStart, is_lost: bool) -> None:
         if tracked.is_lost == is_lost:
             return
--- a/arbutuslift/coordination/routing/upstreamdirectory.py
+++ b/arbutuslift/coordination/routing/upstreamdirectory.py
@@ -78,6 +78,18 @@
         """Return the start with a key."""
         return self._tracked.get(key)
 
+    def last_to_answer(self, other: TrackedStart) -> TrackedStart | None:
+        """Return the start that answered last, not the given one; None without one."""
+        answered = (
+            tracked
+            for tracked in self._tracked.values()
+            if tracked.response_measured_s > 0.0
+            and not tracked.is_gone
+            and not tracked.is_lost
+            and tracked is not other
+        )
+        return max(answered, key=lambda k: k.response_measured_s, default=None)
+
     def of_service(self, service: str) -> list[TrackedStart]:
         """Return the starts of a service that aren't gone, without unconfirmed ones."""
         return self._services.get(service, [])
--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -106,6 +106,7 @@
             TcpConnector(),
             self._tasks.spawn,
             self._on_lost,
+            self._directory.last_to_answer,
         )
         self._router = FlowTagRouter(
             clock,
