Drop packets that waited for the link while the process was suspended

Cause: the task that sends queued packets could be the first to run after a suspension, and sent packets where a view from before had routed them; an upstream may have left meanwhile, or its address be another service's. One of the failures that operators of similar systems report (a process acts on a permission that ran out while it was paused).

Change: the task checks for a suspension before it sends. Waits for the link are 1 ms at least; a wait of a rounding error woke the process without a use, and on the tests' clock forever.

Shown: the test of the suspension failed before (16 sent, 5 expected). A second one guards the wait for the queue at a planned stop; with that wait taken out it fails (few of 16 sent).

--- a/arbutuslift/coordination/routing/egressqueue.py
+++ b/arbutuslift/coordination/routing/egressqueue.py
@@ -21,6 +21,8 @@
 QUANTUM_BYTES = 1500
 # Senders retransmit earlier than this, and a packet that waits longer is useless.
 MAX_QUEUE_S = 1.0
+# Shorter waits would only wake the process more often.
+MIN_WAIT_S = 0.001
 _SEQ_MODULUS = 1 << 32
 
 
@@ -184,13 +186,13 @@
             self._send(packet.datagram, packet.address)
 
     def wait_s(self) -> float:
-        """Return the time until the link takes the next packet, 0 if it does now."""
+        """Return the time until the link takes the next packet, 0 if none waits."""
         queue = self._next_queue()
         if queue is None:
             return 0.0
         size_bytes = queue.next_size_bytes
         missing_bytes = size_bytes - self._refill()
-        return max(0.0, missing_bytes / self._rate_bytes_per_s)
+        return max(MIN_WAIT_S, missing_bytes / self._rate_bytes_per_s)
 
     def drain_s(self) -> float:
         """Return the time until the queue is empty if nothing more arrives."""
--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -282,6 +282,8 @@
         while True:
             await self._has_queued.wait()
             await self._clock.sleep(self._egress.wait_s())
+            if self._was_suspended():
+                self._drop_queued_datagrams()
             self._egress.send_due()
             if not self._egress.queued_bytes:
                 self._has_queued.clear()
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -6,12 +6,14 @@
 from contextlib import AsyncExitStack
 
 from adapter.packets import PlatformCodec
+from attrs import evolve
 
 from arbutuslift.clock import ManualClock
-from arbutuslift.entry import EntryInstance
+from arbutuslift.coordination.routing.flowtagrouter import Verdict
+from arbutuslift.entry import DRAIN_S, EntryInstance
 from arbutuslift.transport.packetsocket import open_packet_socket
 
-from .builders import entry_settings, routing_table
+from .builders import caller_packet, entry_settings, routing_table
 
 # Routers may regard an instance as ready for 4 s after the signal. They need two
 # checks, half a second apart, to detect the change, and timers may fire late.
@@ -51,6 +53,68 @@
         assert stopping.done()
 
 
+class SuspendableClock(ManualClock):
+    """A clock whose boot time also counts the time in suspend."""
+
+    suspended_s = 0.0
+
+    def boottime_s(self):
+        return self.monotonic_s() + self.suspended_s
+
+
+class UploadHarness:
+    """An entry instance behind a link of 2 Mbit/s with the packets of an upload."""
+
+    def __init__(self, stack):
+        self.clock = SuspendableClock()
+        packets = open_packet_socket("127.0.0.1", 0)
+        stack.callback(packets.close)
+        settings = evolve(entry_settings(), link_bytes_per_s=250_000.0)
+        self.instance = EntryInstance(
+            settings, packets, PlatformCodec(), self.clock, stack, lambda: None
+        )
+        self.instance._feed = FeedWithoutStopPermit(self.clock)
+        self.sent = []
+        self.instance._egress._send = lambda data, address: self.sent.append(data)
+        for work in (self.instance._send_queued(), self.instance._expire()):
+            stack.callback(asyncio.ensure_future(work).cancel)
+
+    def send_window(self):
+        for number in range(16):
+            packet = caller_packet(seq=1200 * number, data_length_bytes=1200)
+            self.instance._pace(packet, bytes(1240), ("127.0.0.1", 9))
+
+
+async def test_packets_that_wait_for_the_link_are_sent_before_the_end():
+    """Guards against requests that a planned stop cuts off."""
+    async with AsyncExitStack() as stack:
+        upload = UploadHarness(stack)
+        stopping = asyncio.ensure_future(upload.instance.stop())
+        # The last packets arrive just before the instance stops reading.
+        await upload.clock.advance(2.0 + DRAIN_S - 0.01)
+        upload.send_window()
+        assert len(upload.sent) < 16
+        for _ in range(200):
+            if stopping.done():
+                break
+            await upload.clock.advance(0.005)
+        assert len(upload.sent) == 16
+
+
+async def test_packets_that_waited_while_the_process_was_suspended_are_dropped():
+    """Guards against packets that go where an old view sent them."""
+    async with AsyncExitStack() as stack:
+        upload = UploadHarness(stack)
+        upload.send_window()
+        await upload.clock.advance(0.02)
+        sent = len(upload.sent)
+        assert 0 < sent < 16
+        upload.clock.suspended_s = 5.0
+        await upload.clock.advance(1.0)
+        assert len(upload.sent) == sent
+        assert upload.instance.metrics.packets[Verdict.DROPPED_STALE] == 16 - sent
+
+
 def test_modules_can_be_hidden_while_others_are_loaded():
     """Guards against an entry process that imports TLS, which it doesn't use."""
     code = (
