--- a/tests/state/test_routingtable.py
+++ b/tests/state/test_routingtable.py
@@ -22,3 +22,12 @@
 def test_damaged_tables_are_refused(body):
     with pytest.raises(StorageError):
         decode_table(body)
+
+
+def test_a_table_cut_at_any_place_is_refused():
+    """Guards against a table that broke off halfway and counts as a whole one."""
+    routes = tuple(route(port) for port in range(400, 420))
+    encoded = encode_table(routing_table(3, routes))
+    for length in range(len(encoded)):
+        with pytest.raises(StorageError):
+            decode_table(encoded[:length])
--- a/tests/transport/test_bus.py
+++ b/tests/transport/test_bus.py
@@ -81,6 +81,34 @@
     assert answers == [b"left:" + body for body in bodies]
 
 
+@pytest.mark.parametrize("kind", ["plain", "curve"])
+async def test_a_late_answer_is_not_taken_for_that_of_the_next_request(kind, tmp_path):
+    """Guards against answers that arrive on a connection that is in use again."""
+    async for pair in _pair(kind, tmp_path):
+        left, right = await pair.open_both()
+        released = {name: asyncio.Event() for name in (b"held", b"late", b"next")}
+
+        async def answer_when_released(sender, body, released=released):
+            await released[body].wait()
+            return body
+
+        right.handler = answer_when_released
+        # A request that waits keeps the connection, which is replaced otherwise.
+        held = asyncio.ensure_future(left.request("right", b"held", 60.0))
+        with pytest.raises(PeerTimeout):
+            await left.request("right", b"late", 0.2)
+        following = asyncio.ensure_future(left.request("right", b"next", 60.0))
+        await asyncio.sleep(0)
+        released[b"late"].set()
+        # Both answers take the same connection, in this order.
+        await asyncio.sleep(0.1)
+        assert not following.done()
+        released[b"next"].set()
+        assert await following == b"next"
+        released[b"held"].set()
+        assert await held == b"held"
+
+
 async def test_one_way_message_arrives_with_sender(pair):
     left, right = await pair.open_both()
     arrival = asyncio.get_running_loop().create_future()
