--- a/arbutuslift/coordination/routing/egressqueue.py
+++ b/arbutuslift/coordination/routing/egressqueue.py
@@ -1,6 +1,6 @@
 """Queue of outgoing packets, paced to the link of the instance and fair among flows."""
 
-from collections import OrderedDict, deque
+from collections import deque
 from collections.abc import Callable
 from heapq import heapify, heappop, heappush
 
@@ -24,6 +24,7 @@
 # Shorter waits would only wake the process more often.
 MIN_WAIT_S = 0.001
 _SEQ_MODULUS = 1 << 32
+_HALF_SEQ_MODULUS = 1 << 31
 
 
 @define(eq=False)
@@ -90,8 +91,9 @@
                 self.packets[waiting] = packet
                 return
             self.arrivals[key] = arrival
-        half = _SEQ_MODULUS // 2
-        offset = (packet.seq - self.first_seq + half) % _SEQ_MODULUS
+        # Packets that precede the first one to arrive have smaller offsets than it.
+        ahead = packet.seq - self.first_seq + _HALF_SEQ_MODULUS
+        offset = ahead % _SEQ_MODULUS
         heappush(self.heap, (offset, arrival))
         self.packets[arrival] = packet
         self.size_bytes += packet.size_bytes
@@ -148,7 +150,7 @@
         self._credit_bytes = self._burst_bytes
         self._credited_s = clock.monotonic_s()
         self._arrival = 0
-        self._queues: OrderedDict[bytes, _FlowQueue] = OrderedDict()
+        self._queues: dict[bytes, _FlowQueue] = {}
         self._new: deque[_FlowQueue] = deque()
         self._old: deque[_FlowQueue] = deque()
 
@@ -229,6 +231,7 @@
         return None
 
     def _refill(self) -> float:
+        """Add the credit of the time since the last call and return the credit."""
         now_s = self._clock.monotonic_s()
         added_bytes = (now_s - self._credited_s) * self._rate_bytes_per_s
         self._credit_bytes = min(self._burst_bytes, self._credit_bytes + added_bytes)
@@ -236,6 +239,7 @@
         return self._credit_bytes
 
     def _take_credit(self, size_bytes: int) -> bool:
+        """Take the credit for a packet and return True, or take none if it is short."""
         if self._refill() < size_bytes:
             return False
         self._credit_bytes -= size_bytes
