Ask for the times of routes in a message of its own

FeedAnswer with a further field was ruled out: the codec of messages refuses it. Change: the table keeps its columns; an entry instance that uses admission asks for RouteTimes once a table is in effect. A control instance of an earlier version doesn't answer, and the times stay unknown. Measured: tests of tables, feed, entry and platform pass; two of them guard against the two ways in which versions could clash.

--- a/arbutuslift/coordination/dissemination/feedclient.py
+++ b/arbutuslift/coordination/dissemination/feedclient.py
@@ -8,7 +8,13 @@
 from ...clock import Clock
 from ...errors import ArbutusliftError, MessageError
 from ...protocol.channel import Channel
-from ...protocol.feed import FeedAnswer, FeedRequest, LossReport
+from ...protocol.feed import (
+    FeedAnswer,
+    FeedRequest,
+    LossReport,
+    RouteTimes,
+    RouteTimesRequest,
+)
 
 # An update from any one of three control instances in different places is enough.
 SUBSCRIPTIONS = 3
@@ -95,6 +101,17 @@
         for name in sorted(self._subscribed_names):
             await self._channel.send(name, report)
 
+    async def request_route_times(self, name: str) -> RouteTimes | None:
+        """Return the times of the newest routes; None if ``name`` doesn't tell them."""
+        try:
+            answer = await self._channel.request(
+                name, RouteTimesRequest(), ANSWER_TIMEOUT_S
+            )
+        except ArbutusliftError as error:
+            _log.info("route_times_not_answered", peer=name, reason=str(error))
+            return None
+        return answer if isinstance(answer, RouteTimes) else None
+
     async def _request_stop_permit(self, name: str) -> bool:
         from ...protocol.stopping import StopAnswer, StopRequest
 
--- a/arbutuslift/coordination/dissemination/feedserver.py
+++ b/arbutuslift/coordination/dissemination/feedserver.py
@@ -8,10 +8,16 @@
 from ...errors import MessageError
 from ...histograms import Histogram, doubling_bounds
 from ...protocol.channel import Channel
-from ...protocol.feed import FeedAnswer, FeedRequest, LossReport
+from ...protocol.feed import (
+    FeedAnswer,
+    FeedRequest,
+    LossReport,
+    RouteTimes,
+    RouteTimesRequest,
+)
 from ...protocol.messages import Message
 from ...protocol.sharing import StartDigest, StartsWanted, StartUpdate
-from ...state.routingtable import RoutingTable, encode_table
+from ...state.routingtable import RoutingTable, encode_route_times, encode_table
 from ..concurrency import ChangeNotifier
 from .startregistry import StartRegistry
 from .subscribers import Subscribers
@@ -61,6 +67,7 @@
         self._change_notifier = ChangeNotifier(clock)
         self._revision = 0
         self._table = b""
+        self._route_times = b""
         self._published_s = clock.monotonic_s()
         self._reported_revisions: dict[str, int] = {}
         self.propagation_delay_s = Histogram(doubling_bounds(0.001, 16))
@@ -72,11 +79,13 @@
         channel.register_handler(StartDigest, self._on_digest)
         channel.register_handler(StartsWanted, self._on_wanted)
         channel.register_handler(LossReport, self._on_loss)
+        channel.register_handler(RouteTimesRequest, self._on_times_request)
 
     def publish(self, table: RoutingTable) -> None:
         """Publish a routing table if its revision is newer."""
         if table.revision > self._revision:
             self._table = encode_table(table)
+            self._route_times = encode_route_times(table)
             self._revision = table.revision
             self._published_s = self._clock.monotonic_s()
             self._change_notifier.notify()
@@ -132,6 +141,12 @@
         del peer
         self.registry.record_loss_report(report.upstream_id, report.born_ms)
 
+    async def _on_times_request(
+        self, peer: str, request: RouteTimesRequest
+    ) -> RouteTimes:
+        del peer, request
+        return RouteTimes(revision=self._revision, times=self._route_times)
+
     async def _on_request(self, peer: str, request: FeedRequest) -> FeedAnswer:
         self._subscribers.record_request(peer, request.data_centre, request.is_stopping)
         self._record_revision(peer, request.revision)
--- a/arbutuslift/coordination/routing/flowtagrouter.py
+++ b/arbutuslift/coordination/routing/flowtagrouter.py
@@ -125,9 +125,13 @@
         """Put a routing table in effect if its revision is higher; return whether."""
         if self.table is not None and table.revision <= self.table.revision:
             return False
+        self.replace(table)
+        return True
+
+    def replace(self, table: RoutingTable) -> None:
+        """Put a table in effect, whatever the revision of the former one."""
         self.table = table
         self._routes = {(route.ip, route.port): route for route in table.routes}
-        return True
 
     def route(self, packet: CallerPacket) -> Decision:
         """Return the decision about a packet."""
--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -25,12 +25,12 @@
 from .coordination.routing.upstreamselector import UpstreamSelector
 from .decisionlog import DecisionLog
 from .entrymetrics import EntryMetrics
-from .errors import PacketError
+from .errors import PacketError, StorageError
 from .protocol.channel import Channel
 from .protocol.feed import FeedAnswer
 from .roleinstance import RoleInstance
 from .rolesettings import EntrySettings
-from .state.routingtable import decode_table
+from .state.routingtable import decode_table, with_route_times
 from .transport.callerpackets import CallerPacket, PacketCodec
 
 MAX_DATAGRAM_BYTES = 2048
@@ -347,6 +347,18 @@
                 out_of_service=",".join(sorted(table.out_of_service)),
                 source=source,
             )
+            if self._settings.load.is_admission_limited:
+                self._tasks.spawn(self._add_route_times(source))
+
+    async def _add_route_times(self, source: str) -> None:
+        answer = await self._feed.request_route_times(source)
+        table = self._router.table
+        if answer is None or answer.revision != table.revision:
+            return
+        try:
+            self._router.replace(with_route_times(table, answer.times))
+        except StorageError as error:
+            _log.warning("route_times_refused", peer=source, reason=str(error))
 
     async def _expire(self) -> None:
         while True:
--- a/arbutuslift/protocol/feed.py
+++ b/arbutuslift/protocol/feed.py
@@ -83,6 +83,30 @@
     entry_count: int
 
 
+@register
+@frozen(kw_only=True)
+class RouteTimesRequest(Message):
+    """Asks for aims and time-outs of the routes of the newest routing table.
+
+    They aren't part of ``FeedAnswer``, since instances of earlier versions refuse
+    messages with further fields.
+    """
+
+
+@register
+@frozen(kw_only=True)
+class RouteTimes(Message):
+    """Answers a RouteTimesRequest.
+
+    Attributes:
+        revision: Revision of the routing table.
+        times: Encoded times of its routes; see ``encode_route_times``.
+    """
+
+    revision: int
+    times: bytes
+
+
 @register
 @frozen(kw_only=True)
 class LossReport(Message):
--- a/arbutuslift/state/routingtable.py
+++ b/arbutuslift/state/routingtable.py
@@ -3,7 +3,7 @@
 import zlib
 
 import msgpack
-from attrs import field, frozen
+from attrs import evolve, field, frozen
 
 from ..errors import StorageError
 
@@ -78,15 +78,17 @@
 
 
 def encode_table(table: RoutingTable) -> bytes:
-    """Return a table as compressed msgpack."""
+    """Return a table as compressed msgpack, without the times of its routes.
+
+    Entry instances of earlier versions accept no further columns, so that the times
+    have an encoding of their own, ``encode_route_times``.
+    """
     routes = [
         (
             route.ip,
             route.port,
             route.priority,
             [(share.service, share.weight) for share in route.shares],
-            route.aim_s,
-            route.timeout_s,
         )
         for route in table.routes
     ]
@@ -105,6 +107,30 @@
     return zlib.compress(msgpack.packb(content), _COMPRESSION_LEVEL)
 
 
+def encode_route_times(table: RoutingTable) -> bytes:
+    """Return aims and time-outs of the routes of a table, in their order."""
+    times_s = [(route.aim_s, route.timeout_s) for route in table.routes]
+    return zlib.compress(msgpack.packb(times_s), _COMPRESSION_LEVEL)
+
+
+def with_route_times(table: RoutingTable, encoded: bytes) -> RoutingTable:
+    """Return a table with the times in ``encoded``.
+
+    Raises:
+        StorageError: The bytes aren't encoded times of the routes of this table.
+    """
+    try:
+        times_s = msgpack.unpackb(zlib.decompress(encoded))
+        routes = tuple(
+            evolve(route, aim_s=float(aim_s), timeout_s=float(timeout_s))
+            for route, (aim_s, timeout_s) in zip(table.routes, times_s, strict=True)
+        )
+    except (zlib.error, msgpack.UnpackException, TypeError, ValueError) as error:
+        message = f"malformed: {error!r}"
+        raise StorageError(message, step="decode route times") from error
+    return evolve(table, routes=routes)
+
+
 def decode_table(body: bytes) -> RoutingTable:
     """Return the table in ``body``.
 
@@ -127,22 +153,12 @@
         raise StorageError(message, step="decode routing table") from error
 
 
-def _decode_route(
-    ip: bytes,
-    port: int,
-    priority: int,
-    shares: list,
-    aim_s: float = 0.0,
-    timeout_s: float = 0.0,
-) -> Route:
-    """Return a route; control instances of earlier versions send no times."""
+def _decode_route(ip: bytes, port: int, priority: int, shares: list) -> Route:
     return Route(
         ip=ip,
         port=port,
         priority=priority,
         shares=tuple(ServiceShare(service=name, weight=w) for name, w in shares),
-        aim_s=aim_s,
-        timeout_s=timeout_s,
     )
 
 
--- a/tests/coordination/dissemination/test_feed.py
+++ b/tests/coordination/dissemination/test_feed.py
@@ -13,11 +13,11 @@
 from arbutuslift.coordination.routing.upstreamdirectory import UpstreamDirectory
 from arbutuslift.protocol.channel import Channel
 from arbutuslift.protocol.feed import StartNews
-from arbutuslift.state.routingtable import decode_table
+from arbutuslift.state.routingtable import decode_table, with_route_times
 from arbutuslift.state.starts import Phase
 from arbutuslift.transport.bus import MemoryNetwork
 
-from ...builders import routing_table, start
+from ...builders import route, routing_table, start
 from .test_startregistry import announced_starts
 
 
@@ -103,6 +103,21 @@
     assert feed.phases() == {1: Phase.DRAINING}
 
 
+async def test_route_times_are_those_of_the_newest_table(feed):
+    """Guards against times of a former table that are put on the routes of the new."""
+    for revision, aim_s in ((1, 0.5), (2, 0.3)):
+        table = routing_table(revision, (route(1, aim_s=aim_s),))
+        feed.servers["a"].publish(table)
+    answer = await feed.run_until_done(feed.client.request_route_times("a"))
+    assert answer.revision == 2
+    assert with_route_times(routing_table(2, (route(1),)), answer.times) == table
+
+
+async def test_a_control_instance_of_an_earlier_version_tells_no_route_times(feed):
+    feed.network.bus("old")
+    assert await feed.run_until_done(feed.client.request_route_times("old")) is None
+
+
 async def test_control_instances_share_announcements(feed):
     feed.servers["a"].registry.announce(start(1))
     await feed.run(0.1)
