Let contracts and a table of the settings switch load features

Cause: load features are off without a switch on the users' platform. Change: the health contract switches them on, and the table load of the settings file overrides each; unknown fields and wrong types are refused. Deployments without that contract keep every feature off.

--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -9,6 +9,7 @@
 from adapter.settings import PATH_VARIABLE, read_settings, settings_path
 
 from arbutuslift.errors import SettingsError
+from arbutuslift.rolesettings import LoadSettings
 
 ROOT = Path(__file__).parents[2]
 SETTINGS = {
@@ -55,6 +56,30 @@
         settings.control_settings()
 
 
+def load_settings(tmp_path, **changes):
+    return read(tmp_path, FRONT | changes).entry_settings().load
+
+
+def test_load_features_are_off_unless_the_settings_ask_for_them(tmp_path):
+    """Guards against a deployment whose decisions change without its settings."""
+    assert load_settings(tmp_path) == LoadSettings()
+    assert load_settings(tmp_path, contracts=["base", "flows"]) == LoadSettings()
+
+
+def test_a_table_of_the_settings_switches_load_features(tmp_path):
+    load = load_settings(
+        tmp_path, contracts=["health"], load={"is_admission_limited": False}
+    )
+    assert load.is_load_reported
+    assert not load.is_admission_limited
+
+
+@pytest.mark.parametrize("load", [{"is_admission_limited": 1}, {"unknown": True}, 3])
+def test_unusable_load_settings_are_refused(tmp_path, load):
+    with pytest.raises(SettingsError):
+        read(tmp_path, FRONT | {"load": load})
+
+
 def test_a_control_machine_has_no_settings_of_an_entry_instance(tmp_path):
     with pytest.raises(SettingsError):
         read(tmp_path, SETTINGS).entry_settings()
