Let new flows go to restored starts where a setting permits it

Cause: after a loss of power an entry instance knows about half of the upstreams by announcement and sends all waiting callers there, so that their queues overflow, although control instances offer restored starts of the others. Ruled out: waiting for the announcements (callers wait up to an interval); use of restored starts of a service with a limit for cold upstreams (another run under the same identity may be cold). Change: with LoadSettings.may_use_restored_starts the directory lists restored starts for new flows until an announcement, a conflicting start or a settled control instance decides. One that is lost isn't a last resort. Off by default; without it nothing changes. Measured: tests of routing, dissemination and platform pass; in one of them 600 callers are spread evenly over 30 announced and 30 restored starts.

--- a/arbutuslift/coordination/routing/upstreamdirectory.py
+++ b/arbutuslift/coordination/routing/upstreamdirectory.py
@@ -39,10 +39,13 @@
 
     Args:
         clock: Source of time.
+        may_use_restored_starts: Whether new flows may go to restored starts before an
+            announcement or an answer confirms them.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, *, may_use_restored_starts: bool = False) -> None:
         self._clock = clock
+        self._may_use_restored_starts = may_use_restored_starts
         self._table = StartTable()
         self._tags: TagIndex[TrackedStart] = TagIndex()
         self._tracked: dict[tuple[str, int], TrackedStart] = {}
@@ -91,7 +94,11 @@
         return max(answered, key=lambda k: k.response_measured_s, default=None)
 
     def of_service(self, service: str) -> list[TrackedStart]:
-        """Return the starts of a service that aren't gone, without unconfirmed ones."""
+        """Return the starts of a service that aren't gone.
+
+        Restored starts that nothing has confirmed are included only if the directory
+        may use them.
+        """
         return self._services.get(service, [])
 
     def is_silent(self, start: UpstreamStart) -> bool:
@@ -158,9 +165,10 @@
     def _add_restored(self, start: UpstreamStart) -> None:
         """Add a start that a control instance has restored from disk.
 
-        Packets of its flows are forwarded. It gets new flows only after an announcement
-        or an answer to a request, since until then another process may have its
-        address. Records from announcements take precedence over it.
+        Packets of its flows are forwarded. Until an announcement or an answer to a
+        request, another process may have its address, so that new flows there may get
+        no answer. Whether it gets new flows before is a setting. Records from
+        announcements take precedence over it.
         """
         is_known = self._table.get(start.upstream_id) or start.key in self._tracked
         if is_known or self._table.is_address_in_use(start.address):
@@ -170,7 +178,12 @@
         tracked = self._add_start(start)
         tracked.is_remembered = True
         self._restored.add(tracked)
-        self._tags.put(start, tracked)
+        owns_tag = self._tags.put(start, tracked)
+        if owns_tag and self._may_use_restored_starts and not self._is_any_settled():
+            self._add_to_service(tracked)
+
+    def _is_any_settled(self) -> bool:
+        return any(source.is_settled for source in self._sources.values())
 
     def _add_start(self, start: UpstreamStart) -> TrackedStart:
         tracked = TrackedStart(start=start, tag=tag_of(start))
--- a/arbutuslift/coordination/routing/upstreamselector.py
+++ b/arbutuslift/coordination/routing/upstreamselector.py
@@ -4,9 +4,10 @@
 from collections.abc import Sequence
 
 from ...clock import Clock
-from ...state.routingtable import Route, RoutingTable
+from ...state.routingtable import Route, RoutingTable, ServiceLimits
 from ...state.starts import Phase
 from .outlierdetector import OutlierDetector
+from .restoredstarts import may_receive_new_flows
 from .trackedstart import TrackedStart
 from .upstreamdirectory import UpstreamDirectory
 
@@ -88,11 +89,13 @@
         self, service: str, table: RoutingTable, excluded: frozenset[tuple[str, int]]
     ) -> TrackedStart | None:
         now_s = self._clock.monotonic_s()
+        limits = next((s for s in table.services if s.name == service), None)
         usable = [
             tracked
             for tracked in self._directory.of_service(service)
             if tracked.start.phase is Phase.READY
             and tracked.start.data_centre not in table.out_of_service
+            and may_receive_new_flows(tracked, limits)
         ]
         warm = [tracked for tracked in usable if tracked.cold_until_s <= now_s]
         healthy = self._healthy(warm)
@@ -101,7 +104,7 @@
         ]
         if candidates:
             return self._least_loaded(self._prefer_local(candidates))
-        interval_s = self._cold_interval_s(service, table)
+        interval_s = self._cold_interval_s(limits)
         cold = [
             tracked
             for tracked in usable
@@ -123,13 +126,12 @@
             and not self._directory.is_silent(tracked.start)
         ]
 
-    def _cold_interval_s(self, service: str, table: RoutingTable) -> float:
+    def _cold_interval_s(self, limits: ServiceLimits | None) -> float:
         """Return the time between two new flows of this instance to a cold upstream.
 
         The limit is divided evenly among the entry instances. Their sum stays within
         it, even though the views of the instances differ. A limit of 0 means no limit.
         """
-        limits = next((s for s in table.services if s.name == service), None)
         if limits is None or limits.cold_new_flows_per_s <= 0:
             return 0.0
         rate_per_s = (
--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -91,7 +91,9 @@
         )
         self._has_queued = asyncio.Event()
         self._decisions = DecisionLog(codec)
-        self._directory = UpstreamDirectory(clock)
+        self._directory = UpstreamDirectory(
+            clock, may_use_restored_starts=settings.load.may_use_restored_starts
+        )
         self._outlier_detector = OutlierDetector(clock)
         self._selector = UpstreamSelector(
             clock,
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -206,15 +206,22 @@
     return Route(ip=SERVICE.ip, port=port, shares=shares)
 
 
+def service_limits(**changes) -> ServiceLimits:
+    fields = {
+        "name": "alerts",
+        "max_connections": 2000,
+        "cold_new_flows_per_s": 0,
+        "cold_start_s": 2,
+    }
+    return ServiceLimits(**(fields | changes))
+
+
 def routing_table(revision: int = 1, routes=None, **changes) -> RoutingTable:
-    limits = ServiceLimits(
-        name="alerts", max_connections=2000, cold_new_flows_per_s=0, cold_start_s=2
-    )
     fields = {
         "revision": revision,
         "version": revision,
         "routes": (route(),) if routes is None else routes,
-        "services": (limits,),
+        "services": (service_limits(),),
     }
     return RoutingTable(**(fields | changes))
 
--- a/tests/coordination/routing/test_flowtagrouter.py
+++ b/tests/coordination/routing/test_flowtagrouter.py
@@ -20,9 +20,9 @@
 class RouterHarness:
     """A flow tag router and the objects that it uses, on a manual clock."""
 
-    def __init__(self, *starts, table=None, seed=1, data_centre="dc-1"):
+    def __init__(self, *starts, table=None, seed=1, data_centre="dc-1", restored=False):
         self.clock = ManualClock()
-        self.directory = UpstreamDirectory(self.clock)
+        self.directory = UpstreamDirectory(self.clock, may_use_restored_starts=restored)
         self.outlier_detector = OutlierDetector(self.clock)
         self.selector = UpstreamSelector(
             self.clock,
--- a/tests/coordination/routing/test_restoredstarts.py
+++ b/tests/coordination/routing/test_restoredstarts.py
@@ -7,9 +7,12 @@
 from arbutuslift.state.flowtags import tag_of
 from arbutuslift.state.starts import Phase
 
-from ...builders import start
+from ...builders import routing_table, service_limits, start
 from .test_flowtagrouter import RouterHarness
 
+# Time after which a caller sends a copy of its SYN.
+SYN_COPY_S = 0.2
+
 
 def harness_with_restored(*starts):
     harness = RouterHarness()
@@ -135,3 +138,106 @@
     harness.learn(start(2, ip=start(1).ip, phase=Phase.GONE))
     harness.learn(start(1, born_ms=5, phase=Phase.GONE))
     assert harness.data(tag=tag_of(start(1))).verdict is Verdict.FORWARDED
+
+
+def harness_that_uses_restored(*starts, **options):
+    harness = RouterHarness(restored=True, **options)
+    add_restored(harness, *starts)
+    return harness
+
+
+def selected_numbers(harness, count=40):
+    """Return the numbers of the upstreams that get new flows of different callers."""
+    decisions = [harness.syn(number) for number in range(100, 100 + count)]
+    return {d.upstream.start.number for d in decisions if d.upstream is not None}
+
+
+def test_callers_after_a_loss_of_power_are_spread_over_announced_and_restored():
+    """Guards against a queue that overflows at the half that is already announced."""
+    starts = [start(number) for number in range(1, 61)]
+    harness = harness_that_uses_restored(*starts)
+    harness.learn(*(start(number, sequence=2) for number in range(1, 31)))
+    for caller in range(600):
+        assert harness.syn(caller).verdict is Verdict.NEW_FLOW
+    counts = [k.flow_count for k in harness.directory.of_service("alerts")]
+    assert counts == [10] * 60
+
+
+def test_restored_start_whose_process_is_gone_loses_the_caller_to_another():
+    """Guards against callers that wait at an address where nothing answers."""
+    harness = harness_that_uses_restored(start(1))
+    assert harness.syn().upstream.start == start(1)
+    harness.learn(start(2))
+    harness.wait(SYN_COPY_S)
+    decision = harness.syn(copies=1)
+    assert decision.verdict is Verdict.SYN_MOVED
+    assert decision.upstream.start == start(2)
+    assert [k.start for k in harness.suspected] == [start(1)]
+
+
+def test_lost_restored_start_is_no_last_resort():
+    harness = harness_that_uses_restored(start(1))
+    harness.directory.find_by_key(start(1).key).is_lost = True
+    assert harness.syn().verdict is Verdict.REFUSED_NO_UPSTREAM
+
+
+@pytest.mark.parametrize(
+    "other",
+    [
+        start(2, ip=start(1).ip, service="archive"),
+        start(1, born_ms=start(1).born_ms + 1, service="archive"),
+    ],
+)
+def test_address_or_identity_of_another_service_gets_no_new_flow(other):
+    harness = harness_that_uses_restored(start(1))
+    harness.learn(other)
+    assert harness.syn().verdict is Verdict.REFUSED_NO_UPSTREAM
+
+
+def test_draining_restored_start_gets_no_new_flow():
+    harness = harness_that_uses_restored(start(1, phase=Phase.DRAINING), start(2))
+    assert selected_numbers(harness) == {2}
+
+
+def test_restored_start_that_announces_that_it_drains_gets_no_further_flow():
+    harness = harness_that_uses_restored(start(1), start(2))
+    harness.learn(start(1, sequence=2, phase=Phase.DRAINING))
+    assert selected_numbers(harness) == {2}
+
+
+def test_restored_start_of_a_data_centre_out_of_service_gets_no_new_flow():
+    harness = harness_that_uses_restored(
+        start(1, data_centre="dc-2"),
+        start(2),
+        table=routing_table(out_of_service=frozenset({"dc-2"})),
+    )
+    assert selected_numbers(harness) == {2}
+
+
+@pytest.mark.parametrize(("limit_per_s", "expected"), [(5.0, {2}), (0.0, {1, 2})])
+def test_service_with_a_limit_for_cold_upstreams_uses_announced_starts_only(
+    limit_per_s, expected
+):
+    """Guards against flows beyond the limit of a process that has just restarted."""
+    limits = service_limits(cold_new_flows_per_s=limit_per_s)
+    harness = harness_that_uses_restored(
+        start(1), table=routing_table(services=(limits,))
+    )
+    harness.learn(start(2))
+    assert selected_numbers(harness) == expected
+
+
+def test_settled_control_instance_that_does_not_know_it_ends_its_new_flows():
+    harness = harness_that_uses_restored(start(1), start(2))
+    harness.learn(start(2, sequence=2), source="settled")
+    harness.directory.merge_feed_answer("settled", (), is_first=False, is_settled=True)
+    assert selected_numbers(harness) == {2}
+
+
+def test_settled_control_instance_counts_before_one_that_restarted():
+    """Guards against new flows to starts that a restarted instance brings back."""
+    harness = RouterHarness(restored=True)
+    harness.directory.merge_feed_answer("settled", (), is_first=True, is_settled=True)
+    add_restored(harness, start(1))
+    assert harness.syn().verdict is Verdict.REFUSED_NO_UPSTREAM
+    assert harness.data(tag=tag_of(start(1))).verdict is Verdict.FORWARDED
