Send a new subscriber the starts of its own data centre first

Cause: with more starts than fit into an answer, the first page held the oldest changes: restored starts before announced ones, of any data centre. An entry instance reads its waiting callers at the first table, which is in the same answer, and sent them all to that part. Ruled out: a new field of FeedRequest (control instances of the version before refuse it); reading only after the last page (callers wait). Change: the first page of a longer list takes the subscriber's data centre first, its services in turns, announced and restored starts alike; the whole list follows at position -1, which also asks for starts that ended meanwhile. A list that fits into one answer is sent as before.

--- a/arbutuslift/coordination/dissemination/feedserver.py
+++ b/arbutuslift/coordination/dissemination/feedserver.py
@@ -138,9 +138,10 @@
         hold_s = min(request.hold_ms / 1000, MAX_HOLD_S)
         await self._change_notifier.wait_for(lambda: self._has_update(request), hold_s)
         is_same_epoch = request.epoch == self._epoch
-        page = self.registry.page_after(
-            request.position if is_same_epoch else 0, MAX_STARTS_PER_ANSWER
-        )
+        if is_same_epoch:
+            page = self.registry.page_after(request.position, MAX_STARTS_PER_ANSWER)
+        else:
+            page = self.registry.first_page(request.data_centre, MAX_STARTS_PER_ANSWER)
         is_table_due = request.wants_table and self._revision > request.revision
         return FeedAnswer(
             epoch=self._epoch,
--- a/arbutuslift/coordination/dissemination/startregistry.py
+++ b/arbutuslift/coordination/dissemination/startregistry.py
@@ -4,13 +4,14 @@
 from enum import Enum
 
 import structlog
-from attrs import define, evolve, frozen
+from attrs import define, evolve
 
 from ...clock import Clock
 from ...histograms import Histogram, doubling_bounds
 from ...protocol.feed import StartNews
 from ...state.startdigests import StartDigests, bucket_of
 from ...state.starts import GONE_RETENTION_S, Phase, StartTable, UpstreamStart
+from .feedpages import FeedPage, first_page, page_in_order
 
 # Announcement intervals after which an upstream counts as silent. This tolerates two
 # lost announcements and a late third one.
@@ -65,21 +66,6 @@
     position: int
 
 
-@frozen(kw_only=True)
-class FeedPage:
-    """A page of the feed.
-
-    Attributes:
-        news: Records in the order of their positions.
-        position: Position after which the next page begins.
-        is_last: Whether no further records are available now.
-    """
-
-    news: tuple[StartNews, ...]
-    position: int
-    is_last: bool
-
-
 class StartRegistry:
     """Holds the starts, when they were last announced and the order of their changes.
 
@@ -228,21 +214,13 @@
                 aren't gone.
             limit: Maximum number of records.
         """
-        changed: list[_Entry | _RestoredStart] = [
-            entry
-            for entry in self._entries.values()
-            if entry.position > position
-            and (position > 0 or entry.start.phase is not Phase.GONE)
-        ]
-        changed.extend(i for i in self._unconfirmed_restored() if i.position > position)
-        changed.sort(key=lambda item: item.position)
-        is_last = len(changed) <= limit
-        page = changed[:limit]
-        return FeedPage(
-            news=tuple(self._to_news(item) for item in page),
-            position=self.position if is_last else page[-1].position,
-            is_last=is_last,
-        )
+        changed = self._changed_after(position)
+        return page_in_order(changed, limit, self.position, self._to_news)
+
+    def first_page(self, data_centre: str, limit: int) -> FeedPage:
+        """Return starts that aren't gone, those of the data centre first."""
+        starts = self._changed_after(0)
+        return first_page(starts, data_centre, limit, self.position, self._to_news)
 
     def starts_in_buckets(self, buckets: frozenset[int]) -> tuple[StartNews, ...]:
         """Return the starts of some digest buckets, including those that are gone."""
@@ -335,6 +313,16 @@
         self.position += 1
         entry.position = self.position
 
+    def _changed_after(self, position: int) -> list[_Entry | _RestoredStart]:
+        changed: list[_Entry | _RestoredStart] = [
+            entry
+            for entry in self._entries.values()
+            if entry.position > position
+            and (position != 0 or entry.start.phase is not Phase.GONE)
+        ]
+        changed.extend(i for i in self._unconfirmed_restored() if i.position > position)
+        return changed
+
     def _unconfirmed_restored(self) -> list[_RestoredStart]:
         if self.is_settled:
             return []
--- a/arbutuslift/protocol/feed.py
+++ b/arbutuslift/protocol/feed.py
@@ -60,7 +60,8 @@
 
     Attributes:
         epoch: Identifies the process of the control instance.
-        position: Position of the last record in ``news``, or of the newest record.
+        position: Position of the last record in ``news``, or of the newest record; -1
+            if ``news`` is an excerpt of the whole list, which follows.
         is_first: Whether ``news`` begins the list of all starts; more of them may
             follow in the next answers.
         is_settled: Whether every running upstream has had time to announce itself and
--- a/tests/coordination/dissemination/test_startregistry.py
+++ b/tests/coordination/dissemination/test_startregistry.py
@@ -177,3 +177,54 @@
         Phase.DRAINING
     ]
     assert rest.is_last
+
+
+def long_list_of_two_data_centres():
+    """Return a registry with 30 restored and 30 announced starts, half of them remote.
+
+    The local ones are the second half of both.
+    """
+    clock, registry, _ = create_registry()
+
+    def one(number, **changes):
+        data_centre = "dc-1" if number % 30 >= 15 else "dc-2"
+        service = "alerts" if number % 5 else "archive"
+        return start(number, data_centre=data_centre, service=service, **changes)
+
+    registry.add_restored(tuple(one(number) for number in range(30)))
+    for number in range(30, 60):
+        registry.announce(one(number))
+    return registry
+
+
+def test_the_first_page_spreads_waiting_callers_over_the_own_data_centre():
+    """Guards against new flows to the part of the upstreams that is known first."""
+    registry = long_list_of_two_data_centres()
+    page = registry.first_page("dc-1", 30)
+    assert {item.start.data_centre for item in page.news} == {"dc-1"}
+    assert sum(item.is_remembered for item in page.news) == 15
+    assert not page.is_last
+    few = registry.first_page("dc-1", 12).news
+    assert [item.start.service for item in few].count("archive") == 6
+
+
+def test_the_whole_list_follows_the_first_page():
+    registry = long_list_of_two_data_centres()
+    page = registry.first_page("dc-1", 30)
+    ended = next(item.start for item in page.news if not item.is_remembered)
+    registry.leave(ended.upstream_id)
+    seen = {}
+    while not page.is_last:
+        page = registry.page_after(page.position, 30)
+        seen.update((item.start.key, item.start.phase) for item in page.news)
+    assert len(seen) == 60
+    assert seen[ended.key] is Phase.GONE
+    assert page.position == registry.position
+
+
+def test_a_short_list_is_sent_once():
+    registry = long_list_of_two_data_centres()
+    page = registry.first_page("dc-1", 60)
+    assert len(page.news) == 60
+    assert page.is_last
+    assert page.position == registry.position
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -5,15 +5,19 @@
 import sys
 from contextlib import AsyncExitStack
 
+import pytest
 from adapter.packets import PlatformCodec
 from attrs import evolve
 
 from arbutuslift.clock import ManualClock
 from arbutuslift.coordination.routing.flowtagrouter import Verdict
 from arbutuslift.entry import DRAIN_S, EntryInstance
+from arbutuslift.protocol.feed import FeedAnswer, StartNews
+from arbutuslift.rolesettings import LoadSettings
+from arbutuslift.state.routingtable import encode_table
 from arbutuslift.transport.packetsocket import open_packet_socket
 
-from .builders import caller_packet, entry_settings, routing_table
+from .builders import caller_packet, entry_settings, routing_table, start
 
 # Routers may regard an instance as ready for 4 s after the signal. They need two
 # checks, half a second apart, to detect the change, and timers may fire late.
@@ -53,6 +57,49 @@
         assert stopping.done()
 
 
+@pytest.mark.parametrize("may_use", [True, False])
+async def test_first_answer_after_a_loss_of_power_brings_table_and_restored_starts(
+    may_use,
+):
+    """Guards against waiting callers that are read before the upstreams are known."""
+    load = LoadSettings(may_use_restored_starts=may_use)
+    async with AsyncExitStack() as stack:
+        packets = open_packet_socket("127.0.0.1", 0)
+        stack.callback(packets.close)
+        instance = EntryInstance(
+            evolve(entry_settings(), load=load),
+            packets,
+            PlatformCodec(),
+            ManualClock(),
+            stack,
+            lambda: None,
+        )
+        known_at_first_read = []
+        instance._start_receiving = lambda: known_at_first_read.append(
+            len(instance._directory)
+        )
+        instance._on_answer("control", first_answer(start(1), start(2)))
+        assert known_at_first_read == [2 if may_use else 0]
+        assert instance.is_ready == may_use
+
+
+def first_answer(*restored):
+    """Return the first answer of a control instance that only has restored starts."""
+    return FeedAnswer(
+        epoch=1,
+        position=len(restored),
+        is_first=True,
+        is_settled=False,
+        news=tuple(
+            StartNews(start=s, is_silent=False, is_remembered=True) for s in restored
+        ),
+        revision=1,
+        table=encode_table(routing_table()),
+        controls=(),
+        entry_count=1,
+    )
+
+
 class SuspendableClock(ManualClock):
     """A clock whose boot time also counts the time in suspend."""
 
