Load modules that an entry process doesn't use at its start later

Cause: almost all of the time from the start of an entry process until it serves is processor time of imports. Ruled out: hiding the modules (libraries import them unconditionally); loading structlog.dev, zmq.constants, inspect or traceback later (names are imported from them while other modules load).

--- a/arbutuslift/rolesettings.py
+++ b/arbutuslift/rolesettings.py
@@ -3,10 +3,13 @@
 This module imports neither of them, so that a process loads only its own role.
 """
 
-from pathlib import Path
+from typing import TYPE_CHECKING
 
 from attrs import frozen
 
+if TYPE_CHECKING:
+    from pathlib import Path
+
 
 @frozen(kw_only=True)
 class LoadSettings:
@@ -81,7 +84,7 @@
     name: str
     listen: str
     data_centre: str
-    data_folder: Path
+    data_folder: "Path"
     seeds: tuple[str, ...]
     is_bootstrap: bool
     voter_count: int
--- a/arbutuslift/transport/httpserver.py
+++ b/arbutuslift/transport/httpserver.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from urllib.parse import unquote, urlsplit
 
 import h11
 import structlog
@@ -206,7 +205,16 @@
 def _request_of(head: h11.Request, body: bytes) -> HttpRequest:
     target = head.target.decode("ascii", "replace")
     return HttpRequest(
-        method=head.method.decode("ascii"),
-        path=unquote(urlsplit(target).path),
-        body=body,
+        method=head.method.decode("ascii"), path=_path_of(target), body=body
     )
+
+
+def _path_of(target: str) -> str:
+    """Return the unquoted path of a request target, without the query."""
+    is_plain = target.startswith("/") and not target.startswith("//")
+    if is_plain and not any(character in target for character in "%?#"):
+        return target
+    # Readiness checks don't need the module, whose import takes processor time.
+    from urllib.parse import unquote, urlsplit
+
+    return unquote(urlsplit(target).path)
