Forward waiting packets before loading the readiness endpoint

Cause: an entry process loaded the readiness endpoint 5 ms after its first request. On a sixth of a core the import takes tens of ms, in which the first answer and the packets of waiting callers were not read. After a loss of power routers send to instances that aren't ready. Ruled out: loading it only after the first table (without an answer, metrics would be missing); logging the upstreams of the first answer before the packets (one line each). Change: the endpoint is loaded once the socket has been read empty after the first table, after 0.1 s at the latest; packets are read in the callback after the table; lines of the first answer follow 5 ms later. The time until the first forwarded packet was not measured.

--- a/arbutuslift/decisionlog.py
+++ b/arbutuslift/decisionlog.py
@@ -8,6 +8,7 @@
 from .coordination.routing.flowtagrouter import Decision, Verdict
 from .coordination.routing.trackedflows import UnansweredRequest
 from .state.routingtable import RoutingTable
+from .state.starts import UpstreamStart
 from .transport.callerpackets import CallerPacket, PacketCodec
 
 UNANSWERED_EVENT = "request_unanswered"
@@ -73,6 +74,25 @@
         )
 
 
+def log_changed_starts(changed: list[UpstreamStart], source: str) -> None:
+    """Log the starts that an answer of a control instance changed.
+
+    Args:
+        changed: Their new records.
+        source: Name of the control instance.
+    """
+    for start in changed:
+        _log.info(
+            "upstream_changed",
+            upstream=start.upstream_id,
+            service=start.service,
+            phase=start.phase.name.lower(),
+            sequence=start.sequence,
+            warm_up_left_ms=start.warm_up_left_ms,
+            source=source,
+        )
+
+
 def _is_sampled(packet: CallerPacket) -> bool:
     is_request = packet.data_length_bytes > 0
     return is_request and zlib.crc32(packet.flow) % SAMPLING_DIVISOR == 0
--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -5,7 +5,7 @@
 import socket
 import time
 from collections.abc import Callable
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
 
 import structlog
 
@@ -23,7 +23,7 @@
 from .coordination.routing.trackedstart import TrackedStart
 from .coordination.routing.upstreamdirectory import UpstreamDirectory
 from .coordination.routing.upstreamselector import UpstreamSelector
-from .decisionlog import DecisionLog
+from .decisionlog import DecisionLog, log_changed_starts
 from .entrymetrics import EntryMetrics
 from .errors import PacketError
 from .protocol.channel import Channel
@@ -44,13 +44,16 @@
 # Longest wait for a stop permit. Routers must detect within 4 s of the signal that the
 # instance isn't ready any more, and detection takes up to 1 s.
 MAX_STOP_PERMIT_WAIT_S = 2.0
-# Time in which the first requests to control instances are sent.
-FIRST_REQUEST_WAIT_S = 0.005
+# Longest wait, before the readiness endpoint is loaded, for the first table and the
+# packets that callers have sent before. Without a table the instance isn't ready.
+FIRST_PACKETS_WAIT_S = 0.1
 # Part of the stop time-out that is reserved for closing sockets.
 CLOSE_RESERVE_S = 0.7
 # Ticks are half a second apart. A longer gap means that the process was suspended and
 # that queued datagrams are stale.
 MAX_TICK_GAP_S = 1.5
+# Long enough for the event loop to read the waiting packets first.
+LOG_DELAY_S = 0.005
 
 _log = structlog.get_logger()
 
@@ -90,6 +93,7 @@
             clock, settings.link_bytes_per_s, self._send, self._on_dropped
         )
         self._has_queued = asyncio.Event()
+        self._has_read_all = asyncio.Event()
         self._decisions = DecisionLog(codec)
         self._directory = UpstreamDirectory(
             clock, may_use_restored_starts=settings.load.may_use_restored_starts
@@ -149,13 +153,22 @@
         self._tasks.spawn(self._feed.run())
         self._tasks.spawn(self._expire())
         self._tasks.spawn(self._send_queued())
-        await self._clock.sleep(FIRST_REQUEST_WAIT_S)
+        await self._forward_waiting_packets()
         await self._open_readiness()
         _log.info("started", listen_port=settings.listen_port)
 
+    async def _forward_waiting_packets(self) -> None:
+        """Wait until the packets that arrived before the first table are forwarded.
+
+        After a loss of power, routers send to instances that aren't ready, since none
+        is, and callers wait.
+        """
+        with suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_PACKETS_WAIT_S):
+                await self._has_read_all.wait()
+
     async def _open_readiness(self) -> None:
-        # Imported here, while the first answers are in transit. Packets may arrive
-        # before the endpoint is open.
+        # Imported here, since the import delays the packets that are waiting.
         from .transport.readiness import ReadinessEndpoint
 
         settings = self._settings
@@ -186,6 +199,7 @@
         loop = asyncio.get_running_loop()
         loop.add_reader(self._socket.fileno(), self._receive)
         self._stack.callback(loop.remove_reader, self._socket.fileno())
+        loop.call_soon(self._receive)
 
     def _receive(self) -> None:
         if self._was_suspended():
@@ -196,6 +210,7 @@
                 datagram = self._socket.recv(MAX_DATAGRAM_BYTES)
             except BlockingIOError:
                 self.metrics.batch_packets.observe(count)
+                self._has_read_all.set()
                 return
             except OSError as error:
                 _log.warning("receive_failed", reason=str(error))
@@ -308,16 +323,12 @@
             is_first=answer.is_first,
             is_settled=answer.is_settled,
         )
-        for start in changed:
-            _log.info(
-                "upstream_changed",
-                upstream=start.upstream_id,
-                service=start.service,
-                phase=start.phase.name.lower(),
-                sequence=start.sequence,
-                warm_up_left_ms=start.warm_up_left_ms,
-                source=source,
-            )
+        if answer.is_first:
+            # One line for each upstream would delay the packets that are waiting.
+            loop = asyncio.get_running_loop()
+            loop.call_later(LOG_DELAY_S, log_changed_starts, changed, source)
+        else:
+            log_changed_starts(changed, source)
         for item in answer.news:
             if item.is_doubted:
                 self._check_suspected(item.start.key)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,6 +1,7 @@
 """Guards against an entry instance that stays ready too long after a stop signal."""
 
 import asyncio
+import socket
 import subprocess
 import sys
 from contextlib import AsyncExitStack
@@ -11,7 +12,7 @@
 
 from arbutuslift.clock import ManualClock
 from arbutuslift.coordination.routing.flowtagrouter import Verdict
-from arbutuslift.entry import DRAIN_S, EntryInstance
+from arbutuslift.entry import BATCH_DATAGRAMS, DRAIN_S, EntryInstance
 from arbutuslift.protocol.feed import FeedAnswer, StartNews
 from arbutuslift.rolesettings import LoadSettings
 from arbutuslift.state.routingtable import encode_table
@@ -83,6 +84,26 @@
         assert instance.is_ready == may_use
 
 
+async def test_waiting_packets_are_read_before_the_readiness_endpoint_is_loaded():
+    """Guards against callers that wait for an import after a loss of power."""
+    async with AsyncExitStack() as stack:
+        packets = open_packet_socket("127.0.0.1", 0)
+        stack.callback(packets.close)
+        instance = EntryInstance(
+            entry_settings(), packets, PlatformCodec(), ManualClock(), stack, print
+        )
+        sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        stack.callback(sender.close)
+        for _ in range(2 * BATCH_DATAGRAMS):
+            sender.sendto(b"malformed", packets.getsockname())
+        opening = asyncio.ensure_future(instance._forward_waiting_packets())
+        await asyncio.sleep(0)
+        instance._on_answer("control", first_answer())
+        await opening
+        read = instance.metrics.packets[Verdict.DROPPED_MALFORMED]
+        assert read == 2 * BATCH_DATAGRAMS
+
+
 def first_answer(*restored):
     """Return the first answer of a control instance that only has restored starts."""
     return FeedAnswer(
