Send a SYN without an answer to a second upstream in time

Cause: a SYN to an upstream that doesn't answer waits for the caller's copy after 200 ms, although only the upstream whose answer the caller acknowledges gets the flow. Ruled out: a fixed delay (too short on a busy processor, too long in a region); a token bucket (a long quiet time would permit a burst); hedges of copies (another instance may have hedged the SYN); the service that a new draw of the route's weights gives (it would shift the shares). The selector picks the second upstream, so that limits of cold upstreams, draining and data centres out of service hold; it has to be healthy. The packet's tag tells which upstream holds the flow; the other one stops counting it. On with LoadSettings.are_syns_hedged; off by default. Not run with upstreams over a network.

--- a/arbutuslift/coordination/routing/flowtagrouter.py
+++ b/arbutuslift/coordination/routing/flowtagrouter.py
@@ -41,6 +41,7 @@
     NEW_FLOW = "new_flow"
     SYN_REPEATED = "syn_repeated"
     SYN_MOVED = "syn_moved"
+    SYN_HEDGED = "syn_hedged"
     FORWARDED = "forwarded"
     REPEATED = "repeated"
     REFUSED_NO_ROUTE = "refused_no_route"
@@ -138,6 +139,18 @@
             return self._open_flow(packet, route)
         return self._route_open_flow(packet, route)
 
+    def find_opening(self, packet: CallerPacket) -> tuple[Route, TrackedFlow]:
+        """Return the route and the flow of a SYN that was just routed."""
+        route = self._routes[(packet.service_ip, packet.service_port)]
+        return route, self._flows[packet.flow]
+
+    def add_hedge(self, packet: CallerPacket, upstream: TrackedStart) -> Decision:
+        """Return the decision about the second SYN of a flow that hasn't opened."""
+        flow = self._flows[packet.flow]
+        hedge = flow.add_hedge(upstream, self._clock.monotonic_s())
+        self._record_opening(packet, hedge)
+        return Decision(Verdict.SYN_HEDGED, upstream)
+
     def expire(self) -> None:
         """Remove flows that have been idle for longer than the idle time-out."""
         self._check_opening_flows()
@@ -242,6 +255,8 @@
         """
         now_s = self._clock.monotonic_s()
         is_repeated = False
+        if flow is not None and flow.hedge is not None:
+            flow = self._flows[packet.flow] = flow.settle_hedge(upstream)
         if flow is None or flow.upstream is not upstream:
             self._remove_if_tracked(packet.flow, EndReason.REOPENED)
             # Another instance handled the flow before. Its first packet here can't
@@ -249,6 +264,7 @@
             flow = TrackedFlow(upstream, now_s, now_s, ack=packet.ack)
             self._add(packet.flow, flow)
         flow.last_seen_s = now_s
+        flow.answered_s = flow.answered_s or now_s
         flow.is_open = True
         self._flows.move_to_end(packet.flow)
         if packet.ack != flow.ack:
@@ -275,7 +291,7 @@
             flow.is_awaiting_answer = True
         if packet.is_fin:
             self._end_request(packet.flow, flow, EndReason.CALLER_ENDED)
-            self._decrement_load(flow)
+            flow.uncount()
         return is_repeated
 
     def _report_failure(self, upstream: TrackedStart) -> None:
@@ -304,7 +320,7 @@
     def _remove(self, key: bytes, flow: TrackedFlow, ending: EndReason) -> None:
         del self._flows[key]
         self._end_request(key, flow, ending)
-        self._decrement_load(flow)
+        flow.uncount()
 
     def _end_request(self, key: bytes, flow: TrackedFlow, ending: EndReason) -> None:
         """Report the flow's pending request, if any, as unanswered."""
@@ -322,8 +338,3 @@
                 ending=ending,
             )
         )
-
-    def _decrement_load(self, flow: TrackedFlow) -> None:
-        if flow.is_counted:
-            flow.is_counted = False
-            flow.upstream.flow_count -= 1
--- a/arbutuslift/coordination/routing/retransmissiontimeout.py
+++ b/arbutuslift/coordination/routing/retransmissiontimeout.py
@@ -13,12 +13,24 @@
 class RetransmissionTimeout:
     """Estimates how long an answer may take on this instance's own path (RFC 6298).
 
+    Args:
+        minimum_s: Shortest time-out.
+        maximum_s: Longest time-out.
+        initial_s: Time-out before the first observation.
+
     Attributes:
         timeout_s: Time after which an answer counts as missing.
     """
 
-    def __init__(self) -> None:
-        self.timeout_s = MIN_TIMEOUT_S
+    def __init__(
+        self,
+        minimum_s: float = MIN_TIMEOUT_S,
+        maximum_s: float = MAX_TIMEOUT_S,
+        initial_s: float = MIN_TIMEOUT_S,
+    ) -> None:
+        self.timeout_s = initial_s
+        self._minimum_s = minimum_s
+        self._maximum_s = maximum_s
         self._round_trip_s: float | None = None
         self._deviation_s = 0.0
 
@@ -32,4 +44,4 @@
             self._deviation_s += DEVIATION_GAIN * (error_s - self._deviation_s)
             self._round_trip_s += ROUND_TRIP_GAIN * (round_trip_s - self._round_trip_s)
         estimate_s = self._round_trip_s + DEVIATION_FACTOR * self._deviation_s
-        self.timeout_s = min(MAX_TIMEOUT_S, max(MIN_TIMEOUT_S, estimate_s))
+        self.timeout_s = min(self._maximum_s, max(self._minimum_s, estimate_s))
--- a/arbutuslift/coordination/routing/trackedflows.py
+++ b/arbutuslift/coordination/routing/trackedflows.py
@@ -25,6 +25,9 @@
         is_counted: Whether it counts as load of the upstream.
         is_failure_recorded: Whether a failure of the upstream was recorded for it since
             the last answer.
+        answered_s: When the first packet after the SYN arrived.
+        hedge: The same flow at the second upstream that its SYN was sent to, until a
+            packet of the caller tells which one holds the flow.
     """
 
     upstream: TrackedStart
@@ -38,6 +41,36 @@
     request: bytes = b""
     is_counted: bool = True
     is_failure_recorded: bool = False
+    answered_s: float = 0.0
+    hedge: "TrackedFlow | None" = None
+
+    def add_hedge(self, upstream: TrackedStart, now_s: float) -> "TrackedFlow":
+        """Return the same flow at a second upstream, whose load it counts as."""
+        self.hedge = TrackedFlow(upstream, now_s, now_s)
+        upstream.flow_count += 1
+        return self.hedge
+
+    def settle_hedge(self, upstream: TrackedStart) -> "TrackedFlow":
+        """Return the flow at the upstream whose answer the caller has acknowledged.
+
+        The other one ends. If that is the second one, it hasn't failed: the first one
+        was only earlier.
+        """
+        hedge, self.hedge = self.hedge, None
+        if hedge is None:
+            return self
+        kept, other = (hedge, self) if hedge.upstream is upstream else (self, hedge)
+        other.uncount()
+        hedge.is_open = True
+        return kept
+
+    def uncount(self) -> None:
+        """Stop counting the flow as load of its upstream, or of both upstreams."""
+        if self.is_counted:
+            self.is_counted = False
+            self.upstream.flow_count -= 1
+        if self.hedge is not None:
+            self.hedge.uncount()
 
 
 class EndReason(StrEnum):
--- a/arbutuslift/coordination/routing/upstreamselector.py
+++ b/arbutuslift/coordination/routing/upstreamselector.py
@@ -76,6 +76,15 @@
                 return selected
         return None
 
+    def select_other(
+        self, route: Route, table: RoutingTable, key: tuple[str, int]
+    ) -> TrackedStart | None:
+        """Return a healthy upstream other than one, None without another one."""
+        selected = self.select(route, table, frozenset({key}))
+        if selected is None or selected.start.key == key:
+            return None
+        return selected if self._healthy([selected]) else None
+
     def _services_in_order(self, route: Route) -> list[str]:
         """Return the services of a route, the one drawn by weight first."""
         shares = [share for share in route.shares if share.weight > 0]
--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Callable
 from contextlib import AsyncExitStack, suppress
+from typing import TYPE_CHECKING
 
 import structlog
 
@@ -33,6 +34,9 @@
 from .state.routingtable import decode_table
 from .transport.callerpackets import CallerPacket, PacketCodec
 
+if TYPE_CHECKING:
+    from .coordination.routing.synhedging import SynHedger
+
 MAX_DATAGRAM_BYTES = 2048
 # Datagrams read in one callback of the event loop. The limit lets the loop process
 # control traffic in between.
@@ -123,6 +127,7 @@
             self._decisions.log_unanswered_request,
         )
         self.metrics = EntryMetrics(self._router, self._directory, self._egress)
+        self._hedger = self._make_hedger() if settings.load.are_syns_hedged else None
         self._last_answer_s = clock.monotonic_s()
         self._feed: FeedClient | None = None
 
@@ -132,6 +137,13 @@
         has_state = self._router.table is not None and self._has_upstreams
         return has_state and not self._is_stopping
 
+    def _make_hedger(self) -> "SynHedger":
+        from .coordination.routing.synhedging import SynHedger
+
+        hedger = SynHedger(self._clock, self._selector, self._router)
+        self.metrics.hedges = hedger.outcomes
+        return hedger
+
     async def open(self) -> None:
         """Open the bus and the readiness endpoint, and start all tasks.
 
@@ -153,6 +165,8 @@
         self._tasks.spawn(self._feed.run())
         self._tasks.spawn(self._expire())
         self._tasks.spawn(self._send_queued())
+        if self._hedger is not None:
+            self._tasks.spawn(self._hedger.run(self._receive, self._carry_out))
         await self._forward_waiting_packets()
         await self._open_readiness()
         _log.info("started", listen_port=settings.listen_port)
@@ -253,11 +267,16 @@
             _log.warning(Verdict.DROPPED_MALFORMED, reason=error.message)
             return
         decision = self._router.route(packet)
-        verdict = decision.verdict
-        self.metrics.packets[verdict] += 1
-        if verdict is Verdict.NEW_FLOW:
+        if decision.verdict is Verdict.NEW_FLOW:
             age_s = self._clock.monotonic_s() - self._last_answer_s
             self.metrics.view_age_s.observe(age_s)
+            if self._hedger is not None:
+                self._hedger.add(packet)
+        self._carry_out(packet, decision)
+
+    def _carry_out(self, packet: CallerPacket, decision: Decision) -> None:
+        verdict = decision.verdict
+        self.metrics.packets[verdict] += 1
         if decision.upstream is not None and verdict not in RESET_VERDICTS:
             self._forward(packet, decision)
         elif verdict in RESET_VERDICTS and not packet.is_reset:
--- a/arbutuslift/entrymetrics.py
+++ b/arbutuslift/entrymetrics.py
@@ -25,6 +25,7 @@
         packets: Number of packets by verdict.
         packet_duration_s: Time from reading a packet until it is sent, 20 us to 0.6 s.
         batch_packets: Packets read from the socket in one batch.
+        hedges: Number of SYNs without an answer in time, by what became of them.
         view_age_s: Age of the newest answer of a control instance when a flow opens.
     """
 
@@ -32,6 +33,7 @@
         self, router: FlowTagRouter, directory: UpstreamDirectory, egress: EgressQueue
     ) -> None:
         self.packets: Counter[Verdict] = Counter()
+        self.hedges: Counter[str] = Counter()
         self.packet_duration_s = Histogram(doubling_bounds(0.00002, 16))
         self.batch_packets = Histogram(doubling_bounds(1, 6))
         self.view_age_s = Histogram(doubling_bounds(0.01, 12))
@@ -53,6 +55,12 @@
                 label="verdict",
                 values={verdict.value: n for verdict, n in self.packets.items()},
             ),
+            Counts(
+                name="arbutuslift_hedges",
+                help_text="SYNs without an answer in time by what became of them.",
+                label="outcome",
+                values=dict(self.hedges),
+            ),
             logs.dropped_lines(),
             Gauge(
                 name="arbutuslift_flows",
--- a/arbutuslift/rolesettings.py
+++ b/arbutuslift/rolesettings.py
@@ -24,6 +24,8 @@
             flows go to another one.
         may_use_restored_starts: Whether new flows may go to upstreams that control
             instances restored from disk.
+        are_syns_hedged: Whether a SYN without an answer goes to a second upstream
+            before the caller repeats it.
         remote_price_per_gb: Price of traffic to another data centre, in the unit in
             which one second of a caller's waiting costs 1.
     """
@@ -32,6 +34,7 @@
     is_admission_limited: bool = False
     is_locality_weighted: bool = False
     may_use_restored_starts: bool = False
+    are_syns_hedged: bool = False
     remote_price_per_gb: float = 0.0
 
 
