Keep the work for hedged and restored flows off the path of open flows

Cause: each packet of an open flow looked for a hedge, and each start was passed to a function for each new flow, although both are off by default. Change: a hedge is looked for at the first packet of a flow, a restored start is checked only if it is one.

--- a/arbutuslift/coordination/routing/flowtagrouter.py
+++ b/arbutuslift/coordination/routing/flowtagrouter.py
@@ -255,8 +255,8 @@
         """
         now_s = self._clock.monotonic_s()
         is_repeated = False
-        if flow is not None and flow.hedge is not None:
-            flow = self._flows[packet.flow] = flow.settle_hedge(upstream)
+        if flow is not None and not flow.is_open:
+            flow = self._flows[packet.flow] = flow.settle(upstream, now_s)
         if flow is None or flow.upstream is not upstream:
             self._remove_if_tracked(packet.flow, EndReason.REOPENED)
             # Another instance handled the flow before. Its first packet here can't
@@ -264,7 +264,6 @@
             flow = TrackedFlow(upstream, now_s, now_s, ack=packet.ack)
             self._add(packet.flow, flow)
         flow.last_seen_s = now_s
-        flow.answered_s = flow.answered_s or now_s
         flow.is_open = True
         self._flows.move_to_end(packet.flow)
         if packet.ack != flow.ack:
--- a/arbutuslift/coordination/routing/restoredstarts.py
+++ b/arbutuslift/coordination/routing/restoredstarts.py
@@ -57,17 +57,15 @@
 
 
 def may_receive_new_flows(tracked: TrackedStart, limits: ServiceLimits | None) -> bool:
-    """Return whether new flows may go to a start, as far as its origin decides.
+    """Return whether new flows may go to a restored start.
 
-    A restored start may have been replaced by another run under the same identity,
-    which answers its packets and may be in cold start. A lost one isn't even a last
-    resort, since nothing has confirmed that it still runs.
+    It may have been replaced by another run under the same identity, which answers its
+    packets and may be in cold start. A lost one isn't even a last resort, since nothing
+    has confirmed that it still runs.
 
     Args:
-        tracked: An announced or restored start.
+        tracked: A restored start.
         limits: Limits of its service, None if the routing table has none.
     """
-    if not tracked.is_remembered:
-        return True
     is_limited = limits is not None and limits.cold_new_flows_per_s > 0
     return not is_limited and not tracked.is_lost
--- a/arbutuslift/coordination/routing/trackedflows.py
+++ b/arbutuslift/coordination/routing/trackedflows.py
@@ -50,18 +50,20 @@
         upstream.flow_count += 1
         return self.hedge
 
-    def settle_hedge(self, upstream: TrackedStart) -> "TrackedFlow":
+    def settle(self, upstream: TrackedStart, now_s: float) -> "TrackedFlow":
         """Return the flow at the upstream whose answer the caller has acknowledged.
 
-        The other one ends. If that is the second one, it hasn't failed: the first one
-        was only earlier.
+        The one at the other upstream ends. If that is the second one, it hasn't failed:
+        the first one was only earlier.
         """
         hedge, self.hedge = self.hedge, None
         if hedge is None:
+            self.answered_s = now_s
             return self
         kept, other = (hedge, self) if hedge.upstream is upstream else (self, hedge)
         other.uncount()
         hedge.is_open = True
+        kept.answered_s = now_s
         return kept
 
     def uncount(self) -> None:
--- a/arbutuslift/coordination/routing/upstreamselector.py
+++ b/arbutuslift/coordination/routing/upstreamselector.py
@@ -104,7 +104,7 @@
             for tracked in self._directory.of_service(service)
             if tracked.start.phase is Phase.READY
             and tracked.start.data_centre not in table.out_of_service
-            and may_receive_new_flows(tracked, limits)
+            and (not tracked.is_remembered or may_receive_new_flows(tracked, limits))
         ]
         warm = [tracked for tracked in usable if tracked.cold_until_s <= now_s]
         healthy = self._healthy(warm)
--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -166,7 +166,7 @@
         self._tasks.spawn(self._expire())
         self._tasks.spawn(self._send_queued())
         if self._hedger is not None:
-            self._tasks.spawn(self._hedger.run(self._receive, self._carry_out))
+            self._tasks.spawn(self._hedger.run(self._receive, self._send_hedge))
         await self._forward_waiting_packets()
         await self._open_readiness()
         _log.info("started", listen_port=settings.listen_port)
@@ -267,22 +267,24 @@
             _log.warning(Verdict.DROPPED_MALFORMED, reason=error.message)
             return
         decision = self._router.route(packet)
-        if decision.verdict is Verdict.NEW_FLOW:
+        verdict = decision.verdict
+        self.metrics.packets[verdict] += 1
+        if verdict is Verdict.NEW_FLOW:
             age_s = self._clock.monotonic_s() - self._last_answer_s
             self.metrics.view_age_s.observe(age_s)
             if self._hedger is not None:
                 self._hedger.add(packet)
-        self._carry_out(packet, decision)
-
-    def _carry_out(self, packet: CallerPacket, decision: Decision) -> None:
-        verdict = decision.verdict
-        self.metrics.packets[verdict] += 1
         if decision.upstream is not None and verdict not in RESET_VERDICTS:
             self._forward(packet, decision)
         elif verdict in RESET_VERDICTS and not packet.is_reset:
             self._reset(packet)
         self._decisions.log_decision(packet, decision, self._router.table)
 
+    def _send_hedge(self, packet: CallerPacket, decision: Decision) -> None:
+        self.metrics.packets[decision.verdict] += 1
+        self._forward(packet, decision)
+        self._decisions.log_decision(packet, decision, self._router.table)
+
     def _forward(self, packet: CallerPacket, decision: Decision) -> None:
         start = decision.upstream.start
         encapsulated = self._codec.encapsulate(
