--- a/arbutuslift/coordination/routing/synhedging.py
+++ b/arbutuslift/coordination/routing/synhedging.py
@@ -137,10 +137,14 @@
         """Add a flow that the router has just opened.
 
         The budget counts it. A copy of a SYN isn't hedged, since another instance may
-        have hedged the SYN.
+        have hedged the SYN, and neither is a SYN with data, which would run twice.
         """
         self._budget.record_flow()
-        if packet.ack > 0 or len(self._pending) >= MAX_PENDING:
+        if (
+            packet.ack > 0
+            or packet.data_length_bytes
+            or len(self._pending) >= MAX_PENDING
+        ):
             return
         route, flow = self._router.find_opening(packet)
         due_s = flow.opened_s + self.delay_s
--- a/arbutuslift/settingspage.py
+++ b/arbutuslift/settingspage.py
@@ -1,8 +1,12 @@
-"""Writes docs/settings.md from the flags of the daemon."""
+"""Writes docs/settings.md from the flags of the daemon and the load features."""
 
+import re
 import sys
 from pathlib import Path
 
+from attrs import fields
+
+from .rolesettings import LoadSettings
 from .settings import SETTING_FLAGS, SettingFlag
 
 _HEAD = """# Settings of arbutusliftd
@@ -17,10 +21,34 @@
 |---|---|---|---|---|
 """
 
+_LOAD_HEAD = """
+## Load features of entry instances
+
+Fields of `EntrySettings.load`; see [load.md](design/load.md).
+
+| field | default | meaning |
+|---|---|---|
+"""
+
 
 def render() -> str:
     """Return the text of the page."""
-    return _HEAD + "".join(map(_row, SETTING_FLAGS))
+    flag_rows = "".join(map(_row, SETTING_FLAGS))
+    return _HEAD + flag_rows + _LOAD_HEAD + "".join(_load_rows())
+
+
+def _load_rows() -> list[str]:
+    """Return a row for each load feature; the meanings are those of the docstring."""
+    text = " ".join(LoadSettings.__doc__.split())
+    names = [attribute.name for attribute in fields(LoadSettings)]
+    pattern = rf"\b({'|'.join(names)}): "
+    _, *pairs = re.split(pattern, text)
+    meanings = dict(zip(pairs[::2], pairs[1::2], strict=True))
+    return [
+        f"| `{attribute.name}` | {attribute.default} |"
+        f" {meanings[attribute.name].strip()} |\n"
+        for attribute in fields(LoadSettings)
+    ]
 
 
 def _row(flag: SettingFlag) -> str:
--- a/tests/coordination/routing/test_synhedging.py
+++ b/tests/coordination/routing/test_synhedging.py
@@ -30,8 +30,8 @@
         for number in range(answered):
             self.answer_in(1000 + number, 0.004)
 
-    def open(self, number, copies=0):
-        packet = caller_packet(number, is_syn=True, ack=copies)
+    def open(self, number, copies=0, **changes):
+        packet = caller_packet(number, is_syn=True, ack=copies, **changes)
         decision = self.router.route(packet)
         if decision.verdict is Verdict.NEW_FLOW:
             self.hedger.add(packet)
@@ -100,6 +100,14 @@
     assert harness.hedger.take_due() == []
 
 
+def test_syn_with_data_is_not_hedged():
+    """Guards against a request that runs twice."""
+    harness = HedgeHarness(start(1), start(2))
+    harness.open(1, data_length_bytes=100)
+    harness.wait(MAX_DELAY_S)
+    assert harness.hedger.take_due() == []
+
+
 def test_answered_and_ended_flows_are_not_hedged():
     harness = HedgeHarness(start(1), start(2))
     for number, is_reset in ((1, False), (2, True)):
