--- a/tests/builders.py
+++ b/tests/builders.py
@@ -12,9 +12,11 @@
     Document,
     Service,
 )
+from arbutuslift.protocol.loads import LoadReport, LoadSummary
 from arbutuslift.protocol.packets import PROTOCOL_TCP, SYN, encode_tcp
 from arbutuslift.rolesettings import EntrySettings
 from arbutuslift.state.flowkey import Endpoint, FlowKey
+from arbutuslift.state.loadfigures import ServiceDemand, ServiceLoad, UpstreamLoad
 from arbutuslift.state.routingtable import (
     Route,
     RoutingTable,
@@ -227,3 +229,60 @@
         "caller_ip": bytes([100, 64, *number.to_bytes(2, "big")]),
     }
     return CallerPacket(**(fields | changes))
+
+
+def upstream_load(number: int = 1, **changes) -> UpstreamLoad:
+    fields = {
+        "upstream_id": start(number).upstream_id,
+        "born_ms": start(number).born_ms,
+        "open_flows": 1,
+        "outstanding": 0.0,
+        "answered": 0,
+        "response_sum_ms": 0,
+        "failures": 0,
+    }
+    return UpstreamLoad(**(fields | changes))
+
+
+def service_demand(**changes) -> ServiceDemand:
+    fields = {
+        "service": "alerts",
+        "arrivals": 1,
+        "rejected": 0,
+        "remote": 0,
+        "outstanding": 0.0,
+    }
+    return ServiceDemand(**(fields | changes))
+
+
+def service_load(**changes) -> ServiceLoad:
+    fields = {
+        "service": "alerts",
+        "data_centre": "dc-1",
+        "upstreams": 1,
+        "slots": 2,
+        "outstanding": 0.0,
+        "demand_outstanding": 0.0,
+        "arrivals_per_s": 0.0,
+        "rejected_per_s": 0.0,
+        "remote_per_s": 0.0,
+        "response_ms": 0.0,
+        "age_ms": 0,
+    }
+    return ServiceLoad(**(fields | changes))
+
+
+def load_report(sequence: int = 1, **changes) -> LoadReport:
+    fields = {
+        "sequence": sequence,
+        "interval_ms": 1000,
+        "data_centre": "dc-1",
+        "upstreams": (),
+        "services": (),
+    }
+    return LoadReport(**(fields | changes))
+
+
+def load_summary(**changes) -> LoadSummary:
+    fields = {"instances": 1, "upstreams": (), "services": ()}
+    return LoadSummary(**(fields | changes))
