Tell the load tracker of flows, requests and answers

Cause: the tracker needs what the router sees of flows. Change: FlowTagRouter calls a FlowObserver, which does nothing unless one is given. A refusal counts for the first service of its route, since no start was selected. An answer that is acknowledged with the next request has no response time. Ruled out: callbacks one by one, as for suspicions; seven of them would be as many arguments.

--- a/arbutuslift/coordination/routing/flowtagrouter.py
+++ b/arbutuslift/coordination/routing/flowtagrouter.py
@@ -9,6 +9,7 @@
 from ...clock import Clock
 from ...state.routingtable import Route, RoutingTable
 from ...transport.callerpackets import CallerPacket
+from .flowobserver import FlowObserver
 from .outlierdetector import OutlierDetector
 from .trackedflows import EndReason, TrackedFlow, UnansweredRequest
 from .trackedstart import TrackedStart
@@ -90,6 +91,7 @@
         selector: Selects upstreams of new flows.
         on_suspicion: Called with the upstream of each flow without an answer.
         on_unanswered: Called with each request that ended without an answer.
+        observer: Counts flows, requests and answers.
 
     Attributes:
         table: Routing table in effect; None before the first.
@@ -103,6 +105,7 @@
         selector: UpstreamSelector,
         on_suspicion: Callable[[TrackedStart], None] = lambda tracked: None,
         on_unanswered: Callable[[UnansweredRequest], None] = lambda request: None,
+        observer: FlowObserver | None = None,
     ) -> None:
         self.table: RoutingTable | None = None
         self._clock = clock
@@ -111,6 +114,7 @@
         self._selector = selector
         self._on_suspicion = on_suspicion
         self._on_unanswered = on_unanswered
+        self._observer = observer or FlowObserver()
         self._routes: dict[tuple[bytes, int], Route] = {}
         self._flows: OrderedDict[bytes, TrackedFlow] = OrderedDict()
         self._opening_flows: deque[TrackedFlow] = deque()
@@ -141,6 +145,7 @@
     def expire(self) -> None:
         """Remove flows that have been idle for longer than the idle time-out."""
         self._check_opening_flows()
+        self._observer.expire()
         if self.table is None:
             return
         oldest_s = self._clock.monotonic_s() - self.table.idle_timeout_s
@@ -165,11 +170,14 @@
         excluded = self._failed_upstreams(packet, now_s)
         upstream = self._selector.select(route, self.table, excluded)
         if upstream is None:
+            self._observer.record_arrival(route.first_service, None)
             return Decision(Verdict.REFUSED_NO_UPSTREAM)
+        if verdict is Verdict.NEW_FLOW:
+            self._observer.record_arrival(upstream.start.service, upstream.start)
         if flow is not None:
             self._remove(packet.flow, flow, EndReason.REOPENED)
         flow = TrackedFlow(upstream, now_s, now_s)
-        self._add(packet.flow, flow)
+        self._add(packet.flow, flow, is_opening=True)
         self._record_opening(packet, flow)
         return Decision(verdict, upstream)
 
@@ -228,12 +236,16 @@
         if upstream.is_lost:
             self._remove_if_tracked(packet.flow, EndReason.RESET_HERE)
             return Decision(Verdict.RESET_UPSTREAM_LOST, upstream)
-        is_repeated = self._record_packet(packet, flow, upstream)
+        is_repeated = self._record_packet(packet, flow, upstream, route.timeout_s)
         verdict = Verdict.REPEATED if is_repeated else Verdict.FORWARDED
         return Decision(verdict, upstream)
 
     def _record_packet(
-        self, packet: CallerPacket, flow: TrackedFlow | None, upstream: TrackedStart
+        self,
+        packet: CallerPacket,
+        flow: TrackedFlow | None,
+        upstream: TrackedStart,
+        timeout_s: float,
     ) -> bool:
         """Update the flow and record whether its upstream answers.
 
@@ -247,15 +259,15 @@
             # Another instance handled the flow before. Its first packet here can't
             # show whether the upstream answers.
             flow = TrackedFlow(upstream, now_s, now_s, ack=packet.ack)
-            self._add(packet.flow, flow)
+            self._add(packet.flow, flow, is_opening=False)
         flow.last_seen_s = now_s
-        flow.is_open = True
+        if not flow.is_open:
+            flow.is_open = True
+            self._observer.record_progress(packet.flow)
         self._flows.move_to_end(packet.flow)
         if packet.ack != flow.ack:
-            if flow.is_awaiting_answer and not packet.data_length_bytes:
-                upstream.observe_response(now_s - flow.sent_s, now_s)
-            flow.is_awaiting_answer = False
-            flow.request = b""
+            if flow.is_awaiting_answer:
+                self._record_answer(packet, flow, now_s)
             flow.ack = packet.ack
             flow.is_failure_recorded = False
             self._outlier_detector.record_success(upstream.start.key)
@@ -267,18 +279,38 @@
         if packet.data_length_bytes and packet.seq != flow.sent_seq:
             flow.sent_seq = packet.seq
             flow.sent_s = now_s
-            if (
-                not flow.is_awaiting_answer
-                and len(self._flows) <= MAX_RETAINED_REQUESTS
-            ):
-                flow.request = packet.datagram
-            flow.is_awaiting_answer = True
+            if not flow.is_awaiting_answer:
+                self._begin_request(packet, flow, timeout_s)
         if packet.is_fin:
             self._end_request(packet.flow, flow, EndReason.CALLER_ENDED)
             self._decrement_load(flow)
         return is_repeated
 
+    def _begin_request(
+        self, packet: CallerPacket, flow: TrackedFlow, timeout_s: float
+    ) -> None:
+        flow.is_awaiting_answer = True
+        if len(self._flows) <= MAX_RETAINED_REQUESTS:
+            flow.request = packet.datagram
+        self._observer.begin_request(packet.flow, flow.upstream.start, timeout_s)
+
+    def _record_answer(
+        self, packet: CallerPacket, flow: TrackedFlow, now_s: float
+    ) -> None:
+        """Record the end of the flow's request.
+
+        An acknowledgement that comes with the next request tells no response time,
+        since the caller may have paused before it.
+        """
+        response_s = None if packet.data_length_bytes else now_s - flow.sent_s
+        if response_s is not None:
+            flow.upstream.observe_response(response_s, now_s)
+        flow.is_awaiting_answer = False
+        flow.request = b""
+        self._observer.end_request(packet.flow, response_s)
+
     def _report_failure(self, upstream: TrackedStart) -> None:
+        self._observer.record_failure(upstream.start)
         self._outlier_detector.record_failure(upstream.start.key)
         self._on_suspicion(upstream)
 
@@ -290,11 +322,12 @@
         repeated = packet.seq == flow.sent_seq
         return repeated and now_s - flow.sent_s >= ANSWER_TIMEOUT_S
 
-    def _add(self, key: bytes, flow: TrackedFlow) -> None:
+    def _add(self, key: bytes, flow: TrackedFlow, *, is_opening: bool) -> None:
         if len(self._flows) >= MAX_FLOWS:
             self._remove(*next(iter(self._flows.items())), EndReason.FORGOTTEN)
         self._flows[key] = flow
         flow.upstream.flow_count += 1
+        self._observer.open_flow(key, flow.upstream.start, is_opening=is_opening)
 
     def _remove_if_tracked(self, key: bytes, ending: EndReason) -> None:
         flow = self._flows.get(key)
@@ -308,6 +341,7 @@
 
     def _end_request(self, key: bytes, flow: TrackedFlow, ending: EndReason) -> None:
         """Report the flow's pending request, if any, as unanswered."""
+        self._observer.end_request(key, None)
         if not flow.is_awaiting_answer:
             return
         flow.is_awaiting_answer = False
@@ -327,3 +361,4 @@
         if flow.is_counted:
             flow.is_counted = False
             flow.upstream.flow_count -= 1
+            self._observer.close_flow(flow.upstream.start)
--- a/arbutuslift/state/routingtable.py
+++ b/arbutuslift/state/routingtable.py
@@ -38,6 +38,11 @@
     aim_s: float = 0.0
     timeout_s: float = 0.0
 
+    @property
+    def first_service(self) -> str:
+        """Return the first service that gets new flows, empty if none does."""
+        return next((share.service for share in self.shares if share.weight > 0), "")
+
 
 @frozen(kw_only=True)
 class ServiceLimits:
--- a/tests/coordination/routing/test_flowtagrouter.py
+++ b/tests/coordination/routing/test_flowtagrouter.py
@@ -20,8 +20,16 @@
 class RouterHarness:
     """A flow tag router and the objects that it uses, on a manual clock."""
 
-    def __init__(self, *starts, table=None, seed=1, data_centre="dc-1"):
-        self.clock = ManualClock()
+    def __init__(
+        self,
+        *starts,
+        table=None,
+        seed=1,
+        data_centre="dc-1",
+        clock=None,
+        observer=None,
+    ):
+        self.clock = clock or ManualClock()
         self.directory = UpstreamDirectory(self.clock)
         self.outlier_detector = OutlierDetector(self.clock)
         self.selector = UpstreamSelector(
@@ -38,6 +46,7 @@
             self.outlier_detector,
             self.selector,
             self.suspected.append,
+            observer=observer,
         )
         self.learn(*starts)
         self.router.apply(table or routing_table())
--- a/tests/coordination/routing/test_loadtracker.py
+++ b/tests/coordination/routing/test_loadtracker.py
@@ -1,12 +1,15 @@
 """Guards against load reports that misstate what passed through an instance."""
 
 import pytest
+from attrs import evolve
 
 from arbutuslift.clock import ManualClock
 from arbutuslift.coordination.routing.loadtracker import LoadTracker
+from arbutuslift.state.flowtags import tag_of
 from arbutuslift.state.loadfigures import ServiceDemand, UpstreamLoad
 
-from ...builders import start
+from ...builders import route, routing_table, start
+from .test_flowtagrouter import RouterHarness
 
 FLOW = b"flow"
 
@@ -99,3 +102,86 @@
     tracker.end_request(FLOW, 0.1)
     tracker.close_flow(start(1))
     assert tracker.take_report().upstreams == ()
+
+
+class TrackedRouter(RouterHarness):
+    """A router whose flows a tracker counts, with a time-out of 5 s on its route."""
+
+    def __init__(self, *starts):
+        table = routing_table(1, (evolve(route(), timeout_s=5.0),))
+        self.tracker = Tracker()
+        super().__init__(
+            *starts, table=table, clock=self.tracker.clock, observer=self.tracker
+        )
+
+    def outstanding(self, number=1):
+        return self.tracker.outstanding(start(number).key)
+
+    def report(self):
+        return self.tracker.take_report()
+
+
+def test_the_router_reports_a_request_and_its_answer():
+    entry = TrackedRouter(start(1))
+    entry.syn()
+    assert entry.outstanding() == 1
+    entry.data(data_length_bytes=0)
+    assert entry.outstanding() == 0
+    entry.data()
+    entry.wait(0.1)
+    entry.data()
+    assert entry.outstanding() == 1
+    entry.data(seq=101, ack=2, data_length_bytes=0)
+    assert entry.outstanding() == 0
+    (load,) = entry.report().upstreams
+    assert (load.open_flows, load.answered, load.response_sum_ms) == (1, 1, 100)
+
+
+def test_a_request_ends_with_its_flow():
+    """Guards against load that stays after callers reset or end their flows."""
+    for fields in ({"is_reset": True}, {"is_fin": True, "data_length_bytes": 0}):
+        entry = TrackedRouter(start(1))
+        entry.syn()
+        entry.data()
+        entry.wait(0.1)
+        entry.data(seq=101, **fields)
+        assert entry.outstanding() == 0
+        (load,) = entry.report().upstreams
+        assert (load.open_flows, load.answered) == (0, 0)
+
+
+def test_an_answer_acknowledged_with_the_next_request_has_no_response_time():
+    entry = TrackedRouter(start(1))
+    entry.data(tag=tag_of(start(1)))
+    entry.wait(3.0)
+    entry.data(seq=101, ack=2)
+    assert entry.outstanding() == 1
+    assert [row.answered for row in entry.report().upstreams] == [0]
+
+
+def test_a_moved_syn_is_one_arrival_and_a_failure():
+    entry = TrackedRouter(start(1), start(2))
+    first = entry.syn().upstream.start
+    entry.wait(0.2)
+    second = entry.syn(copies=1).upstream.start
+    assert entry.outstanding(first.number) == 0
+    assert entry.outstanding(second.number) == 1
+    report = entry.report()
+    assert [demand.arrivals for demand in report.services] == [1]
+    failures = {row.upstream_id: row.failures for row in report.upstreams}
+    assert failures == {first.upstream_id: 1, second.upstream_id: 0}
+
+
+def test_a_refused_flow_is_an_arrival_that_was_rejected():
+    entry = TrackedRouter()
+    entry.syn()
+    (demand,) = entry.report().services
+    assert (demand.service, demand.arrivals, demand.rejected) == ("alerts", 1, 1)
+
+
+def test_the_router_ends_requests_of_vanished_callers():
+    entry = TrackedRouter(start(1))
+    entry.data(tag=tag_of(start(1)))
+    entry.wait(5.1)
+    entry.router.expire()
+    assert entry.outstanding() == 0
