Send load reports to one control instance of a data centre

Cause: only a control instance that gets all reports of a data centre has the sum. LoadServer answers, and sends totals to the other control instances while there are reports.

--- /dev/null
+++ b/arbutuslift/coordination/dissemination/loadserver.py
@@ -0,0 +1,69 @@
+"""Control side of load reports: answers instances, updates other controls."""
+
+from collections.abc import Callable
+
+import structlog
+
+from ...clock import Clock
+from ...protocol.channel import Channel
+from ...protocol.loads import LoadReport, LoadSummary, LoadTotals
+from .loadregistry import LoadRegistry
+from .startregistry import StartRegistry
+
+TOTALS_INTERVAL_S = 1.0
+
+_log = structlog.get_logger()
+
+
+class LoadServer:
+    """Answers load reports, and sends totals to the other control instances.
+
+    Nothing is sent while no instance reports.
+
+    Args:
+        channel: Connection to the peers; the handlers of load are set on it.
+        clock: Source of time.
+        starts: Starts of upstreams.
+        controls: Returns the names of the other control instances.
+
+    Attributes:
+        registry: The reports and their sums.
+    """
+
+    def __init__(
+        self,
+        channel: Channel,
+        clock: Clock,
+        starts: StartRegistry,
+        controls: Callable[[], tuple[str, ...]],
+    ) -> None:
+        self.registry = LoadRegistry(clock, starts)
+        self._channel = channel
+        self._clock = clock
+        self._controls = controls
+        self._is_receiving = False
+        channel.register_handler(LoadReport, self._on_report)
+        channel.register_handler(LoadTotals, self._on_totals)
+
+    async def run(self) -> None:
+        """Send totals every second until cancelled."""
+        while True:
+            await self._clock.sleep(TOTALS_INTERVAL_S)
+            self._log_change()
+            totals = self.registry.totals()
+            if totals.services:
+                for name in self._controls():
+                    await self._channel.send(name, totals)
+
+    def _log_change(self) -> None:
+        count = self.registry.instance_count
+        if self._is_receiving != (count > 0):
+            self._is_receiving = count > 0
+            event = "load_reports_received" if count else "load_reports_ended"
+            _log.info(event, instances=count)
+
+    async def _on_report(self, peer: str, report: LoadReport) -> LoadSummary:
+        return self.registry.receive(peer, report)
+
+    async def _on_totals(self, peer: str, totals: LoadTotals) -> None:
+        self.registry.receive_totals(peer, totals, self._controls())
--- a/arbutuslift/protocol/loads.py
+++ b/arbutuslift/protocol/loads.py
@@ -90,6 +90,18 @@
     _check_rows(totals.services)
 
 
+def check_summary(summary: LoadSummary) -> None:
+    """Check the values of a summary; the codec has checked their types.
+
+    Raises:
+        MessageError: A value is negative, or there are too many rows.
+    """
+    if summary.instances < 0:
+        raise MessageError(f"instances {summary.instances}", step=STEP)
+    _check_rows(summary.upstreams)
+    _check_rows(summary.services)
+
+
 def _check_rows(rows: tuple[Row, ...]) -> None:
     if len(rows) > MAX_ROWS:
         raise MessageError(f"{len(rows)} rows, more than {MAX_ROWS}", step=STEP)
