Select upstreams by the load of all instances

Cause: the choice of an instance that sees 1/33 of the requests of a data centre is close to random. Change: UpstreamSelector asks SharedLoadChoice while the view is usable.

--- a/arbutuslift/coordination/routing/upstreamselector.py
+++ b/arbutuslift/coordination/routing/upstreamselector.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Sequence
+from typing import TYPE_CHECKING
 
 from ...clock import Clock
 from ...state.routingtable import Route, RoutingTable
@@ -10,6 +11,10 @@
 from .trackedstart import TrackedStart
 from .upstreamdirectory import UpstreamDirectory
 
+if TYPE_CHECKING:
+    # An entry process loads it only if load is reported.
+    from .sharedloadchoice import SharedLoadChoice
+
 # Flows to another data centre break when the connection between the two fails, and
 # their traffic costs more. While the own data centre has healthy upstreams, they are
 # opened only if these answer later than the remote ones by more than this; a request
@@ -32,6 +37,8 @@
         outlier_detector: Excludes upstreams that stop answering.
         data_centre: Data centre of this instance.
         rng: Draws services by weight and breaks ties between upstreams.
+        shared_choice: Chooses among upstreams while the load of all instances is known;
+            without it the flows of this instance decide.
 
     Attributes:
         entry_count: Entry instances that share the limit of a cold upstream.
@@ -44,6 +51,7 @@
         outlier_detector: OutlierDetector,
         data_centre: str,
         rng: random.Random,
+        shared_choice: "SharedLoadChoice | None" = None,
     ) -> None:
         self.entry_count = 1
         self._clock = clock
@@ -52,6 +60,7 @@
         self._outlier_detector = outlier_detector
         self._data_centre = data_centre
         self._rng = rng
+        self._shared_choice = shared_choice
         self._last_cold_flow_s: dict[tuple[str, int], float] = {}
 
     def select(
@@ -146,6 +155,8 @@
 
         With an equal share of flows, a slow upstream would delay all of them.
         """
+        if self._shared_choice is not None and self._shared_choice.is_usable:
+            return self._shared_choice.choose(starts)
         now_s = self._clock.monotonic_s()
         median_s = _median(_responses_s(starts, now_s))
 
