Send load messages compressed

Cause: an entry instance may spend 2 KB a second on load; a report on 15 upstreams and the summary of 26 took 2,081 bytes. Change: load messages travel in a CompressedLoad, their numbers as multiples of 1/1024. The body is expanded to at most the size of any message. Ruled out: integer fields on the wire, which need a second set of types and save less.

--- a/arbutuslift/coordination/dissemination/loadclient.py
+++ b/arbutuslift/coordination/dissemination/loadclient.py
@@ -9,7 +9,14 @@
 from ...clock import Clock
 from ...errors import ArbutusliftError, MessageError
 from ...protocol.channel import Channel
-from ...protocol.loads import LoadReport, LoadSummary, check_summary
+from ...protocol.loads import (
+    CompressedLoad,
+    LoadReport,
+    LoadSummary,
+    check_summary,
+    compress,
+    expand,
+)
 from ...state.hashing import rendezvous_order
 
 REPORT_INTERVAL_S = 1.0
@@ -124,13 +131,14 @@
         self._set_reporting_to("", 0)
 
     async def _request(self, name: str, report: LoadReport) -> LoadSummary:
-        answer = await self._channel.request(name, report, ANSWER_TIMEOUT_S)
-        if not isinstance(answer, LoadSummary):
+        answer = await self._channel.request(name, compress(report), ANSWER_TIMEOUT_S)
+        summary = expand(answer) if isinstance(answer, CompressedLoad) else answer
+        if not isinstance(summary, LoadSummary):
             raise MessageError(
                 "answer is not a LoadSummary", step="report load", peer=name
             )
-        check_summary(answer)
-        return answer
+        check_summary(summary)
+        return summary
 
     def _next_controls(self) -> list[str]:
         """Return the control instances to try, in order."""
--- a/arbutuslift/coordination/dissemination/loadserver.py
+++ b/arbutuslift/coordination/dissemination/loadserver.py
@@ -1,12 +1,21 @@
 """Control side of load reports: answers instances, updates other controls."""
 
 from collections.abc import Callable
+from functools import singledispatchmethod
 
 import structlog
 
 from ...clock import Clock
+from ...errors import MessageError
 from ...protocol.channel import Channel
-from ...protocol.loads import LoadReport, LoadSummary, LoadTotals
+from ...protocol.loads import (
+    CompressedLoad,
+    LoadReport,
+    LoadTotals,
+    compress,
+    expand,
+)
+from ...protocol.messages import Message
 from .loadregistry import LoadRegistry
 from .startregistry import StartRegistry
 
@@ -42,8 +51,7 @@
         self._clock = clock
         self._controls = controls
         self._is_receiving = False
-        channel.register_handler(LoadReport, self._on_report)
-        channel.register_handler(LoadTotals, self._on_totals)
+        channel.register_handler(CompressedLoad, self._on_load)
 
     async def run(self) -> None:
         """Send totals every second until cancelled."""
@@ -52,8 +60,9 @@
             self._log_change()
             totals = self.registry.totals()
             if totals.services:
+                message = compress(totals)
                 for name in self._controls():
-                    await self._channel.send(name, totals)
+                    await self._channel.send(name, message)
 
     def _log_change(self) -> None:
         count = self.registry.instance_count
@@ -62,8 +71,19 @@
             event = "load_reports_received" if count else "load_reports_ended"
             _log.info(event, instances=count)
 
-    async def _on_report(self, peer: str, report: LoadReport) -> LoadSummary:
-        return self.registry.receive(peer, report)
+    async def _on_load(self, peer: str, message: CompressedLoad) -> Message | None:
+        return self._receive(expand(message), peer)
 
-    async def _on_totals(self, peer: str, totals: LoadTotals) -> None:
-        self.registry.receive_totals(peer, totals, self._controls())
+    @singledispatchmethod
+    def _receive(self, message: Message, peer: str) -> Message | None:
+        name = type(message).__name__
+        raise MessageError(f"unexpected {name}", step="receive load", peer=peer)
+
+    @_receive.register
+    def _(self, message: LoadReport, peer: str) -> Message | None:
+        return compress(self.registry.receive(peer, message))
+
+    @_receive.register
+    def _(self, message: LoadTotals, peer: str) -> Message | None:
+        self.registry.receive_totals(peer, message, self._controls())
+        return None
--- a/arbutuslift/protocol/loads.py
+++ b/arbutuslift/protocol/loads.py
@@ -1,10 +1,19 @@
-"""Messages by which instances share their load."""
+"""Messages by which instances share their load.
 
+They are sent compressed: a summary of 26 upstreams would take most of the 2 KB that an
+entry instance may spend on load in a second.
+"""
+
+import zlib
+from typing import Any
+
+import msgpack
 from attrs import fields, frozen
 
 from ..errors import MessageError
+from ..state.fieldcodec import to_row
 from ..state.loadfigures import ServiceDemand, ServiceLoad, UpstreamLoad
-from .messages import Message, register
+from .messages import MAX_MESSAGE_BYTES, Message, decode, register
 
 STEP = "check load"
 # An instance that was suspended reports its first interval afterwards as a whole.
@@ -15,6 +24,10 @@
 # Values of the codec may be integers of any size; sums of larger ones aren't exact.
 MAX_VALUE = 2**53
 
+# Numbers are sent as multiples of 1/1024, whose zero bytes compress well.
+FRACTION = 1024
+_COMPRESSION_LEVEL = 1
+
 Row = UpstreamLoad | ServiceDemand | ServiceLoad
 
 
@@ -67,6 +80,52 @@
     services: tuple[ServiceLoad, ...]
 
 
+@register
+@frozen(kw_only=True)
+class CompressedLoad(Message):
+    """Carries one of the messages above; the answer to a report is one as well.
+
+    Attributes:
+        body: The encoded message, compressed.
+    """
+
+    body: bytes
+
+
+def compress(message: Message) -> CompressedLoad:
+    """Return a message in compressed form, its numbers rounded."""
+    content = [type(message).__name__, _rounded(to_row(message))]
+    return CompressedLoad(
+        body=zlib.compress(msgpack.packb(content), _COMPRESSION_LEVEL)
+    )
+
+
+def expand(compressed: CompressedLoad) -> Message:
+    """Return the message in compressed form.
+
+    Raises:
+        MessageError: The body is malformed or too large.
+    """
+    try:
+        expander = zlib.decompressobj()
+        body = expander.decompress(compressed.body, MAX_MESSAGE_BYTES)
+    except zlib.error as error:
+        raise MessageError(f"malformed: {error}", step=STEP) from error
+    if not expander.eof:
+        raise MessageError(
+            f"truncated or over {MAX_MESSAGE_BYTES} bytes expanded", step=STEP
+        )
+    return decode(body)
+
+
+def _rounded(value: Any) -> Any:
+    if type(value) is list:
+        return [_rounded(item) for item in value]
+    if type(value) is float:
+        return round(value * FRACTION) / FRACTION
+    return value
+
+
 def check_report(report: LoadReport) -> None:
     """Check the values of a report; the codec has checked their types.
 
