Connect load reports to entry and control instances

Cause: the parts of load reports weren't used. Change: an entry instance whose settings say is_load_reported reports its load and selects upstreams by that of all; without it, LoadFeatures stands in and does nothing, and no module of load reports is imported. Control instances answer reports whenever they come, and send totals while they get some. Both roles have metrics; the page for operators has them and the new events.

--- a/arbutuslift/control.py
+++ b/arbutuslift/control.py
@@ -17,8 +17,10 @@
 from .coordination.agreement.orderprocessor import OrderProcessor
 from .coordination.concurrency import TaskSet
 from .coordination.dissemination.feedserver import FeedServer
+from .coordination.dissemination.loadserver import LoadServer
 from .coordination.dissemination.startpersistence import StartPersistence
 from .errors import AnnouncementError, ArbutusliftError, StorageError
+from .loadmetrics import control_load_families
 from .protocol.channel import Channel
 from .roleinstance import RoleInstance
 from .rolesettings import ControlSettings
@@ -85,6 +87,7 @@
 
     Attributes:
         feed: Feed to which entry instances subscribe.
+        load: Load that entry instances report.
         metrics: Metrics of this instance.
     """
 
@@ -98,6 +101,7 @@
     ) -> None:
         super().__init__("run control instance", clock, stack, on_failure)
         self.feed: FeedServer | None = None
+        self.load: LoadServer | None = None
         self.metrics = ControlMetrics()
         self._settings = settings
         self._read_table = read_table
@@ -132,6 +136,12 @@
             settings.announcement_interval_s,
             self._get_other_control_names,
         )
+        self.load = LoadServer(
+            self._channel,
+            self._clock,
+            self.feed.registry,
+            self._get_other_control_names,
+        )
         store = DiskStartStore(settings.data_folder)
         persistence = StartPersistence(self.feed.registry, store, self._clock)
         persistence.restore()
@@ -139,6 +149,7 @@
         self._tasks.spawn(persistence.run())
         self._tasks.spawn(self._supervise_member())
         self._tasks.spawn(self.feed.run())
+        self._tasks.spawn(self.load.run())
         _log.info("started", name=settings.name, seeds=",".join(settings.seeds))
 
     async def stop(self) -> None:
@@ -191,7 +202,10 @@
 
     def families(self) -> "list[MetricFamily]":
         """Return all metric families with their current values."""
-        return self.metrics.families(self.feed, self._table)
+        return [
+            *self.metrics.families(self.feed, self._table),
+            *control_load_families(self.load.registry),
+        ]
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Use the seeds of changed settings."""
--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -26,6 +26,7 @@
 from .decisionlog import DecisionLog
 from .entrymetrics import EntryMetrics
 from .errors import PacketError
+from .loadfeatures import make_load_features
 from .protocol.channel import Channel
 from .protocol.feed import FeedAnswer
 from .roleinstance import RoleInstance
@@ -93,12 +94,14 @@
         self._decisions = DecisionLog(codec)
         self._directory = UpstreamDirectory(clock)
         self._outlier_detector = OutlierDetector(clock)
+        self._load = make_load_features(settings, clock, self._directory)
         self._selector = UpstreamSelector(
             clock,
             self._directory,
             self._outlier_detector,
             settings.data_centre,
             random.Random(),
+            self._load.shared_choice,
         )
         self._health_checker = HealthChecker(
             clock,
@@ -115,8 +118,11 @@
             self._selector,
             self._health_checker.check,
             self._decisions.log_unanswered_request,
+            self._load.observer,
+        )
+        self.metrics = EntryMetrics(
+            self._router, self._directory, self._egress, self._load
         )
-        self.metrics = EntryMetrics(self._router, self._directory, self._egress)
         self._last_answer_s = clock.monotonic_s()
         self._feed: FeedClient | None = None
 
@@ -135,8 +141,9 @@
         settings = self._settings
         self._stack.callback(self._socket.close)
         self._stack.callback(self._tasks.cancel)
+        channel = Channel(self._make_bus(settings.name))
         self._feed = FeedClient(
-            Channel(self._make_bus(settings.name)),
+            channel,
             self._clock,
             settings.seeds,
             settings.data_centre,
@@ -145,6 +152,7 @@
             self._directory.remove_source,
         )
         self._tasks.spawn(self._feed.run())
+        self._load.start(channel, self._tasks)
         self._tasks.spawn(self._expire())
         self._tasks.spawn(self._send_queued())
         await self._clock.sleep(FIRST_REQUEST_WAIT_S)
@@ -300,6 +308,7 @@
 
     def _on_answer(self, source: str, answer: FeedAnswer) -> None:
         self._last_answer_s = self._clock.monotonic_s()
+        self._load.on_feed_answer(answer)
         changed = self._directory.merge_feed_answer(
             source,
             answer.news,
--- a/arbutuslift/entrymetrics.py
+++ b/arbutuslift/entrymetrics.py
@@ -8,6 +8,7 @@
 from .coordination.routing.flowtagrouter import FlowTagRouter, Verdict
 from .coordination.routing.upstreamdirectory import UpstreamDirectory
 from .histograms import Histogram, doubling_bounds
+from .loadfeatures import LoadFeatures
 
 if TYPE_CHECKING:
     from .metricfamilies import MetricFamily
@@ -20,6 +21,7 @@
         router: Holds the flows and the routing table in effect.
         directory: Holds the upstreams.
         egress: Holds the packets that wait for the link.
+        load: Load features, with metrics of their own.
 
     Attributes:
         packets: Number of packets by verdict.
@@ -29,7 +31,11 @@
     """
 
     def __init__(
-        self, router: FlowTagRouter, directory: UpstreamDirectory, egress: EgressQueue
+        self,
+        router: FlowTagRouter,
+        directory: UpstreamDirectory,
+        egress: EgressQueue,
+        load: LoadFeatures | None = None,
     ) -> None:
         self.packets: Counter[Verdict] = Counter()
         self.packet_duration_s = Histogram(doubling_bounds(0.00002, 16))
@@ -38,6 +44,7 @@
         self._router = router
         self._directory = directory
         self._egress = egress
+        self._load = load or LoadFeatures()
 
     def families(self) -> "list[MetricFamily]":
         """Return all metric families with their current values."""
@@ -95,4 +102,5 @@
                 help_text="Age of what control instances said, when a flow opened.",
                 histogram=self.view_age_s,
             ),
+            *self._load.families(),
         ]
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -12,16 +12,19 @@
 from arbutuslift.controlmetrics import ControlMetrics
 from arbutuslift.coordination.agreement.store import MemberStatus
 from arbutuslift.coordination.dissemination.feedserver import FeedServer
+from arbutuslift.coordination.dissemination.loadregistry import LoadRegistry
 from arbutuslift.coordination.routing.flowtagrouter import Verdict as FlowVerdict
 from arbutuslift.coordination.routing.forwarding import BAD_PACKET
 from arbutuslift.coordination.routing.slotrouter import Verdict
 from arbutuslift.ctl import COMMANDS
 from arbutuslift.entrymetrics import EntryMetrics
 from arbutuslift.explanation import explain
+from arbutuslift.loadmetrics import control_load_families, entry_load_families
 from arbutuslift.protocol.channel import Channel
+from arbutuslift.sharedload import SharedLoad
 from arbutuslift.transport.bus import MemoryNetwork
 
-from .builders import egress_queue
+from .builders import egress_queue, entry_settings
 from .coordination.routing.test_flowtagrouter import RouterHarness
 from .fakes import FakeSystem
 
@@ -97,5 +100,9 @@
             entry.router, entry.directory, egress_queue(entry.clock)
         ).families(),
         *ControlMetrics().families(feed, None),
+        *entry_load_families(
+            SharedLoad(entry_settings(), entry.clock, entry.directory)
+        ),
+        *control_load_families(LoadRegistry(entry.clock, feed.registry)),
     ]
     assert {family.name for family in families if family.name not in PAGE} == set()
