Spend less processor time on shared load

Cause: choosing by shared load took 79 us among 25 upstreams, 39 us without it; the bound is 5% more per packet. Change: limits and penalties are computed once for each summary, not for each flow. The tracker keeps its averages by one addition for each change, and looks at flows without an outstanding request only once. Measured, beside other load: a selection among 25 upstreams 25 us (median 40) alone and 34 (42) with shared load, among 20 21 (28) and 19 (26).

--- a/arbutuslift/coordination/routing/loadtracker.py
+++ b/arbutuslift/coordination/routing/loadtracker.py
@@ -32,25 +32,23 @@
 
     Attributes:
         now: The present number.
-        changed_s: When it last changed, or when the interval began.
-        sum_s: Integral of the number over the interval until then.
+        sum_s: With ``now`` times the present time added, the integral of the number
+            over the interval.
     """
 
-    now: int
-    changed_s: float
+    now: int = 0
     sum_s: float = 0.0
 
     def add(self, change: int, now_s: float) -> None:
         """Change the number."""
-        self.sum_s += self.now * (now_s - self.changed_s)
         self.now += change
-        self.changed_s = now_s
+        self.sum_s -= change * now_s
 
     def take_mean(self, now_s: float, interval_s: float) -> float:
         """Return the average over the interval and begin the next one."""
-        self.add(0, now_s)
-        mean, self.sum_s = self.sum_s / interval_s, 0.0
-        return mean
+        integral_s = self.sum_s + self.now * now_s
+        self.sum_s = -self.now * now_s
+        return max(0.0, integral_s / interval_s)
 
 
 @define
@@ -144,7 +142,7 @@
 
     def record_arrival(self, service: str, start: UpstreamStart | None) -> None:
         """Count a new flow and whether it was rejected or sent elsewhere."""
-        counts = self._service(service, self._clock.monotonic_s())
+        counts = self._service(service)
         counts.arrivals += 1
         if start is None:
             counts.rejected += 1
@@ -153,9 +151,9 @@
 
     def open_flow(self, flow: bytes, start: UpstreamStart, *, is_opening: bool) -> None:
         """Count a flow as open, and as outstanding if its SYN has just been sent."""
-        now_s = self._clock.monotonic_s()
-        self._start(start.key, now_s).open_flows += 1
+        self._start(start.key).open_flows += 1
         if is_opening:
+            now_s = self._clock.monotonic_s()
             self._add(flow, start, True, now_s, now_s + OPENING_TIMEOUT_S)
 
     def close_flow(self, start: UpstreamStart) -> None:
@@ -169,7 +167,8 @@
     ) -> None:
         """Count a request as outstanding until its end or its time-out."""
         now_s = self._clock.monotonic_s()
-        self._remove(flow, now_s)
+        if flow in self._outstanding:
+            self._remove(flow, now_s)
         end_s = now_s + timeout_s if timeout_s > 0 else float("inf")
         self._add(flow, start, False, now_s, end_s)
 
@@ -181,14 +180,16 @@
 
     def end_request(self, flow: bytes, response_s: float | None) -> None:
         """Count the end of a request and its response time if it is known."""
+        if flow not in self._outstanding:
+            return
         ended = self._remove(flow, self._clock.monotonic_s())
-        if ended is not None and response_s is not None:
+        if response_s is not None:
             ended.start.answered += 1
             ended.start.response_sum_s += response_s
 
     def record_failure(self, start: UpstreamStart) -> None:
         """Count a failure of a start."""
-        self._start(start.key, self._clock.monotonic_s()).failures += 1
+        self._start(start.key).failures += 1
 
     def expire(self) -> None:
         """Remove requests whose callers have given up without ending their flows."""
@@ -206,8 +207,8 @@
         end_s: float,
     ) -> None:
         outstanding = _Outstanding(
-            self._start(start.key, now_s),
-            self._service(start.service, now_s),
+            self._start(start.key),
+            self._service(start.service),
             is_opening,
             end_s,
         )
@@ -215,23 +216,22 @@
         outstanding.service.level.add(1, now_s)
         self._outstanding[flow] = outstanding
 
-    def _remove(self, flow: bytes, now_s: float) -> _Outstanding | None:
-        outstanding = self._outstanding.pop(flow, None)
-        if outstanding is not None:
-            outstanding.start.level.add(-1, now_s)
-            outstanding.service.level.add(-1, now_s)
+    def _remove(self, flow: bytes, now_s: float) -> _Outstanding:
+        outstanding = self._outstanding.pop(flow)
+        outstanding.start.level.add(-1, now_s)
+        outstanding.service.level.add(-1, now_s)
         return outstanding
 
-    def _start(self, key: tuple[str, int], now_s: float) -> _StartCounts:
+    def _start(self, key: tuple[str, int]) -> _StartCounts:
         counts = self._starts.get(key)
         if counts is None:
-            counts = self._starts[key] = _StartCounts(_Level(0, now_s))
+            counts = self._starts[key] = _StartCounts(_Level())
         return counts
 
-    def _service(self, name: str, now_s: float) -> _ServiceCounts:
+    def _service(self, name: str) -> _ServiceCounts:
         counts = self._services.get(name)
         if counts is None:
-            counts = self._services[name] = _ServiceCounts(_Level(0, now_s))
+            counts = self._services[name] = _ServiceCounts(_Level())
         return counts
 
     def _take_start(
--- a/arbutuslift/coordination/routing/loadview.py
+++ b/arbutuslift/coordination/routing/loadview.py
@@ -20,10 +20,12 @@
     Attributes:
         instances: Instances whose reports the newest summary contains, 0 before the
             first.
+        summaries: Number of summaries so far.
     """
 
     def __init__(self, clock: Clock) -> None:
         self.instances = 0
+        self.summaries = 0
         self._clock = clock
         self._updated_s = float("-inf")
         self._upstreams: dict[tuple[str, int], UpstreamLoad] = {}
@@ -49,6 +51,7 @@
         """
         self._updated_s = self._clock.monotonic_s()
         self.instances = summary.instances
+        self.summaries += 1
         self._upstreams = {
             (load.upstream_id, load.born_ms): load for load in summary.upstreams
         }
--- a/arbutuslift/coordination/routing/sharedloadchoice.py
+++ b/arbutuslift/coordination/routing/sharedloadchoice.py
@@ -3,6 +3,8 @@
 import random
 from collections.abc import Sequence
 
+from attrs import field, frozen
+
 from .loadtracker import LoadTracker
 from .loadview import LoadView
 from .trackedstart import TrackedStart
@@ -14,6 +16,34 @@
 # that all followed them would send the next second's requests to the same upstreams.
 EXCESS_FACTOR = 3.0
 
+Key = tuple[str, int]
+
+
+@frozen
+class _Penalty:
+    """Why an upstream gets fewer new flows until the next summary.
+
+    Attributes:
+        excess: Requests through other instances above the limit.
+        weight: Its weight.
+    """
+
+    excess: float
+    weight: float
+
+
+@frozen
+class _Group:
+    """Upstreams of one service and data centre until the next summary.
+
+    Attributes:
+        limit_per_slot: What may be outstanding through other instances.
+        penalties: Penalties of the starts that were candidates, None without one.
+    """
+
+    limit_per_slot: float
+    penalties: dict[Key, _Penalty | None] = field(factory=dict)
+
 
 class SharedLoadChoice:
     """Chooses the upstream with the least requests for each slot.
@@ -39,6 +69,9 @@
         self._tracker = tracker
         self._weights = weights
         self._rng = rng
+        self._summary_number = 0
+        # Computing the penalties for each flow would double the time of a selection.
+        self._groups: dict[tuple[str, str], _Group] = {}
 
     @property
     def is_usable(self) -> bool:
@@ -46,24 +79,51 @@
         return self._view.is_usable
 
     def choose(self, starts: Sequence[TrackedStart]) -> TrackedStart | None:
-        """Return the start for a new flow, None if there are no starts."""
-        elsewhere = [self._view.outstanding_elsewhere(k.start.key) for k in starts]
-        slots = sum(max(1, tracked.start.slots) for tracked in starts)
-        limit_per_slot = EXCESS_FACTOR * sum(elsewhere) / max(1, slots)
+        """Return the start for a new flow, None if there are no starts.
+
+        Args:
+            starts: Starts of one service.
+        """
+        if not starts:
+            return None
+        group = self._group_of(starts)
+        penalties = group.penalties
+        outstanding, draw = self._tracker.outstanding, self._rng.random
         best, least = None, float("inf")
-        for tracked, outstanding in zip(starts, elsewhere, strict=True):
-            estimate = self._estimate(tracked, outstanding, limit_per_slot)
+        for tracked in starts:
+            start = tracked.start
+            key = start.key
+            estimate = outstanding(key) + draw()
+            if key not in penalties:
+                penalties[key] = self._penalty_of(tracked, group.limit_per_slot)
+            penalty = penalties[key]
+            if penalty is not None:
+                estimate = (estimate + penalty.excess) / penalty.weight
+            estimate /= start.slots or 1
             if estimate < least:
                 best, least = tracked, estimate
         return best
 
-    def _estimate(
-        self, tracked: TrackedStart, elsewhere: float, limit_per_slot: float
-    ) -> float:
-        """Return the requests for each slot, divided by the weight."""
+    def _group_of(self, starts: Sequence[TrackedStart]) -> _Group:
+        """Return the group of the starts, computed once for each summary."""
+        if self._summary_number != self._view.summaries:
+            self._summary_number = self._view.summaries
+            self._groups.clear()
+        first = starts[0].start
+        key = (first.service, first.data_centre)
+        group = self._groups.get(key)
+        if group is None:
+            elsewhere = [self._view.outstanding_elsewhere(k.start.key) for k in starts]
+            slots = sum(tracked.start.slots or 1 for tracked in starts)
+            limit_per_slot = EXCESS_FACTOR * sum(elsewhere) / slots
+            group = self._groups[key] = _Group(limit_per_slot)
+        return group
+
+    def _penalty_of(
+        self, tracked: TrackedStart, limit_per_slot: float
+    ) -> _Penalty | None:
         start = tracked.start
-        slots = max(1, start.slots)
-        excess = max(0.0, elsewhere - limit_per_slot * slots)
-        own = self._tracker.outstanding(start.key)
-        weighted_slots = slots * self._weights.weight(start.key)
-        return (own + excess + self._rng.random()) / weighted_slots
+        elsewhere = self._view.outstanding_elsewhere(start.key)
+        excess = max(0.0, elsewhere - limit_per_slot * (start.slots or 1))
+        weight = self._weights.weight(start.key)
+        return _Penalty(excess, weight) if excess or weight < 1.0 else None
