--- a/tests/builders.py
+++ b/tests/builders.py
@@ -5,6 +5,7 @@
 from attrs import asdict, fields
 from hypothesis import strategies as st
 
+from arbutuslift.coordination.routing.centreloads import CentreLoad
 from arbutuslift.coordination.routing.egressqueue import EgressQueue
 from arbutuslift.protocol.document import (
     Configuration,
@@ -286,3 +287,15 @@
 def load_summary(**changes) -> LoadSummary:
     fields = {"instances": 1, "upstreams": (), "services": ()}
     return LoadSummary(**(fields | changes))
+
+
+def centre_load(**changes) -> CentreLoad:
+    """Return the load of 20 upstreams with 2 slots each and requests of 55 ms."""
+    fields = {
+        "data_centre": "dc-1",
+        "rate_per_s": 0.0,
+        "capacity_per_s": 727.0,
+        "service_s": 0.055,
+        "upstream_slots": 2,
+    }
+    return CentreLoad(**(fields | changes))
