Bound the change of fractions in use, also of many small ones

Change: fractions are 0 or at least 0.02, and the largest changes are made first. A data centre out of service is removed at once, without using up the step of the others.

--- a/arbutuslift/coordination/routing/localityfractions.py
+++ b/arbutuslift/coordination/routing/localityfractions.py
@@ -1,6 +1,6 @@
 """Fractions of the new flows of one service that go to other data centres."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from attrs import define, field
 
@@ -32,43 +32,49 @@
         """Return the fraction that goes to all other data centres."""
         return sum(self.by_data_centre.values())
 
-    def in_use(self) -> dict[str, float]:
-        """Return the fractions that are large enough to be used."""
-        return {
-            name: fraction
-            for name, fraction in sorted(self.by_data_centre.items())
-            if fraction >= MIN_FRACTION
-        }
-
     def step_towards(self, target: Mapping[str, float]) -> None:
-        """Change the fractions by at most ``MAX_STEP`` in all towards a target."""
+        """Change the fractions towards a target.
+
+        All rises together are at most ``MAX_STEP``, and so are all falls. The largest
+        changes are made first, since parts of a step below ``MIN_FRACTION`` can't be
+        used.
+        """
         target = {k: v for k, v in target.items() if v >= MIN_FRACTION}
-        names = sorted({*target, *self.by_data_centre})
         changes = {
             name: target.get(name, 0.0) - self.by_data_centre.get(name, 0.0)
-            for name in names
+            for name in sorted({*target, *self.by_data_centre})
         }
         if self._is_small(changes) and not self._exceeds(target):
             return
-        rise = sum(change for change in changes.values() if change > 0)
-        fall = -sum(change for change in changes.values() if change < 0)
-        if not rise and not fall:
-            return
-        self._is_rising = rise > fall
-        scale = min(1.0, MAX_STEP / max(rise, fall))
-        moved = {
-            name: self.by_data_centre.get(name, 0.0) + scale * change
-            for name, change in changes.items()
-        }
-        self.by_data_centre = {
-            name: fraction
-            for name, fraction in moved.items()
-            if name in target or fraction >= MIN_FRACTION
-        }
+        before = self.total
+        rise, fall = MAX_STEP, MAX_STEP
+        for name in sorted(changes, key=lambda name: -abs(changes[name])):
+            change = max(-fall, min(rise, changes[name]))
+            self._set(name, change, target.get(name, 0.0))
+            rise -= max(0.0, change)
+            fall -= max(0.0, -change)
+        if self.total != before:
+            self._is_rising = self.total > before
+
+    def _set(self, name: str, change: float, target: float) -> None:
+        """Change one fraction; it stays 0 or at least ``MIN_FRACTION``."""
+        current = self.by_data_centre.get(name, 0.0)
+        # A sum of steps differs from the target by rounding.
+        fraction = target if abs(current + change - target) < 1e-9 else current + change
+        if 0 < fraction < MIN_FRACTION:
+            fraction = min(current, MIN_FRACTION)
+        self.by_data_centre[name] = fraction
+        if not fraction:
+            del self.by_data_centre[name]
+
+    def remove(self, data_centres: Iterable[str]) -> None:
+        """Set the fractions of data centres that get no new flows to 0 at once."""
+        for name in data_centres:
+            self.by_data_centre.pop(name, None)
 
     def replace(self, fractions: Mapping[str, float]) -> None:
         """Set the fractions to what already happens."""
-        self.by_data_centre = dict(fractions)
+        self.by_data_centre = {k: v for k, v in fractions.items() if v >= MIN_FRACTION}
         self._is_rising = True
 
     def _exceeds(self, target: Mapping[str, float]) -> bool:
