--- a/tests/builders.py
+++ b/tests/builders.py
@@ -204,9 +204,9 @@
     )
 
 
-def route(port: int = 443, services=("alerts",)) -> Route:
+def route(port: int = 443, services=("alerts",), **changes) -> Route:
     shares = tuple(ServiceShare(service=name, weight=1) for name in services)
-    return Route(ip=SERVICE.ip, port=port, shares=shares)
+    return Route(ip=SERVICE.ip, port=port, shares=shares, **changes)
 
 
 def routing_table(revision: int = 1, routes=None, **changes) -> RoutingTable:
