Let locality choose the data centre of a new flow where it is set

Cause: the selector asks the response times of its own instance. Change: with UpstreamSelector.locality, it offers the eligible upstreams by data centre and takes those of the chosen one. Without it _prefer_local decides as before; cold upstreams and the last resort are unchanged in both cases. Measured: tests of the selector and of the router pass.

--- a/arbutuslift/coordination/routing/upstreamselector.py
+++ b/arbutuslift/coordination/routing/upstreamselector.py
@@ -12,7 +12,8 @@
 from .upstreamdirectory import UpstreamDirectory
 
 if TYPE_CHECKING:
-    # An entry process loads it only if load is reported.
+    # An entry process loads these only if settings ask for them.
+    from .locality import LocalityWeights
     from .sharedloadchoice import SharedLoadChoice
 
 # Flows to another data centre break when the connection between the two fails, and
@@ -42,6 +43,8 @@
 
     Attributes:
         entry_count: Entry instances that share the limit of a cold upstream.
+        locality: Decides the data centre of a new flow by the load of all of them;
+            without it the response times at this instance decide.
     """
 
     def __init__(
@@ -54,6 +57,7 @@
         shared_choice: "SharedLoadChoice | None" = None,
     ) -> None:
         self.entry_count = 1
+        self.locality: LocalityWeights | None = None
         self._clock = clock
         self._started_s = clock.monotonic_s()
         self._directory = directory
@@ -109,7 +113,7 @@
             tracked for tracked in healthy if tracked.start.key not in excluded
         ]
         if candidates:
-            return self._least_loaded(self._prefer_local(candidates))
+            return self._least_loaded(self._of_data_centre(service, candidates))
         interval_s = self._cold_interval_s(service, table)
         cold = [
             tracked
@@ -167,6 +171,18 @@
 
         return min(starts, key=cost, default=None)
 
+    def _of_data_centre(
+        self, service: str, starts: list[TrackedStart]
+    ) -> list[TrackedStart]:
+        """Return the starts of the data centre to which the flow goes."""
+        if self.locality is None:
+            return self._prefer_local(starts)
+        by_data_centre: dict[str, list[TrackedStart]] = {}
+        for tracked in starts:
+            by_data_centre.setdefault(tracked.start.data_centre, []).append(tracked)
+        chosen = self.locality.choose(service, by_data_centre, self._rng)
+        return by_data_centre[chosen]
+
     def _prefer_local(self, starts: list[TrackedStart]) -> list[TrackedStart]:
         """Return the starts of the own data centre unless they answer late."""
         local = [k for k in starts if k.start.data_centre == self._data_centre]
--- a/tests/coordination/routing/test_upstreamselector.py
+++ b/tests/coordination/routing/test_upstreamselector.py
@@ -97,3 +97,49 @@
     clock.jump(RESPONSE_MAX_AGE_S + 1)
     selected = [selector.select(route(), cold_table(0.0)) for _ in range(3)]
     assert all(upstream is starts[0] for upstream in selected)
+
+
+class FixedLocality:
+    """A choice of data centre that doesn't depend on load."""
+
+    def __init__(self, chosen):
+        self.chosen = chosen
+        self.offered = {}
+
+    def choose(self, service, candidates_by_data_centre, rng):
+        assert service == "alerts"
+        self.offered = candidates_by_data_centre
+        return self.chosen
+
+
+def open_selector_of_two_data_centres():
+    clock = ManualClock()
+    directory = UpstreamDirectory(clock)
+    records = [
+        StartNews(start=start(n, data_centre=f"dc-{1 + n % 2}"), is_silent=False)
+        for n in range(4)
+    ]
+    directory.merge_feed_answer("a", records, is_first=True, is_settled=True)
+    return UpstreamSelector(
+        clock, directory, OutlierDetector(clock), "dc-1", random.Random(1)
+    )
+
+
+def test_locality_chooses_among_data_centres_in_service():
+    """Guards against new flows to a data centre out of service."""
+    selector = open_selector_of_two_data_centres()
+    selector.locality = FixedLocality("dc-2")
+    assert selector.select(route(), cold_table(0.0)).start.data_centre == "dc-2"
+    assert set(selector.locality.offered) == {"dc-1", "dc-2"}
+    selector.locality = FixedLocality("dc-1")
+    out = routing_table(out_of_service=frozenset({"dc-2"}))
+    assert selector.select(route(), out).start.data_centre == "dc-1"
+    assert set(selector.locality.offered) == {"dc-1"}
+
+
+def test_without_locality_flows_stay_while_local_upstreams_answer_in_time():
+    selector = open_selector_of_two_data_centres()
+    for _ in range(10):
+        selected = selector.select(route(), cold_table(0.0))
+        selected.flow_count += 1
+        assert selected.start.data_centre == "dc-1"
