Time locality, and decide at once where nothing has to leave

Change: without a data centre above the cost, none are done; the time is measured. Measured: python -m measure locality; the timed case has one overloaded data centre, so its time is as before.

--- a/arbutuslift/coordination/routing/loadlevelling.py
+++ b/arbutuslift/coordination/routing/loadlevelling.py
@@ -40,6 +40,8 @@
             others.
     """
     centres = _with_displaced(centres)
+    if not any(_excess_per_s(centre, cost_s) for centre in centres):
+        return ()
     level_s = _level_s(centres, cost_s, max_wait_s)
     rooms = {c.data_centre: _room_per_s(c, level_s - cost_s) for c in centres}
     room_per_s = sum(rooms.values())
--- a/measure/locality.py
+++ b/measure/locality.py
@@ -1,10 +1,18 @@
 """Compares ways to divide flows among data centres on the same recorded demand."""
 
 import math
+import random
+from timeit import timeit
+
+from structlog.testing import capture_logs
+
+from arbutuslift.coordination.routing.routedservices import RoutedService
+from arbutuslift.coordination.routing.trackedstart import TrackedStart
+from tests.builders import load_summary, service_load, start
 
 from .demandmodel import Centre, DemandModel, Pattern, Second, reversals
-from .localitypolicies import POLICIES
-from .result import Measure
+from .localitypolicies import POLICIES, LevelledWaits
+from .result import Measure, at_most
 
 UPSTREAMS = 20
 CHANGE_S = 10.0
@@ -13,6 +21,8 @@
 # The greatest wave of the customers.
 WAVE = 0.55
 WAVE_PERIOD_S = 30.0
+SERVICES = 3
+CALLS = 2000
 
 
 def _steady(load: float):
@@ -154,19 +164,65 @@
 
 
 def measure() -> list[Measure]:
-    """Play all patterns against all policies."""
+    """Play all patterns against all policies, and time the product's rule."""
     figures = []
-    for pattern in build_patterns().values():
-        for policy in POLICIES:
-            seconds = DemandModel(pattern, policy.make).run()
-            label = f"{pattern.name}, {policy.name}"
-            figures += [
-                _figure(f"late, {label}", late_fraction(seconds), "of requests"),
-                _figure(f"remote, {label}", remote_fraction(seconds), "of requests"),
-                _figure(f"fullest, {label}", highest_filled(seconds), "of capacity"),
-                _figure(f"reversals, {label}", most_reversals(seconds), "changes"),
-            ]
-    return figures
+    with capture_logs():
+        for pattern in build_patterns().values():
+            for policy in POLICIES:
+                seconds = DemandModel(pattern, policy.make).run()
+                label = f"{pattern.name}, {policy.name}"
+                figures += _figures(label, seconds, policy is POLICIES[0])
+        return figures + _time_costs()
+
+
+def _figures(label: str, seconds: list[Second], has_target: bool) -> list[Measure]:
+    fullest = highest_filled(seconds)
+    return [
+        _figure(f"late, {label}", late_fraction(seconds), "of requests"),
+        _figure(f"remote, {label}", remote_fraction(seconds), "of requests"),
+        at_most(f"fullest, {label}", fullest, "of capacity", 1.0)
+        if has_target
+        else _figure(f"fullest, {label}", fullest, "of capacity"),
+        _figure(f"reversals, {label}", most_reversals(seconds), "changes"),
+    ]
+
+
+def _time_costs() -> list[Measure]:
+    """Return the processor time of a summary of three services and of a choice."""
+    names = ("dc-1", "dc-2", "dc-3")
+    policy = LevelledWaits("dc-1")
+    rows = tuple(
+        service_load(
+            service=f"service-{number}",
+            data_centre=name,
+            upstreams=20,
+            slots=40,
+            outstanding=outstanding,
+            demand_outstanding=outstanding,
+            arrivals_per_s=500.0,
+            response_ms=60.0 + outstanding,
+        )
+        for number in range(SERVICES)
+        for name, outstanding in zip(names, (120.0, 30.0, 20.0), strict=True)
+    )
+    services = [
+        RoutedService(name=f"service-{number}", aim_s=0.5) for number in range(SERVICES)
+    ]
+    policy.view.update(load_summary(services=rows))
+    update_s = timeit(
+        lambda: policy.weights.update(policy.view, services), number=CALLS
+    )
+    candidates = {
+        name: [TrackedStart(start=start(data_centre=name), tag=1)] for name in names
+    }
+    rng = random.Random(1)
+    choose_s = timeit(
+        lambda: policy.weights.choose("service-0", candidates, rng), number=CALLS
+    )
+    return [
+        _figure("time of a summary of 3 services", 1e6 * update_s / CALLS, "us"),
+        _figure("time of a choice", 1e6 * choose_s / CALLS, "us"),
+    ]
 
 
 def _figure(name: str, figure: float, unit: str) -> Measure:
