Connect locality to the summaries of entry instances

Cause: nothing called LocalityWeights yet. Change: SharedLoad has it where is_locality_weighted is set, updates it once for each summary with the services and data centres out of service of the table in effect, and shows its metrics. Settings that switch it on without load reports, or with a price that is no number from 0, are refused at start, since without reports it would never act. Its modules are imported only where it is switched on. Measured: tests of shared load, entry, metrics and the operators' page pass.

--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -103,6 +103,7 @@
             random.Random(),
             self._load.shared_choice,
         )
+        self._selector.locality = self._load.locality
         self._health_checker = HealthChecker(
             clock,
             self._outlier_detector,
@@ -346,6 +347,7 @@
         table = decode_table(encoded)
         is_first = self._router.table is None
         if self._router.apply(table):
+            self._load.apply(table)
             if is_first:
                 self._start_receiving()
             _log.info(
--- a/arbutuslift/loadfeatures.py
+++ b/arbutuslift/loadfeatures.py
@@ -1,16 +1,20 @@
 """Load features of an entry instance; this module holds what stands in for them."""
 
+from math import isfinite
 from typing import TYPE_CHECKING
 
 from .clock import Clock
 from .coordination.concurrency import TaskSet
 from .coordination.routing.flowobserver import FlowObserver
 from .coordination.routing.upstreamdirectory import UpstreamDirectory
+from .errors import Fault, SettingsError
 from .protocol.channel import Channel
 from .protocol.feed import FeedAnswer
-from .rolesettings import EntrySettings
+from .rolesettings import EntrySettings, LoadSettings
+from .state.routingtable import RoutingTable
 
 if TYPE_CHECKING:
+    from .coordination.routing.locality import LocalityWeights
     from .coordination.routing.sharedloadchoice import SharedLoadChoice
     from .metricfamilies import MetricFamily
 
@@ -21,11 +25,13 @@
     Attributes:
         observer: Receives the flows, requests and answers that the router sees.
         shared_choice: Chooses upstreams by the load of all instances, if that is known.
+        locality: Decides the data centre of a new flow by the load of all of them.
     """
 
     def __init__(self) -> None:
         self.observer = FlowObserver()
         self.shared_choice: SharedLoadChoice | None = None
+        self.locality: LocalityWeights | None = None
 
     def start(self, channel: Channel, tasks: TaskSet) -> None:
         """Start the tasks of the features.
@@ -35,6 +41,9 @@
             tasks: Owns the tasks.
         """
 
+    def apply(self, table: RoutingTable) -> None:
+        """Use a routing table that is in effect from now on."""
+
     def on_feed_answer(self, answer: FeedAnswer) -> None:
         """Use what an answer of the feed says about control instances."""
 
@@ -46,10 +55,28 @@
 def make_load_features(
     settings: EntrySettings, clock: Clock, directory: UpstreamDirectory
 ) -> LoadFeatures:
-    """Return the load features that the settings ask for."""
+    """Return the load features that the settings ask for.
+
+    Raises:
+        SettingsError: The settings contradict each other or are out of range.
+    """
+    _check(settings.load)
     if not settings.load.is_load_reported:
         return LoadFeatures()
     # Imported only if used, since an entry process starts with little processor time.
     from .sharedload import SharedLoad
 
     return SharedLoad(settings, clock, directory)
+
+
+def _check(settings: LoadSettings) -> None:
+    faults = []
+    if settings.is_locality_weighted and not settings.is_load_reported:
+        reason = "needs is_load_reported, which is off"
+        faults.append(Fault("load.is_locality_weighted", reason))
+    price_per_gb = settings.remote_price_per_gb
+    if not isfinite(price_per_gb) or price_per_gb < 0:
+        reason = f"{price_per_gb} is not a number from 0"
+        faults.append(Fault("load.remote_price_per_gb", reason))
+    if faults:
+        raise SettingsError(tuple(faults), step="make load features")
--- a/arbutuslift/loadmetrics.py
+++ b/arbutuslift/loadmetrics.py
@@ -2,11 +2,12 @@
 
 from typing import TYPE_CHECKING
 
-from .metricfamilies import Counts, Gauge, MetricFamily
+from .metricfamilies import Counts, Gauge, Gauges, MetricFamily
 
 if TYPE_CHECKING:
     # A process loads only its own role.
     from .coordination.dissemination.loadregistry import LoadRegistry
+    from .coordination.routing.locality import LocalityWeights
     from .sharedload import SharedLoad
 
 REPORTS_NAME = "arbutuslift_load_reports"
@@ -44,6 +45,24 @@
     ]
 
 
+def locality_families(locality: "LocalityWeights") -> list[MetricFamily]:
+    """Return the metric families of locality."""
+    return [
+        Counts(
+            name="arbutuslift_new_flows_by_locality",
+            help_text="New flows by destination.",
+            label="destination",
+            values=locality.flows,
+        ),
+        Gauges(
+            name="arbutuslift_remote_fraction",
+            help_text="Highest fraction of a service's flows for a data centre.",
+            label="data_centre",
+            values=locality.highest_fractions(),
+        ),
+    ]
+
+
 def control_load_families(registry: "LoadRegistry") -> list[MetricFamily]:
     """Return the metric families of a control instance."""
     return [
--- a/arbutuslift/sharedload.py
+++ b/arbutuslift/sharedload.py
@@ -16,8 +16,10 @@
 from .protocol.feed import FeedAnswer
 from .protocol.loads import LoadReport, LoadSummary
 from .rolesettings import EntrySettings
+from .state.routingtable import RoutingTable
 
 if TYPE_CHECKING:
+    from .coordination.routing.routedservices import RoutedService
     from .metricfamilies import MetricFamily
 
 
@@ -51,6 +53,12 @@
         self.shared_choice = SharedLoadChoice(
             self.view, self.tracker, self.weights, self._rng
         )
+        self._services: tuple[RoutedService, ...] = ()
+        self._out_of_service: frozenset[str] = frozenset()
+        if settings.load.is_locality_weighted:
+            from .coordination.routing.locality import LocalityWeights
+
+            self.locality = LocalityWeights(clock, settings.data_centre, settings.load)
 
     def start(self, channel: Channel, tasks: TaskSet) -> None:
         """Send reports over a channel."""
@@ -65,6 +73,15 @@
         )
         tasks.spawn(self.client.run())
 
+    def apply(self, table: RoutingTable) -> None:
+        """Use the services of a routing table that is in effect from now on."""
+        if self.locality is None:
+            return
+        from .coordination.routing.routedservices import routed_services
+
+        self._services = routed_services(table)
+        self._out_of_service = table.out_of_service
+
     def on_feed_answer(self, answer: FeedAnswer) -> None:
         """Report to the control instances that an answer names."""
         if self.client is not None:
@@ -73,9 +90,12 @@
     def families(self) -> "list[MetricFamily]":
         """Return the metric families of load reports."""
         # Imported on the first request, as by the other metrics of entry instances.
-        from .loadmetrics import entry_load_families
+        from .loadmetrics import entry_load_families, locality_families
 
-        return entry_load_families(self)
+        families = entry_load_families(self)
+        if self.locality is not None:
+            families += locality_families(self.locality)
+        return families
 
     def _make_report(self, sequence: int) -> LoadReport:
         if not self.view.is_usable:
@@ -92,6 +112,8 @@
     def _on_summary(self, report: LoadReport, summary: LoadSummary) -> None:
         self.view.update(summary, report.upstreams)
         self.weights.update(summary.upstreams)
+        if self.locality is not None:
+            self.locality.update(self.view, self._services, self._out_of_service)
 
     def _service_of(self, key: tuple[str, int]) -> str | None:
         tracked = self._directory.find_by_key(key)
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -15,12 +15,18 @@
 from arbutuslift.coordination.dissemination.loadregistry import LoadRegistry
 from arbutuslift.coordination.routing.flowtagrouter import Verdict as FlowVerdict
 from arbutuslift.coordination.routing.forwarding import BAD_PACKET
+from arbutuslift.coordination.routing.locality import LocalityWeights
 from arbutuslift.coordination.routing.slotrouter import Verdict
 from arbutuslift.ctl import COMMANDS
 from arbutuslift.entrymetrics import EntryMetrics
 from arbutuslift.explanation import explain
-from arbutuslift.loadmetrics import control_load_families, entry_load_families
+from arbutuslift.loadmetrics import (
+    control_load_families,
+    entry_load_families,
+    locality_families,
+)
 from arbutuslift.protocol.channel import Channel
+from arbutuslift.rolesettings import LoadSettings
 from arbutuslift.sharedload import SharedLoad
 from arbutuslift.transport.bus import MemoryNetwork
 
@@ -104,5 +110,6 @@
             SharedLoad(entry_settings(), entry.clock, entry.directory)
         ),
         *control_load_families(LoadRegistry(entry.clock, feed.registry)),
+        *locality_families(LocalityWeights(entry.clock, "dc-1", LoadSettings())),
     ]
     assert {family.name for family in families if family.name not in PAGE} == set()
--- a/tests/test_sharedload.py
+++ b/tests/test_sharedload.py
@@ -2,7 +2,10 @@
 
 import subprocess
 import sys
+from contextlib import AsyncExitStack
 
+import pytest
+from adapter.packets import PlatformCodec
 from attrs import evolve
 
 from arbutuslift.clock import ManualClock
@@ -10,21 +13,25 @@
 from arbutuslift.coordination.dissemination.loadserver import LoadServer
 from arbutuslift.coordination.dissemination.startregistry import StartRegistry
 from arbutuslift.coordination.routing.upstreamdirectory import UpstreamDirectory
+from arbutuslift.entry import EntryInstance
+from arbutuslift.errors import SettingsError
 from arbutuslift.loadfeatures import LoadFeatures, make_load_features
 from arbutuslift.loadmetrics import control_load_families
 from arbutuslift.metricspage import render_metrics
 from arbutuslift.protocol.channel import Channel
 from arbutuslift.protocol.feed import StartNews
 from arbutuslift.rolesettings import LoadSettings
+from arbutuslift.state.routingtable import encode_table
 from arbutuslift.transport.bus import MemoryNetwork
+from arbutuslift.transport.packetsocket import open_packet_socket
 
-from .builders import entry_settings, start, upstream_load
+from .builders import entry_settings, routing_table, start, upstream_load
 
 
 class SharedLoadHarness:
     """Shared load of an entry instance that knows five upstreams, and a control."""
 
-    def __init__(self):
+    def __init__(self, **switches):
         self.clock = ManualClock()
         network = MemoryNetwork(self.clock)
         self.starts = StartRegistry(self.clock, 1.0, lambda: None)
@@ -41,7 +48,7 @@
         settings = evolve(
             entry_settings(),
             seeds=("control",),
-            load=LoadSettings(is_load_reported=True),
+            load=LoadSettings(is_load_reported=True, **switches),
         )
         self.load = make_load_features(settings, self.clock, self.directory)
         self.load.start(Channel(network.bus("entry")), self.tasks)
@@ -54,10 +61,11 @@
     load = make_load_features(entry_settings(), clock, UpstreamDirectory(clock))
     assert type(load) is LoadFeatures
     assert load.shared_choice is None
+    assert load.locality is None
     assert load.families() == []
     code = (
         "import sys, arbutuslift.entry\n"
-        "names = ('sharedload', 'protocol.loads')\n"
+        "names = ('sharedload', 'protocol.loads', 'coordination.routing.locality')\n"
         "assert not any(f'arbutuslift.{name}' in sys.modules for name in names)\n"
     )
     assert subprocess.run([sys.executable, "-c", code], check=False).returncode == 0
@@ -98,3 +106,51 @@
     await harness.clock.advance(16.0)
     assert harness.load.weights.weight(key) == 1.0
     await harness.tasks.close()
+
+
+async def test_locality_learns_each_summary_once_with_the_table_in_effect():
+    """Guards against steps that are taken twice, or for services without a route."""
+    harness = SharedLoadHarness(is_locality_weighted=True)
+    harness.load.apply(routing_table(out_of_service=frozenset({"dc-9"})))
+    learnt = []
+    harness.load.locality.update = lambda *arguments: learnt.append(arguments)
+    await harness.clock.advance(5.0)
+    assert len(learnt) == harness.load.client.answered > 3
+    view, services, out_of_service = learnt[0]
+    assert view is harness.load.view
+    assert [service.name for service in services] == ["alerts"]
+    assert out_of_service == {"dc-9"}
+    await harness.tasks.close()
+
+
+async def test_an_entry_instance_asks_locality_only_if_its_settings_say_so():
+    for load in (
+        LoadSettings(),
+        LoadSettings(is_load_reported=True),
+        LoadSettings(is_load_reported=True, is_locality_weighted=True),
+    ):
+        async with AsyncExitStack() as stack:
+            packets = open_packet_socket("127.0.0.1", 0)
+            stack.callback(packets.close)
+            settings = evolve(entry_settings(), load=load)
+            instance = EntryInstance(
+                settings, packets, PlatformCodec(), ManualClock(), stack, lambda: None
+            )
+            has_locality = instance._selector.locality is not None
+            assert has_locality == load.is_locality_weighted
+            names = {family.name for family in instance.metrics.families()}
+            assert ("arbutuslift_remote_fraction" in names) == has_locality
+            instance._apply("control", encode_table(routing_table()))
+            assert not has_locality or len(instance._load._services) == 1
+
+
+def test_settings_that_contradict_each_other_are_refused():
+    clock = ManualClock()
+    load = LoadSettings(is_locality_weighted=True, remote_price_per_gb=-1.0)
+    settings = evolve(entry_settings(), load=load)
+    with pytest.raises(SettingsError) as caught:
+        make_load_features(settings, clock, UpstreamDirectory(clock))
+    assert [fault.path for fault in caught.value.faults] == [
+        "load.is_locality_weighted",
+        "load.remote_price_per_gb",
+    ]
