Send the busiest upstreams if a data centre has many

Cause: summaries of all upstreams make control traffic grow with instances times upstreams: 7.6 KB a second for each instance at 340 upstreams in a data centre. Change: a summary has the reported upstreams and of the others the busiest, 32 in all. The mean for the choice comes from the row of the service, since that of the rows in the summary would be too low or too high. Measured: the test of the choice fails without the mean of the service (undone by hand) and passes with it; 59 tests pass.

--- a/arbutuslift/coordination/dissemination/loadregistry.py
+++ b/arbutuslift/coordination/dissemination/loadregistry.py
@@ -1,5 +1,6 @@
 """Load reports of entry instances and of other control instances, and their sums."""
 
+import heapq
 from collections import Counter, OrderedDict
 
 from attrs import evolve, frozen
@@ -24,6 +25,10 @@
 # Rows of services are computed at most this often. Computing them takes time in
 # proportion to the number of instances, each of which requests them every second.
 SERVICES_INTERVAL_S = 0.1
+# Upstreams in a summary, beside those that the requester reported. Of more than these,
+# the busiest are sent. Summaries of all of them would make the traffic of control grow
+# with the number of instances times that of upstreams. 32 rows take about 1 KB.
+MAX_SUMMARY_UPSTREAMS = 32
 # Bound on the retained reports, several times the number of entry instances.
 MAX_INSTANCES = 5000
 
@@ -198,16 +203,27 @@
 
     def _summary(self, report: LoadReport) -> LoadSummary:
         reported = {(load.upstream_id, load.born_ms) for load in report.upstreams}
-        for key in self._sums:
-            start = self._start_of(key)
-            if start is not None and start.data_centre == report.data_centre:
-                reported.add(key)
+        others = [
+            key for key in self._keys_in(report.data_centre) if key not in reported
+        ]
+        room = max(0, MAX_SUMMARY_UPSTREAMS - len(reported))
+        if len(others) > room:
+            others = heapq.nlargest(room, others, key=self._sums.outstanding)
         return LoadSummary(
             instances=self._instances[report.data_centre],
-            upstreams=tuple(self._sums.load(key) for key in reported),
+            upstreams=tuple(self._sums.load(key) for key in [*reported, *others]),
             services=self.services(),
         )
 
+    def _keys_in(self, data_centre: str) -> list[tuple[str, int]]:
+        """Return the keys of the starts in a data centre that have a sum."""
+        located = ((self._start_of(key), key) for key in self._sums)
+        return [
+            key
+            for start, key in located
+            if start is not None and start.data_centre == data_centre
+        ]
+
     def _located_loads(self) -> list[LocatedLoad]:
         """Return the sums for the starts that are known here."""
         located = ((self._start_of(key), key) for key in self._sums)
--- a/arbutuslift/coordination/dissemination/loadsums.py
+++ b/arbutuslift/coordination/dissemination/loadsums.py
@@ -64,6 +64,10 @@
     def __iter__(self) -> Iterator[Key]:
         return iter(self._sums)
 
+    def outstanding(self, key: Key) -> float:
+        """Return the mean number of outstanding requests at a start."""
+        return self._sums[key].outstanding
+
     def load(self, key: Key) -> UpstreamLoad:
         """Return the sum for a start.
 
--- a/arbutuslift/coordination/routing/sharedloadchoice.py
+++ b/arbutuslift/coordination/routing/sharedloadchoice.py
@@ -113,12 +113,23 @@
         key = (first.service, first.data_centre)
         group = self._groups.get(key)
         if group is None:
-            elsewhere = [self._view.outstanding_elsewhere(k.start.key) for k in starts]
-            slots = sum(tracked.start.slots or 1 for tracked in starts)
-            limit_per_slot = EXCESS_FACTOR * sum(elsewhere) / slots
+            limit_per_slot = EXCESS_FACTOR * self._mean_per_slot(starts)
             group = self._groups[key] = _Group(limit_per_slot)
         return group
 
+    def _mean_per_slot(self, starts: Sequence[TrackedStart]) -> float:
+        """Return the mean outstanding requests for each slot of a service.
+
+        Summaries leave out upstreams if there are many. The mean over those that they
+        contain is used only where nobody reports on the data centre as a whole.
+        """
+        first = starts[0].start
+        load = self._view.service(first.service, first.data_centre)
+        if load is not None and load.slots:
+            return load.outstanding / load.slots
+        elsewhere = [self._view.outstanding_elsewhere(k.start.key) for k in starts]
+        return sum(elsewhere) / sum(tracked.start.slots or 1 for tracked in starts)
+
     def _penalty_of(
         self, tracked: TrackedStart, limit_per_slot: float
     ) -> _Penalty | None:
--- a/arbutuslift/protocol/loads.py
+++ b/arbutuslift/protocol/loads.py
@@ -58,8 +58,8 @@
 
     Attributes:
         instances: Instances of the requester's data centre that report.
-        upstreams: Sums for the upstreams of this data centre, and for those that the
-            requester reported.
+        upstreams: Sums for the upstreams that the requester reported, and for others of
+            its data centre, the busiest ones if there are many.
         services: Load of services in all data centres.
     """
 
--- a/tests/coordination/dissemination/test_loadregistry.py
+++ b/tests/coordination/dissemination/test_loadregistry.py
@@ -4,7 +4,10 @@
 from attrs import evolve
 
 from arbutuslift.clock import ManualClock
-from arbutuslift.coordination.dissemination.loadregistry import LoadRegistry
+from arbutuslift.coordination.dissemination.loadregistry import (
+    MAX_SUMMARY_UPSTREAMS,
+    LoadRegistry,
+)
 from arbutuslift.coordination.dissemination.startregistry import StartRegistry
 from arbutuslift.errors import MessageError
 from arbutuslift.protocol.loads import LoadTotals
@@ -158,3 +161,17 @@
         with pytest.raises(MessageError):
             control.registry.receive_totals(peer, rows, ("other",))
     assert control.registry.outcomes == {"malformed": 1, "unknown_sender": 1}
+
+
+def test_a_summary_has_the_reported_and_the_busiest_upstreams():
+    """Guards against traffic that grows with instances times upstreams."""
+    control = Control()
+    for number in range(3, 203):
+        control.starts.announce(start(number, ip=f"127.21.0.{number}"))
+    loads = tuple(upstream_load(n, outstanding=n / 10) for n in range(3, 203))
+    control.report("a", upstreams=loads)
+    reported = (upstream_load(3, outstanding=0.0), upstream_load(4, outstanding=0.0))
+    summary = control.report("b", upstreams=reported)
+    numbers = {int(load.upstream_id[2:], 16) for load in summary.upstreams}
+    busiest = set(range(203 - (MAX_SUMMARY_UPSTREAMS - 2), 203))
+    assert numbers == {3, 4} | busiest
--- a/tests/coordination/routing/test_sharedloadchoice.py
+++ b/tests/coordination/routing/test_sharedloadchoice.py
@@ -17,7 +17,14 @@
 from arbutuslift.coordination.routing.upstreamweights import UpstreamWeights
 from arbutuslift.protocol.feed import StartNews
 
-from ...builders import load_summary, route, routing_table, start, upstream_load
+from ...builders import (
+    load_summary,
+    route,
+    routing_table,
+    service_load,
+    start,
+    upstream_load,
+)
 
 
 class Entry:
@@ -57,7 +64,18 @@
     entry = Entry(ManualClock(), 5)
     loads = [upstream_load(n, outstanding=0.5 + n / 4) for n in range(1, 6)]
     entry.view.update(load_summary(upstreams=tuple(loads)))
-    assert min(numbers(entry, 1000).values()) > 1000 / 5 / 2
+    drawn = numbers(entry, 1000)
+    assert min(drawn[number] for number in range(1, 6)) > 1000 / 5 / 2
+
+
+def test_upstreams_that_a_summary_leaves_out_count_in_the_mean():
+    """Guards against shunning the busiest upstreams because the others aren't sent."""
+    entry = Entry(ManualClock(), 5)
+    busiest = upstream_load(1, outstanding=2.0)
+    whole = service_load(outstanding=9.0, slots=10)
+    entry.view.update(load_summary(upstreams=(busiest,), services=(whole,)))
+    drawn = numbers(entry, 1000)
+    assert min(drawn[number] for number in range(1, 6)) > 1000 / 5 / 2
 
 
 def test_requests_of_this_instance_count_at_once():
