List the settings of locality

The page had only the flags of arbutusliftd; entry instances get these as fields of LoadSettings. No key of the platform's settings file sets them yet.

--- a/arbutuslift/settingspage.py
+++ b/arbutuslift/settingspage.py
@@ -17,10 +17,22 @@
 |---|---|---|---|---|
 """
 
+_LOCALITY = """
+## Locality at entry instances
+
+Fields of `LoadSettings`, which is `EntrySettings.load`. An entry instance whose settings
+contradict each other doesn't start.
+
+| field | value | default | meaning |
+|---|---|---|---|
+| `is_locality_weighted` | bool | False | Whether the load of data centres decides how many new flows go to another one; needs `is_load_reported`. |
+| `remote_price_per_gb` | from 0 | 0.0 | Price of traffic to another data centre, in the unit in which one second of a caller's waiting costs 1. |
+"""  # noqa: E501
+
 
 def render() -> str:
     """Return the text of the page."""
-    return _HEAD + "".join(map(_row, SETTING_FLAGS))
+    return _HEAD + "".join(map(_row, SETTING_FLAGS)) + _LOCALITY
 
 
 def _row(flag: SettingFlag) -> str:
