Test locality on the rows of real reports

Cause: the patterns are played on rows of a model, which might mean something else than those that control instances add up. Change: two instances of different data centres report to a control instance; one holds 20 requests at 5 upstreams, the other one. After eight summaries, flows leave the first data centre and none the second.

--- a/tests/test_sharedload.py
+++ b/tests/test_sharedload.py
@@ -33,7 +33,7 @@
 
     def __init__(self, **switches):
         self.clock = ManualClock()
-        network = MemoryNetwork(self.clock)
+        network = self.network = MemoryNetwork(self.clock)
         self.starts = StartRegistry(self.clock, 1.0, lambda: None)
         self.directory = UpstreamDirectory(self.clock)
         news = []
@@ -123,6 +123,40 @@
     await harness.tasks.close()
 
 
+async def test_flows_leave_a_data_centre_by_the_rows_of_real_reports():
+    """Guards against rows that mean something else to those who send them."""
+    harness = SharedLoadHarness(is_locality_weighted=True)
+    remote = [start(n, data_centre="dc-2") for n in range(11, 16)]
+    for begun in remote:
+        harness.starts.announce(begun)
+    settings = evolve(
+        entry_settings(),
+        data_centre="dc-2",
+        seeds=("control",),
+        load=LoadSettings(is_load_reported=True, is_locality_weighted=True),
+    )
+    other = make_load_features(settings, harness.clock, harness.directory)
+    other.start(Channel(harness.network.bus("other")), harness.tasks)
+    for load in (harness.load, other):
+        load.apply(routing_table())
+    # Five slots each: 20 requests of 50 ms are outstanding here, one there.
+    for _ in range(8):
+        for load, starts, count in (
+            (harness.load, [start(n) for n in range(1, 6)], 20),
+            (other, remote, 1),
+        ):
+            for number in range(count):
+                flow = bytes([number, starts[0].number])
+                begun = starts[number % 5]
+                load.observer.record_arrival("alerts", begun)
+                load.observer.end_request(flow, 0.05 * max(1, count / 5))
+                load.observer.begin_request(flow, begun, 5.0)
+        await harness.clock.advance(1.0)
+    assert harness.load.locality.highest_fractions()["dc-2"] >= 0.2
+    assert other.locality.highest_fractions()["dc-1"] == 0.0
+    await harness.tasks.close()
+
+
 async def test_an_entry_instance_asks_locality_only_if_its_settings_say_so():
     for load in (
         LoadSettings(),
