--- a/arbutuslift/coordination/routing/locality.py
+++ b/arbutuslift/coordination/routing/locality.py
@@ -274,12 +274,15 @@
     candidates_by_data_centre: Mapping[str, Sequence[TrackedStart]],
 ) -> dict[str, float]:
     """Return the shares of data centres with candidates, or else of their slots."""
-    names = sorted(candidates_by_data_centre)
-    weights = {name: shares[name] for name in names if shares.get(name)}
+    weights = {
+        name: share
+        for name, share in sorted(shares.items())
+        if share > 0 and name in candidates_by_data_centre
+    }
     if not weights:
         weights = {
-            name: float(sum(c.start.slots for c in candidates_by_data_centre[name]))
-            for name in names
+            name: float(sum(max(1, c.start.slots) for c in candidates))
+            for name, candidates in sorted(candidates_by_data_centre.items())
         }
     total = sum(weights.values())
     return {name: weight / total for name, weight in weights.items()}
