--- a/tests/coordination/routing/test_locality.py
+++ b/tests/coordination/routing/test_locality.py
@@ -238,6 +238,13 @@
     assert instance.weights.flows["displaced"] == 1000
 
 
+def test_flows_find_upstreams_that_announce_no_slots():
+    """Guards against a division by 0."""
+    instance = Instance()
+    candidates = {"dc-2": [TrackedStart(start=start(slots=0), tag=1)]}
+    assert instance.weights.choose("alerts", candidates, instance.rng) == "dc-2"
+
+
 def test_one_failed_caller_does_not_move_the_others():
     """Guards against a fraction of 1 because one caller excludes the only upstream."""
     instance = Instance()
