Move the decision about a packet into a module of its own

Change: Verdict, RESET_VERDICTS and Decision move to packetdecision.py; flowtagrouter.py still exports them.

--- a/arbutuslift/coordination/routing/flowtagrouter.py
+++ b/arbutuslift/coordination/routing/flowtagrouter.py
@@ -2,19 +2,19 @@
 
 from collections import OrderedDict, deque
 from collections.abc import Callable
-from enum import StrEnum
-
-from attrs import frozen
 
 from ...clock import Clock
 from ...state.routingtable import Route, RoutingTable
 from ...transport.callerpackets import CallerPacket
 from .outlierdetector import OutlierDetector
+from .packetdecision import RESET_VERDICTS, Decision, Verdict
 from .trackedflows import EndReason, TrackedFlow, UnansweredRequest
 from .trackedstart import TrackedStart
 from .upstreamdirectory import UpstreamDirectory
 from .upstreamselector import UpstreamSelector
 
+__all__ = ["RESET_VERDICTS", "Decision", "FlowTagRouter", "Verdict"]
+
 # Callers retransmit a SYN after 200 ms. A copy that arrives sooner is a duplicate that
 # took another network path.
 ANSWER_TIMEOUT_S = 0.15
@@ -35,51 +35,6 @@
 MAX_RETAINED_REQUESTS = 10_000
 
 
-class Verdict(StrEnum):
-    """What the router does with a packet."""
-
-    NEW_FLOW = "new_flow"
-    SYN_REPEATED = "syn_repeated"
-    SYN_MOVED = "syn_moved"
-    FORWARDED = "forwarded"
-    REPEATED = "repeated"
-    REFUSED_NO_ROUTE = "refused_no_route"
-    REFUSED_NO_UPSTREAM = "refused_no_upstream"
-    RESET_ROUTE_REMOVED = "reset_route_removed"
-    RESET_UPSTREAM_GONE = "reset_upstream_gone"
-    RESET_UPSTREAM_LOST = "reset_upstream_lost"
-    DROPPED_UNKNOWN_TAG = "dropped_unknown_tag"
-    DROPPED_NO_TABLE = "dropped_no_table"
-    DROPPED_MALFORMED = "dropped_malformed"
-    DROPPED_STALE = "dropped_stale"
-    DROPPED_LINK_FULL = "dropped_link_full"
-
-
-RESET_VERDICTS = frozenset(
-    {
-        Verdict.REFUSED_NO_ROUTE,
-        Verdict.REFUSED_NO_UPSTREAM,
-        Verdict.RESET_ROUTE_REMOVED,
-        Verdict.RESET_UPSTREAM_GONE,
-        Verdict.RESET_UPSTREAM_LOST,
-    }
-)
-
-
-@frozen
-class Decision:
-    """Decision about one packet.
-
-    Attributes:
-        verdict: What the router does with it.
-        upstream: Start that the packet belongs to, if there is one. It receives the
-            packet unless the verdict is a reset.
-    """
-
-    verdict: Verdict
-    upstream: TrackedStart | None = None
-
-
 class FlowTagRouter:
     """Routes packets; one of an open flow only ever goes to the flow's upstream.
 
--- a/arbutuslift/decisionlog.py
+++ b/arbutuslift/decisionlog.py
@@ -11,7 +11,11 @@
 from .transport.callerpackets import CallerPacket, PacketCodec
 
 UNANSWERED_EVENT = "request_unanswered"
-LOGGED_VERDICTS = frozenset(Verdict) - {Verdict.FORWARDED, Verdict.SYN_REPEATED}
+# Counted only, or logged with the figures that decided them.
+UNLOGGED_VERDICTS = frozenset(
+    {Verdict.FORWARDED, Verdict.SYN_REPEATED, Verdict.SYN_WAITS, Verdict.REJECTED_BUSY}
+)
+LOGGED_VERDICTS = frozenset(Verdict) - UNLOGGED_VERDICTS
 # Of successfully forwarded requests, those of one flow in this number are logged.
 SAMPLING_DIVISOR = 16
 
