--- a/arbutuslift/coordination/dissemination/startregistry.py
+++ b/arbutuslift/coordination/dissemination/startregistry.py
@@ -146,6 +146,19 @@
         )
         return announced + self.restored()
 
+    def find(self, upstream_id: str) -> UpstreamStart | None:
+        """Return the newest start of an upstream, None if none was announced."""
+        entry = self._entries.get(upstream_id)
+        return entry.start if entry is not None else None
+
+    def ready_starts(self) -> list[UpstreamStart]:
+        """Return the starts that accept new flows and announce themselves."""
+        return [
+            entry.start
+            for entry in self._entries.values()
+            if entry.start.phase is Phase.READY and not entry.is_silent
+        ]
+
     def count_by_state(self) -> dict[str, int]:
         """Return the numbers of ready, draining, silent and restored starts."""
         phases = [Phase.READY.name.lower(), Phase.DRAINING.name.lower()]
--- a/arbutuslift/protocol/loads.py
+++ b/arbutuslift/protocol/loads.py
@@ -1,10 +1,22 @@
 """Messages by which instances share their load."""
 
-from attrs import frozen
+from attrs import fields, frozen
 
+from ..errors import MessageError
 from ..state.loadfigures import ServiceDemand, ServiceLoad, UpstreamLoad
 from .messages import Message, register
 
+STEP = "check load"
+# An instance that was suspended reports its first interval afterwards as a whole.
+MAX_INTERVAL_MS = 24 * 3600 * 1000
+# Largest number of upstreams to design for.
+MAX_ROWS = 50_000
+MAX_NAME_CHARACTERS = 256
+# Values of the codec may be integers of any size; sums of larger ones aren't exact.
+MAX_VALUE = 2**53
+
+Row = UpstreamLoad | ServiceDemand | ServiceLoad
+
 
 @register
 @frozen(kw_only=True)
@@ -53,3 +65,39 @@
     """
 
     services: tuple[ServiceLoad, ...]
+
+
+def check_report(report: LoadReport) -> None:
+    """Check the values of a report; the codec has checked their types.
+
+    Raises:
+        MessageError: A value is negative, or there are too many rows.
+    """
+    if not 0 < report.interval_ms <= MAX_INTERVAL_MS:
+        raise MessageError(f"interval_ms {report.interval_ms}", step=STEP)
+    if not 0 < len(report.data_centre) <= MAX_NAME_CHARACTERS:
+        raise MessageError("empty or too long data_centre", step=STEP)
+    _check_rows(report.upstreams)
+    _check_rows(report.services)
+
+
+def check_totals(totals: LoadTotals) -> None:
+    """Check the values of totals; the codec has checked their types.
+
+    Raises:
+        MessageError: A value is negative, or there are too many rows.
+    """
+    _check_rows(totals.services)
+
+
+def _check_rows(rows: tuple[Row, ...]) -> None:
+    if len(rows) > MAX_ROWS:
+        raise MessageError(f"{len(rows)} rows, more than {MAX_ROWS}", step=STEP)
+    for row in rows:
+        for field in fields(type(row)):
+            value = getattr(row, field.name)
+            is_text = isinstance(value, str)
+            least, largest = (1, MAX_NAME_CHARACTERS) if is_text else (0, MAX_VALUE)
+            if not least <= (len(value) if is_text else value) <= largest:
+                shown = str(value)[:MAX_NAME_CHARACTERS]
+                raise MessageError(f"{field.name} {shown} out of range", step=STEP)
