Let new flows wait or reject them when capacity is short

Ruled out: a fixed limit per instance of its part of the capacity, since a part of less than one request makes random clusters a shortage; response times as work, since they contain the wait, so that a queue lowers the capacity that it is compared with. Change: FlowAdmission decides by the pool of a route. Without a shortage everything passes, up to what random clusters of 0.7 of the capacity reach. In a shortage, classes and routes get their part as a rate; the rest is by priority. AdmissionGate holds the SYNs that wait and asks again every 10 ms. FlowTagRouter and EntryInstance use it if is_admission_limited is set.

--- a/arbutuslift/coordination/routing/flowtagrouter.py
+++ b/arbutuslift/coordination/routing/flowtagrouter.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict, deque
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from ...clock import Clock
 from ...state.routingtable import Route, RoutingTable
@@ -14,6 +15,9 @@
 from .upstreamdirectory import UpstreamDirectory
 from .upstreamselector import UpstreamSelector
 
+if TYPE_CHECKING:
+    from .admissiongate import AdmissionGate
+
 __all__ = ["RESET_VERDICTS", "Decision", "FlowTagRouter", "Verdict"]
 
 # Callers retransmit a SYN after 200 ms. A copy that arrives sooner is a duplicate that
@@ -47,6 +51,8 @@
         on_suspicion: Called with the upstream of each flow without an answer.
         on_unanswered: Called with each request that ended without an answer.
         observer: Counts flows, requests and answers.
+        gate: Lets new flows wait or rejects them when capacity is short; None if
+            all are let through.
 
     Attributes:
         table: Routing table in effect; None before the first.
@@ -61,6 +67,7 @@
         on_suspicion: Callable[[TrackedStart], None] = lambda tracked: None,
         on_unanswered: Callable[[UnansweredRequest], None] = lambda request: None,
         observer: FlowObserver | None = None,
+        gate: "AdmissionGate | None" = None,
     ) -> None:
         self.table: RoutingTable | None = None
         self._clock = clock
@@ -70,6 +77,7 @@
         self._on_suspicion = on_suspicion
         self._on_unanswered = on_unanswered
         self._observer = observer or FlowObserver()
+        self._gate = gate
         self._routes: dict[tuple[bytes, int], Route] = {}
         self._flows: OrderedDict[bytes, TrackedFlow] = OrderedDict()
         self._opening_flows: deque[TrackedFlow] = deque()
@@ -123,8 +131,15 @@
             self._record_flow_failure(flow)
             verdict = Verdict.SYN_MOVED
         excluded = self._failed_upstreams(packet, now_s)
+        gate = self._gate if verdict is Verdict.NEW_FLOW else None
+        if gate is not None:
+            held = gate.check(packet, route, self.table, bool(excluded))
+            if held is not None:
+                return self._hold(held, route)
         upstream = self._selector.select(route, self.table, excluded)
         if upstream is None:
+            if gate is not None and gate.keep(packet, route, self.table):
+                return Decision(Verdict.SYN_WAITS)
             self._observer.record_arrival(route.first_service, None)
             return Decision(Verdict.REFUSED_NO_UPSTREAM)
         if verdict is Verdict.NEW_FLOW:
@@ -136,6 +151,11 @@
         self._record_opening(packet, flow)
         return Decision(verdict, upstream)
 
+    def _hold(self, held: Decision, route: Route) -> Decision:
+        if held.verdict is Verdict.REJECTED_BUSY:
+            self._observer.record_arrival(route.first_service, None)
+        return held
+
     def _record_opening(self, packet: CallerPacket, flow: TrackedFlow) -> None:
         self._opening_flows.append(flow)
         recent = self._recent_by_caller.pop(packet.caller_ip, None)
--- a/arbutuslift/coordination/routing/packetdecision.py
+++ b/arbutuslift/coordination/routing/packetdecision.py
@@ -1,11 +1,15 @@
 """What a router decides about a packet of a flow with a tag."""
 
 from enum import StrEnum
+from typing import TYPE_CHECKING
 
 from attrs import frozen
 
 from .trackedstart import TrackedStart
 
+if TYPE_CHECKING:
+    from .flowadmission import AdmissionDecision
+
 
 class Verdict(StrEnum):
     """What the router does with a packet."""
@@ -50,7 +54,9 @@
         verdict: What the router does with it.
         upstream: Start that the packet belongs to, if there is one. It receives the
             packet unless the verdict is a reset.
+        admission: Why the flow waits or is rejected, if it is.
     """
 
     verdict: Verdict
     upstream: TrackedStart | None = None
+    admission: "AdmissionDecision | None" = None
--- a/arbutuslift/coordination/routing/upstreamselector.py
+++ b/arbutuslift/coordination/routing/upstreamselector.py
@@ -75,6 +75,18 @@
                 return selected
         return None
 
+    def eligible(self, service: str, table: RoutingTable) -> list[TrackedStart]:
+        """Return the healthy upstreams of a service, warm and cold ones."""
+        return self._healthy(self._usable(service, table))
+
+    def _usable(self, service: str, table: RoutingTable) -> list[TrackedStart]:
+        return [
+            tracked
+            for tracked in self._directory.of_service(service)
+            if tracked.start.phase is Phase.READY
+            and tracked.start.data_centre not in table.out_of_service
+        ]
+
     def _services_in_order(self, route: Route) -> list[str]:
         """Return the services of a route, the one drawn by weight first."""
         shares = [share for share in route.shares if share.weight > 0]
@@ -88,12 +100,7 @@
         self, service: str, table: RoutingTable, excluded: frozenset[tuple[str, int]]
     ) -> TrackedStart | None:
         now_s = self._clock.monotonic_s()
-        usable = [
-            tracked
-            for tracked in self._directory.of_service(service)
-            if tracked.start.phase is Phase.READY
-            and tracked.start.data_centre not in table.out_of_service
-        ]
+        usable = self._usable(service, table)
         warm = [tracked for tracked in usable if tracked.cold_until_s <= now_s]
         healthy = self._healthy(warm)
         candidates = [
--- a/arbutuslift/decisionlog.py
+++ b/arbutuslift/decisionlog.py
@@ -1,6 +1,7 @@
 """Log lines about packets: the decisions that an operator may have to explain."""
 
 import zlib
+from typing import TYPE_CHECKING
 
 import structlog
 
@@ -10,12 +11,11 @@
 from .state.routingtable import RoutingTable
 from .transport.callerpackets import CallerPacket, PacketCodec
 
+if TYPE_CHECKING:
+    from .coordination.routing.flowadmission import AdmissionDecision
+
 UNANSWERED_EVENT = "request_unanswered"
-# Counted only, or logged with the figures that decided them.
-UNLOGGED_VERDICTS = frozenset(
-    {Verdict.FORWARDED, Verdict.SYN_REPEATED, Verdict.SYN_WAITS, Verdict.REJECTED_BUSY}
-)
-LOGGED_VERDICTS = frozenset(Verdict) - UNLOGGED_VERDICTS
+LOGGED_VERDICTS = frozenset(Verdict) - {Verdict.FORWARDED, Verdict.SYN_REPEATED}
 # Of successfully forwarded requests, those of one flow in this number are logged.
 SAMPLING_DIVISOR = 16
 
@@ -59,6 +59,7 @@
             load_flows=tracked.flow_count if tracked else 0,
             version=table.version if table else 0,
             revision=table.revision if table else 0,
+            **_figures(decision.admission),
         )
 
     def log_unanswered_request(self, request: UnansweredRequest) -> None:
@@ -77,6 +78,22 @@
         )
 
 
+def _figures(admission: "AdmissionDecision | None") -> dict[str, object]:
+    """Return the fields that explain why a flow waits or is rejected."""
+    if admission is None:
+        return {}
+    figures = admission.figures
+    return {
+        "reason": admission.reason.value,
+        "outstanding": figures.outstanding,
+        "capacity": round(figures.capacity, 2),
+        "limit": round(figures.limit, 2),
+        "waiting": figures.waiting,
+        "share": round(figures.share, 5),
+        "work_ms": round(figures.work_ms, 1),
+    }
+
+
 def _is_sampled(packet: CallerPacket) -> bool:
     is_request = packet.data_length_bytes > 0
     return is_request and zlib.crc32(packet.flow) % SAMPLING_DIVISOR == 0
--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -24,6 +24,7 @@
 from .coordination.routing.upstreamdirectory import UpstreamDirectory
 from .coordination.routing.upstreamselector import UpstreamSelector
 from .decisionlog import DecisionLog
+from .entryload import make_gate, make_tracker
 from .entrymetrics import EntryMetrics
 from .errors import PacketError
 from .protocol.channel import Channel
@@ -108,6 +109,8 @@
             self._on_lost,
             self._directory.last_to_answer,
         )
+        tracker = make_tracker(settings, clock)
+        self._gate = make_gate(settings, clock, self._selector, tracker)
         self._router = FlowTagRouter(
             clock,
             self._directory,
@@ -115,8 +118,12 @@
             self._selector,
             self._health_checker.check,
             self._decisions.log_unanswered_request,
+            observer=tracker,
+            gate=self._gate,
+        )
+        self.metrics = EntryMetrics(
+            self._router, self._directory, self._egress, self._gate
         )
-        self.metrics = EntryMetrics(self._router, self._directory, self._egress)
         self._last_answer_s = clock.monotonic_s()
         self._feed: FeedClient | None = None
 
@@ -147,6 +154,8 @@
         self._tasks.spawn(self._feed.run())
         self._tasks.spawn(self._expire())
         self._tasks.spawn(self._send_queued())
+        if self._gate is not None:
+            self._tasks.spawn(self._gate.run(self._router.route, self._carry_out))
         await self._clock.sleep(FIRST_REQUEST_WAIT_S)
         await self._open_readiness()
         _log.info("started", listen_port=settings.listen_port)
@@ -222,6 +231,8 @@
         that view.
         """
         self.metrics.packets[Verdict.DROPPED_STALE] += self._egress.clear()
+        if self._gate is not None:
+            self.metrics.packets[Verdict.DROPPED_STALE] += self._gate.clear()
         try:
             while self._socket.recv(MAX_DATAGRAM_BYTES):
                 self.metrics.packets[Verdict.DROPPED_STALE] += 1
@@ -235,7 +246,9 @@
             self.metrics.packets[Verdict.DROPPED_MALFORMED] += 1
             _log.warning(Verdict.DROPPED_MALFORMED, reason=error.message)
             return
-        decision = self._router.route(packet)
+        self._carry_out(packet, self._router.route(packet))
+
+    def _carry_out(self, packet: CallerPacket, decision: Decision) -> None:
         verdict = decision.verdict
         self.metrics.packets[verdict] += 1
         if verdict is Verdict.NEW_FLOW:
@@ -355,4 +368,6 @@
                 self._drop_queued_datagrams()
             self._last_boottime_s = self._clock.boottime_s()
             self._router.expire()
+            if self._gate is not None:
+                self._gate.expire()
             self._directory.expire()
--- a/arbutuslift/entrymetrics.py
+++ b/arbutuslift/entrymetrics.py
@@ -10,6 +10,7 @@
 from .histograms import Histogram, doubling_bounds
 
 if TYPE_CHECKING:
+    from .coordination.routing.admissiongate import AdmissionGate
     from .metricfamilies import MetricFamily
 
 
@@ -20,6 +21,7 @@
         router: Holds the flows and the routing table in effect.
         directory: Holds the upstreams.
         egress: Holds the packets that wait for the link.
+        gate: Holds the SYNs that wait for capacity; None without admission.
 
     Attributes:
         packets: Number of packets by verdict.
@@ -29,7 +31,11 @@
     """
 
     def __init__(
-        self, router: FlowTagRouter, directory: UpstreamDirectory, egress: EgressQueue
+        self,
+        router: FlowTagRouter,
+        directory: UpstreamDirectory,
+        egress: EgressQueue,
+        gate: "AdmissionGate | None" = None,
     ) -> None:
         self.packets: Counter[Verdict] = Counter()
         self.packet_duration_s = Histogram(doubling_bounds(0.00002, 16))
@@ -38,6 +44,7 @@
         self._router = router
         self._directory = directory
         self._egress = egress
+        self._gate = gate
 
     def families(self) -> "list[MetricFamily]":
         """Return all metric families with their current values."""
@@ -64,6 +71,16 @@
                 help_text="Bytes of packets that wait for the link.",
                 value=self._egress.queued_bytes,
             ),
+            Gauge(
+                name="arbutuslift_waiting_flows",
+                help_text="SYNs that wait for capacity.",
+                value=self._gate.waiting_count if self._gate else 0,
+            ),
+            Gauge(
+                name="arbutuslift_shortages",
+                help_text="Sets of services whose upstreams can't take all new flows.",
+                value=self._gate.shortage_count if self._gate else 0,
+            ),
             Gauges(
                 name="arbutuslift_upstreams",
                 help_text="Starts of upstreams by state; one can be in several.",
--- a/arbutuslift/rolesettings.py
+++ b/arbutuslift/rolesettings.py
@@ -21,6 +21,8 @@
             flows go to another one.
         may_use_restored_starts: Whether new flows may go to upstreams that control
             instances restored from disk.
+        upstream_queue_length: Requests that wait at each upstream before it rejects
+            more, None if it isn't known.
         remote_price_per_gb: Price of traffic to another data centre, in the unit in
             which one second of a caller's waiting costs 1.
     """
@@ -29,6 +31,7 @@
     is_admission_limited: bool = False
     is_locality_weighted: bool = False
     may_use_restored_starts: bool = False
+    upstream_queue_length: int | None = None
     remote_price_per_gb: float = 0.0
 
 
