--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -11,9 +11,11 @@
 from arbutuslift.clock import ManualClock
 from arbutuslift.coordination.routing.flowtagrouter import Verdict
 from arbutuslift.entry import DRAIN_S, EntryInstance
+from arbutuslift.protocol.feed import StartNews
+from arbutuslift.rolesettings import LoadSettings
 from arbutuslift.transport.packetsocket import open_packet_socket
 
-from .builders import caller_packet, entry_settings, routing_table
+from .builders import caller_packet, entry_settings, route, routing_table, start
 
 # Routers may regard an instance as ready for 4 s after the signal. They need two
 # checks, half a second apart, to detect the change, and timers may fire late.
@@ -115,6 +117,69 @@
         assert upload.instance.metrics.packets[Verdict.DROPPED_STALE] == 16 - sent
 
 
+class AdmissionHarness:
+    """An entry instance with admission on and one upstream, which never answers."""
+
+    def __init__(self, stack):
+        self.clock = SuspendableClock()
+        packets = open_packet_socket("127.0.0.1", 0)
+        stack.callback(packets.close)
+        settings = evolve(
+            entry_settings(), load=LoadSettings(is_admission_limited=True)
+        )
+        self.instance = EntryInstance(
+            settings, packets, PlatformCodec(), self.clock, stack, lambda: None
+        )
+        self.instance._directory.merge_feed_answer(
+            "control",
+            [StartNews(start=start(1), is_silent=False)],
+            is_first=True,
+            is_settled=False,
+        )
+        timed = evolve(route(), aim_s=0.3, timeout_s=1.5)
+        self.instance._router.apply(routing_table(routes=(timed,)))
+        self.sent = []
+        self.instance._send = lambda data, address: self.sent.append(data)
+        gate = self.instance._gate
+        task = gate.run(self.instance._router.route, self.instance._carry_out)
+        stack.callback(asyncio.ensure_future(task).cancel)
+
+    def offer(self, count):
+        for number in range(1, count + 1):
+            packet = caller_packet(number, is_syn=True, datagram=bytes(32))
+            self.instance._carry_out(packet, self.instance._router.route(packet))
+
+    @property
+    def packets(self):
+        return self.instance.metrics.packets
+
+
+async def test_waiting_syns_are_decided_while_no_packet_arrives():
+    """Guards against SYNs that wait for the next packet in place of their time."""
+    async with AsyncExitStack() as stack:
+        harness = AdmissionHarness(stack)
+        harness.offer(100)
+        waiting = harness.packets[Verdict.SYN_WAITS]
+        assert waiting > 0 and not harness.packets[Verdict.REJECTED_BUSY]
+        await harness.clock.advance(0.2)
+        assert harness.instance._gate.waiting_count == 0
+        rejected = harness.packets[Verdict.REJECTED_BUSY]
+        assert rejected > 0
+        assert rejected + harness.packets[Verdict.NEW_FLOW] == 100
+
+
+async def test_syns_that_waited_while_the_process_was_suspended_are_dropped():
+    """Guards against a late reset of a flow that another instance has opened."""
+    async with AsyncExitStack() as stack:
+        harness = AdmissionHarness(stack)
+        harness.offer(100)
+        harness.clock.suspended_s = 5.0
+        await harness.clock.advance(0.2)
+        assert harness.instance._gate.waiting_count == 0
+        assert harness.packets[Verdict.REJECTED_BUSY] == 0
+        assert harness.packets[Verdict.DROPPED_BUSY] > 0
+
+
 def test_modules_can_be_hidden_while_others_are_loaded():
     """Guards against an entry process that imports TLS, which it doesn't use."""
     code = (
