--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -24,9 +24,9 @@
 from .coordination.routing.upstreamdirectory import UpstreamDirectory
 from .coordination.routing.upstreamselector import UpstreamSelector
 from .decisionlog import DecisionLog
-from .entryload import make_gate, make_tracker
 from .entrymetrics import EntryMetrics
 from .errors import PacketError
+from .loadfeatures import make_gate, make_load_features
 from .protocol.channel import Channel
 from .protocol.feed import FeedAnswer
 from .roleinstance import RoleInstance
@@ -94,12 +94,14 @@
         self._decisions = DecisionLog(codec)
         self._directory = UpstreamDirectory(clock)
         self._outlier_detector = OutlierDetector(clock)
+        self._load = make_load_features(settings, clock, self._directory)
         self._selector = UpstreamSelector(
             clock,
             self._directory,
             self._outlier_detector,
             settings.data_centre,
             random.Random(),
+            self._load.shared_choice,
         )
         self._health_checker = HealthChecker(
             clock,
@@ -109,8 +111,7 @@
             self._on_lost,
             self._directory.last_to_answer,
         )
-        tracker = make_tracker(settings, clock)
-        self._gate = make_gate(settings, clock, self._selector, tracker)
+        self._gate = make_gate(settings, clock, self._selector, self._load)
         self._router = FlowTagRouter(
             clock,
             self._directory,
@@ -118,11 +119,11 @@
             self._selector,
             self._health_checker.check,
             self._decisions.log_unanswered_request,
-            observer=tracker,
+            observer=self._load.observer,
             gate=self._gate,
         )
         self.metrics = EntryMetrics(
-            self._router, self._directory, self._egress, self._gate
+            self._router, self._directory, self._egress, self._load, self._gate
         )
         self._last_answer_s = clock.monotonic_s()
         self._feed: FeedClient | None = None
@@ -142,8 +143,9 @@
         settings = self._settings
         self._stack.callback(self._socket.close)
         self._stack.callback(self._tasks.cancel)
+        channel = Channel(self._make_bus(settings.name))
         self._feed = FeedClient(
-            Channel(self._make_bus(settings.name)),
+            channel,
             self._clock,
             settings.seeds,
             settings.data_centre,
@@ -152,6 +154,7 @@
             self._directory.remove_source,
         )
         self._tasks.spawn(self._feed.run())
+        self._load.start(channel, self._tasks)
         self._tasks.spawn(self._expire())
         self._tasks.spawn(self._send_queued())
         if self._gate is not None:
@@ -313,6 +316,7 @@
 
     def _on_answer(self, source: str, answer: FeedAnswer) -> None:
         self._last_answer_s = self._clock.monotonic_s()
+        self._load.on_feed_answer(answer)
         changed = self._directory.merge_feed_answer(
             source,
             answer.news,
--- a/arbutuslift/entrymetrics.py
+++ b/arbutuslift/entrymetrics.py
@@ -8,6 +8,7 @@
 from .coordination.routing.flowtagrouter import FlowTagRouter, Verdict
 from .coordination.routing.upstreamdirectory import UpstreamDirectory
 from .histograms import Histogram, doubling_bounds
+from .loadfeatures import LoadFeatures
 
 if TYPE_CHECKING:
     from .coordination.routing.admissiongate import AdmissionGate
@@ -21,6 +22,7 @@
         router: Holds the flows and the routing table in effect.
         directory: Holds the upstreams.
         egress: Holds the packets that wait for the link.
+        load: Load features, with metrics of their own.
         gate: Holds the SYNs that wait for capacity; None without admission.
 
     Attributes:
@@ -35,6 +37,7 @@
         router: FlowTagRouter,
         directory: UpstreamDirectory,
         egress: EgressQueue,
+        load: LoadFeatures | None = None,
         gate: "AdmissionGate | None" = None,
     ) -> None:
         self.packets: Counter[Verdict] = Counter()
@@ -44,6 +47,7 @@
         self._router = router
         self._directory = directory
         self._egress = egress
+        self._load = load or LoadFeatures()
         self._gate = gate
 
     def families(self) -> "list[MetricFamily]":
@@ -71,16 +75,6 @@
                 help_text="Bytes of packets that wait for the link.",
                 value=self._egress.queued_bytes,
             ),
-            Gauge(
-                name="arbutuslift_waiting_flows",
-                help_text="SYNs that wait for capacity.",
-                value=self._gate.waiting_count if self._gate else 0,
-            ),
-            Gauge(
-                name="arbutuslift_shortages",
-                help_text="Sets of services whose upstreams can't take all new flows.",
-                value=self._gate.shortage_count if self._gate else 0,
-            ),
             Gauges(
                 name="arbutuslift_upstreams",
                 help_text="Starts of upstreams by state; one can be in several.",
@@ -112,4 +106,24 @@
                 help_text="Age of what control instances said, when a flow opened.",
                 histogram=self.view_age_s,
             ),
+            *self._load.families(),
+            *self._gate_families(),
+        ]
+
+    def _gate_families(self) -> "list[MetricFamily]":
+        from .metricfamilies import Gauge
+
+        if self._gate is None:
+            return []
+        return [
+            Gauge(
+                name="arbutuslift_waiting_flows",
+                help_text="SYNs that wait for capacity.",
+                value=self._gate.waiting_count,
+            ),
+            Gauge(
+                name="arbutuslift_shortages",
+                help_text="Sets of services whose upstreams can't take all new flows.",
+                value=self._gate.shortage_count,
+            ),
         ]
