Limit new flows in the slot router by the same module

Cause: the product's own interface needs the same decision (docs/design/load.md, part 2). Ruled out: a queue of SYNs, since the fabric brings copies to other instances; resets, for the same reason. Change: SlotAdmission gives FlowAdmission the loads that upstreams report. A SYN without capacity is left unanswered.

--- a/arbutuslift/coordination/routing/slotrouter.py
+++ b/arbutuslift/coordination/routing/slotrouter.py
@@ -45,6 +45,7 @@
     RELAYED = "relayed"
     REFUSED = "refused"
     SHED = "shed"
+    WAITING = "waiting"
     ABORTED = "aborted"
     RETURNED = "returned"
     DENIED = "denied"
@@ -83,6 +84,7 @@
         instance_address: Returns the fabric address of an alive instance.
         is_instance: Whether an outer address is an instance's fabric address.
         queue_fill: Returns how full the receive queue is, from 0 to 1.
+        may_open: Whether capacity allows a new flow; else its SYN is left unanswered.
     """
 
     def __init__(
@@ -95,6 +97,7 @@
         instance_address: Callable[[str], Address | None] = lambda name: None,
         is_instance: Callable[[Address], bool] = lambda address: False,
         queue_fill: Callable[[], float] = lambda: 0.0,
+        may_open: Callable[[bytes, ServiceRoutes], bool] = lambda flow, routes: True,
     ) -> None:
         self._services = services
         self._flows = flows
@@ -103,6 +106,7 @@
         self._instance_address = instance_address
         self._is_instance = is_instance
         self._queue_fill = queue_fill
+        self._may_open = may_open
         self._copy_bucket = TokenBucket(
             PROBE_COPIES_PER_S, PROBE_COPIES_BURST, services.clock.monotonic_s
         )
@@ -158,6 +162,8 @@
         priority = routes.service.priority
         if self._queue_fill() >= SHED_QUEUE_FILL[priority]:
             return _refuse(Verdict.SHED, packet)
+        if not self._may_open(flow, routes):
+            return Decision(Verdict.WAITING)
         skipped = []
         for record in self._syn_targets(routes, flow):
             if self._admission.try_admit(record, priority):
--- a/arbutuslift/instance.py
+++ b/arbutuslift/instance.py
@@ -14,9 +14,12 @@
 from .coordination.dissemination.registrar import Registrar
 from .coordination.dissemination.upstreamtimeout import UpstreamTimeoutDetector
 from .coordination.routing.denials import DenialBuffer
+from .coordination.routing.flowadmission import FlowAdmission
 from .coordination.routing.forwarding import Forwarder
 from .coordination.routing.limits import limit_plan_of
+from .coordination.routing.routes import ServiceRoutes
 from .coordination.routing.services import ServiceTable
+from .coordination.routing.slotadmission import SlotAdmission
 from .coordination.routing.slotrouter import SlotRouter
 from .coordination.routing.tracedforwarding import TracedForwarder
 from .errors import TaskFailed
@@ -203,11 +206,28 @@
             instance_address=self._directory.address_of,
             is_instance=self._directory.is_instance,
             queue_fill=fabric.queue_fill,
+            may_open=self._flow_admission(flows),
         )
         if self._tracer.is_enabled:
             return TracedForwarder(fabric, router, settings.fabric, self._tracer)
         return Forwarder(fabric, router, settings.fabric)
 
+    def _flow_admission(
+        self, flows: FlowCache
+    ) -> Callable[[bytes, ServiceRoutes], bool]:
+        """Return what decides whether capacity allows a new flow."""
+        settings = self._settings
+        if not settings.admission_aim_ms:
+            return lambda flow, routes: True
+        return SlotAdmission(
+            self._services,
+            flows,
+            FlowAdmission(self._clock),
+            settings.admission_aim_ms / 1000,
+            lambda: len({*self._alive_instances(), settings.name}),
+            settings.upstream_queue_length or None,
+        ).may_open
+
     async def _report_metrics(self, forwarder: Forwarder) -> None:
         metrics = open_metrics(self._settings.statsd, self._settings.name)
         self._stack.callback(metrics.close)
--- a/arbutuslift/settings.py
+++ b/arbutuslift/settings.py
@@ -2,13 +2,14 @@
 
 import ipaddress
 import os
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from pathlib import Path
 
 from absl import flags
-from attrs import field, frozen
+from attrs import frozen
 
 from .errors import Fault, SettingsError
+from .settingflag import SettingFlag
 from .settingparsers import (
     TRACE_FILE_PREFIX,
     Seed,
@@ -27,11 +28,12 @@
 )
 from .transport.fabric import Address
 
-ENVIRONMENT_PREFIX = "ARBUTUSLIFT_"
 CURVE_CHOICES = ("auto", "on", "off")
 LOG_LEVELS = ("debug", "info", "warning", "error")
 MAX_DRAIN_S = 3600.0
 MAX_FLOWS = 10_000_000
+MAX_AIM_MS = 3_600_000
+MAX_QUEUE_LENGTH = 1_000_000
 
 
 @frozen(kw_only=True)
@@ -55,6 +57,10 @@
         announcement_key_file: Key with which announcements are signed.
         drain_s: How long to forward after the first stop signal.
         max_flows: Capacity of the flow cache.
+        admission_aim_ms: Time within which callers want an answer, in ms; 0 if new
+            flows aren't limited by it.
+        upstream_queue_length: Requests that wait at each upstream before it rejects
+            more, 0 if it isn't known.
         statsd: Address of the statsd server, if any.
         trace: ``off``, ``console`` or ``file:PATH``.
         trace_ratio: Fraction of the flows whose packets are traced, from 0 to 1.
@@ -77,6 +83,8 @@
     announcement_key_file: Path | None = None
     drain_s: float = 5.0
     max_flows: int = 400_000
+    admission_aim_ms: int = 0
+    upstream_queue_length: int = 0
     statsd: Address | None = None
     trace: str = "off"
     trace_ratio: float = 0.001
@@ -117,32 +125,6 @@
     )
 
 
-@frozen
-class SettingFlag:
-    """A flag of the daemon.
-
-    Attributes:
-        name: Name of the flag.
-        metavar: Placeholder that describes the form of a value.
-        help: Help text.
-        parse: Returns the value of a text; raises ValueError.
-        default: Text that is used if flag and variable are missing; empty for none.
-        is_required: Whether a value must be given.
-    """
-
-    name: str
-    metavar: str
-    help: str
-    parse: Callable[[str], object]
-    default: str = ""
-    is_required: bool = field(default=False, kw_only=True)
-
-    @property
-    def environment_variable(self) -> str:
-        """Name of the environment variable."""
-        return ENVIRONMENT_PREFIX + self.name.upper()
-
-
 _ADDRESS = "ip:port"
 SETTING_FLAGS = (
     SettingFlag(
@@ -233,6 +215,20 @@
         number_parser(int, 1, MAX_FLOWS),
         "400000",
     ),
+    SettingFlag(
+        "admission_aim_ms",
+        "number",
+        "Aim of callers by which new flows are limited; 0 for no limit.",
+        number_parser(int, 0, MAX_AIM_MS),
+        "0",
+    ),
+    SettingFlag(
+        "upstream_queue_length",
+        "number",
+        "Requests that wait at an upstream before it rejects; 0 if unknown.",
+        number_parser(int, 0, MAX_QUEUE_LENGTH),
+        "0",
+    ),
     SettingFlag("statsd", _ADDRESS, "UDP, takes metrics.", parse_address),
     SettingFlag(
         "trace",
