Let the classes below the highest bear the excess of a shortage

Cause: while more than the capacity is outstanding, all classes got less than their share, also a steady one of the highest priority. Change: the highest class with demand keeps its share; the others get what is left.

--- a/arbutuslift/coordination/routing/fairshares.py
+++ b/arbutuslift/coordination/routing/fairshares.py
@@ -72,11 +72,14 @@
         demand.arrivals = 1.0 + _decayed(demand, now_s)
         demand.updated_s = now_s
 
-    def accrue(self, flows_per_s: float) -> None:
+    def accrue(self, flows_per_s: float, excess: float) -> None:
         """Divide the flows that were possible since the last call among the routes.
 
         Args:
             flows_per_s: Flows that the upstreams can answer at this instance's part.
+            excess: What is outstanding as a multiple of the capacity. While it is over
+                1, fewer flows are divided, and the classes below the highest bear
+                that.
         """
         now_s = self._clock.monotonic_s()
         elapsed_s = now_s - self._accrued_s
@@ -84,16 +87,20 @@
         if elapsed_s > IDLE_S:
             # The time before a shortage gives no credit for its first moment.
             return
-        weights = {
-            key: _decayed(demand, now_s)
-            for key, demand in self._routes.items()
-            if now_s - demand.updated_s < IDLE_S
-        }
-        total = sum(weights.values())
-        for key, weight in weights.items():
-            demand = self._routes[key]
-            part = elapsed_s * flows_per_s * weight / total
-            demand.credit = min(MAX_CREDIT, demand.credit + part)
+        present = [k for k in self._routes.values() if now_s - k.updated_s < IDLE_S]
+        weights = [_decayed(demand, now_s) for demand in present]
+        total = sum(weights)
+        top = min((demand.priority for demand in present), default=0)
+        top_weight = sum(
+            weight
+            for demand, weight in zip(present, weights, strict=True)
+            if demand.priority == top
+        )
+        for demand, weight in zip(present, weights, strict=True):
+            is_top = demand.priority == top
+            factor = _factor(excess, top_weight / total, is_top)
+            part = factor * flows_per_s * weight / total
+            demand.credit = min(MAX_CREDIT, demand.credit + elapsed_s * part)
 
     def charge(self, route: RouteKey) -> None:
         """Take the cost of an admitted flow from its route."""
@@ -155,3 +162,18 @@
 def _decayed(demand: _RouteDemand, now_s: float) -> float:
     age_s = now_s - demand.updated_s
     return demand.arrivals * math.exp(-age_s / DEMAND_MEMORY_S)
+
+
+def _factor(excess: float, top_share: float, is_top: bool) -> float:
+    """Return the part of its share that a class gets.
+
+    Args:
+        excess: What is outstanding as a multiple of the capacity.
+        top_share: Share of the highest class with demand.
+        is_top: Whether the class is that one.
+    """
+    if excess <= 1.0 or top_share >= 1.0:
+        return 1.0 / excess
+    if is_top:
+        return min(1.0, 1.0 / (excess * top_share))
+    return max(0.0, (1.0 / excess - top_share) / (1.0 - top_share))
--- a/arbutuslift/coordination/routing/flowadmission.py
+++ b/arbutuslift/coordination/routing/flowadmission.py
@@ -208,7 +208,7 @@
         load = self._loads[request.pool.name]
         shares = self._shares_of(request.pool.name)
         excess = load.excess(request.pool, figures.aim_s)
-        shares.accrue(request.pool.flows_per_s(load.work_s) / excess)
+        shares.accrue(request.pool.flows_per_s(load.work_s), excess)
         if load.has_room(request.pool, figures.limit, self._clock.monotonic_s()):
             return Reason.BELOW_CAPACITY
         return Reason.SHARE_LEFT if shares.is_owed(request.route) else None
