--- a/arbutuslift/coordination/routing/flowtagrouter.py
+++ b/arbutuslift/coordination/routing/flowtagrouter.py
@@ -2,20 +2,24 @@
 
 from collections import OrderedDict, deque
 from collections.abc import Callable
-from enum import StrEnum
-
-from attrs import frozen
+from typing import TYPE_CHECKING
 
 from ...clock import Clock
 from ...state.routingtable import Route, RoutingTable
 from ...transport.callerpackets import CallerPacket
 from .flowobserver import FlowObserver
 from .outlierdetector import OutlierDetector
+from .packetdecision import RESET_VERDICTS, Decision, Verdict
 from .trackedflows import EndReason, TrackedFlow, UnansweredRequest
 from .trackedstart import TrackedStart
 from .upstreamdirectory import UpstreamDirectory
 from .upstreamselector import UpstreamSelector
 
+if TYPE_CHECKING:
+    from .admissiongate import AdmissionGate
+
+__all__ = ["RESET_VERDICTS", "Decision", "FlowTagRouter", "Verdict"]
+
 # Callers retransmit a SYN after 200 ms. A copy that arrives sooner is a duplicate that
 # took another network path.
 ANSWER_TIMEOUT_S = 0.15
@@ -36,52 +40,6 @@
 MAX_RETAINED_REQUESTS = 10_000
 
 
-class Verdict(StrEnum):
-    """What the router does with a packet."""
-
-    NEW_FLOW = "new_flow"
-    SYN_REPEATED = "syn_repeated"
-    SYN_MOVED = "syn_moved"
-    SYN_HEDGED = "syn_hedged"
-    FORWARDED = "forwarded"
-    REPEATED = "repeated"
-    REFUSED_NO_ROUTE = "refused_no_route"
-    REFUSED_NO_UPSTREAM = "refused_no_upstream"
-    RESET_ROUTE_REMOVED = "reset_route_removed"
-    RESET_UPSTREAM_GONE = "reset_upstream_gone"
-    RESET_UPSTREAM_LOST = "reset_upstream_lost"
-    DROPPED_UNKNOWN_TAG = "dropped_unknown_tag"
-    DROPPED_NO_TABLE = "dropped_no_table"
-    DROPPED_MALFORMED = "dropped_malformed"
-    DROPPED_STALE = "dropped_stale"
-    DROPPED_LINK_FULL = "dropped_link_full"
-
-
-RESET_VERDICTS = frozenset(
-    {
-        Verdict.REFUSED_NO_ROUTE,
-        Verdict.REFUSED_NO_UPSTREAM,
-        Verdict.RESET_ROUTE_REMOVED,
-        Verdict.RESET_UPSTREAM_GONE,
-        Verdict.RESET_UPSTREAM_LOST,
-    }
-)
-
-
-@frozen
-class Decision:
-    """Decision about one packet.
-
-    Attributes:
-        verdict: What the router does with it.
-        upstream: Start that the packet belongs to, if there is one. It receives the
-            packet unless the verdict is a reset.
-    """
-
-    verdict: Verdict
-    upstream: TrackedStart | None = None
-
-
 class FlowTagRouter:
     """Routes packets; one of an open flow only ever goes to the flow's upstream.
 
@@ -93,6 +51,8 @@
         on_suspicion: Called with the upstream of each flow without an answer.
         on_unanswered: Called with each request that ended without an answer.
         observer: Counts flows, requests and answers.
+        gate: Lets new flows wait or rejects them when capacity is short; None if
+            all are let through.
 
     Attributes:
         table: Routing table in effect; None before the first.
@@ -107,6 +67,7 @@
         on_suspicion: Callable[[TrackedStart], None] = lambda tracked: None,
         on_unanswered: Callable[[UnansweredRequest], None] = lambda request: None,
         observer: FlowObserver | None = None,
+        gate: "AdmissionGate | None" = None,
     ) -> None:
         self.table: RoutingTable | None = None
         self._clock = clock
@@ -116,6 +77,7 @@
         self._on_suspicion = on_suspicion
         self._on_unanswered = on_unanswered
         self._observer = observer or FlowObserver()
+        self._gate = gate
         self._routes: dict[tuple[bytes, int], Route] = {}
         self._flows: OrderedDict[bytes, TrackedFlow] = OrderedDict()
         self._opening_flows: deque[TrackedFlow] = deque()
@@ -185,8 +147,15 @@
             self._record_flow_failure(flow)
             verdict = Verdict.SYN_MOVED
         excluded = self._failed_upstreams(packet, now_s)
+        gate = self._gate if verdict is Verdict.NEW_FLOW else None
+        if gate is not None:
+            held = gate.check(packet, route, self.table, bool(excluded))
+            if held is not None:
+                return self._hold(held, route)
         upstream = self._selector.select(route, self.table, excluded)
         if upstream is None:
+            if gate is not None and gate.keep(packet, route, self.table):
+                return Decision(Verdict.SYN_WAITS)
             self._observer.record_arrival(route.first_service, None)
             return Decision(Verdict.REFUSED_NO_UPSTREAM)
         if verdict is Verdict.NEW_FLOW:
@@ -198,6 +167,11 @@
         self._record_opening(packet, flow)
         return Decision(verdict, upstream)
 
+    def _hold(self, held: Decision, route: Route) -> Decision:
+        if held.verdict is Verdict.REJECTED_BUSY:
+            self._observer.record_arrival(route.first_service, None)
+        return held
+
     def _record_opening(self, packet: CallerPacket, flow: TrackedFlow) -> None:
         self._opening_flows.append(flow)
         recent = self._recent_by_caller.pop(packet.caller_ip, None)
--- a/arbutuslift/coordination/routing/upstreamselector.py
+++ b/arbutuslift/coordination/routing/upstreamselector.py
@@ -98,6 +98,20 @@
             return None
         return selected if self._healthy([selected]) else None
 
+    def eligible(self, service: str, table: RoutingTable) -> list[TrackedStart]:
+        """Return the healthy upstreams of a service, warm and cold ones."""
+        return self._healthy(self._usable(service, table))
+
+    def _usable(self, service: str, table: RoutingTable) -> list[TrackedStart]:
+        limits = _limits_of(service, table)
+        return [
+            tracked
+            for tracked in self._directory.of_service(service)
+            if tracked.start.phase is Phase.READY
+            and tracked.start.data_centre not in table.out_of_service
+            and (not tracked.is_remembered or may_receive_new_flows(tracked, limits))
+        ]
+
     def _services_in_order(self, route: Route) -> list[str]:
         """Return the services of a route, the one drawn by weight first."""
         shares = [share for share in route.shares if share.weight > 0]
@@ -111,14 +125,7 @@
         self, service: str, table: RoutingTable, excluded: frozenset[tuple[str, int]]
     ) -> TrackedStart | None:
         now_s = self._clock.monotonic_s()
-        limits = next((s for s in table.services if s.name == service), None)
-        usable = [
-            tracked
-            for tracked in self._directory.of_service(service)
-            if tracked.start.phase is Phase.READY
-            and tracked.start.data_centre not in table.out_of_service
-            and (not tracked.is_remembered or may_receive_new_flows(tracked, limits))
-        ]
+        usable = self._usable(service, table)
         warm = [tracked for tracked in usable if tracked.cold_until_s <= now_s]
         healthy = self._healthy(warm)
         candidates = [
@@ -126,7 +133,7 @@
         ]
         if candidates:
             return self._least_loaded(self._of_data_centre(service, candidates))
-        interval_s = self._cold_interval_s(limits)
+        interval_s = self._cold_interval_s(_limits_of(service, table))
         cold = [
             tracked
             for tracked in usable
@@ -206,6 +213,10 @@
         return remote if excess_s > REMOTE_THRESHOLD_S else local
 
 
+def _limits_of(service: str, table: RoutingTable) -> ServiceLimits | None:
+    return next((s for s in table.services if s.name == service), None)
+
+
 def _median(values: list[float]) -> float:
     """Return the lower median, 0 without values.
 
--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -27,7 +27,7 @@
 from .decisionlog import DecisionLog, log_changed_starts
 from .entrymetrics import EntryMetrics
 from .errors import PacketError, StorageError
-from .loadfeatures import make_load_features
+from .loadfeatures import make_gate, make_load_features
 from .protocol.channel import Channel
 from .protocol.feed import FeedAnswer
 from .roleinstance import RoleInstance
@@ -122,6 +122,7 @@
             self._on_lost,
             self._directory.last_to_answer,
         )
+        self._gate = make_gate(settings, clock, self._selector, self._load)
         self._router = FlowTagRouter(
             clock,
             self._directory,
@@ -129,10 +130,11 @@
             self._selector,
             self._health_checker.check,
             self._decisions.log_unanswered_request,
-            self._load.observer,
+            observer=self._load.observer,
+            gate=self._gate,
         )
         self.metrics = EntryMetrics(
-            self._router, self._directory, self._egress, self._load
+            self._router, self._directory, self._egress, self._load, self._gate
         )
         self._hedger = self._make_hedger() if settings.load.are_syns_hedged else None
         self._last_answer_s = clock.monotonic_s()
@@ -176,6 +178,8 @@
         self._tasks.spawn(self._send_queued())
         if self._hedger is not None:
             self._tasks.spawn(self._hedger.run(self._receive, self._send_hedge))
+        if self._gate is not None:
+            self._tasks.spawn(self._gate.run(self._router.route, self._carry_out))
         await self._forward_waiting_packets()
         await self._open_readiness()
         _log.info("started", listen_port=settings.listen_port)
@@ -262,6 +266,8 @@
         that view.
         """
         self.metrics.packets[Verdict.DROPPED_STALE] += self._egress.clear()
+        if self._gate is not None:
+            self.metrics.packets[Verdict.DROPPED_STALE] += self._gate.clear()
         try:
             while self._socket.recv(MAX_DATAGRAM_BYTES):
                 self.metrics.packets[Verdict.DROPPED_STALE] += 1
@@ -275,7 +281,9 @@
             self.metrics.packets[Verdict.DROPPED_MALFORMED] += 1
             _log.warning(Verdict.DROPPED_MALFORMED, reason=error.message)
             return
-        decision = self._router.route(packet)
+        self._carry_out(packet, self._router.route(packet))
+
+    def _carry_out(self, packet: CallerPacket, decision: Decision) -> None:
         verdict = decision.verdict
         self.metrics.packets[verdict] += 1
         if verdict is Verdict.NEW_FLOW:
@@ -412,4 +420,6 @@
                 self._drop_queued_datagrams()
             self._last_boottime_s = self._clock.boottime_s()
             self._router.expire()
+            if self._gate is not None:
+                self._gate.expire()
             self._directory.expire()
--- a/arbutuslift/entrymetrics.py
+++ b/arbutuslift/entrymetrics.py
@@ -11,6 +11,7 @@
 from .loadfeatures import LoadFeatures
 
 if TYPE_CHECKING:
+    from .coordination.routing.admissiongate import AdmissionGate
     from .metricfamilies import MetricFamily
 
 
@@ -22,6 +23,7 @@
         directory: Holds the upstreams.
         egress: Holds the packets that wait for the link.
         load: Load features, with metrics of their own.
+        gate: Holds the SYNs that wait for capacity; None without admission.
 
     Attributes:
         packets: Number of packets by verdict.
@@ -37,6 +39,7 @@
         directory: UpstreamDirectory,
         egress: EgressQueue,
         load: LoadFeatures | None = None,
+        gate: "AdmissionGate | None" = None,
     ) -> None:
         self.packets: Counter[Verdict] = Counter()
         self.hedges: Counter[str] = Counter()
@@ -47,6 +50,7 @@
         self._directory = directory
         self._egress = egress
         self._load = load or LoadFeatures()
+        self._gate = gate
 
     def families(self) -> "list[MetricFamily]":
         """Return all metric families with their current values."""
@@ -111,4 +115,23 @@
                 histogram=self.view_age_s,
             ),
             *self._load.families(),
+            *self._gate_families(),
+        ]
+
+    def _gate_families(self) -> "list[MetricFamily]":
+        from .metricfamilies import Gauge
+
+        if self._gate is None:
+            return []
+        return [
+            Gauge(
+                name="arbutuslift_waiting_flows",
+                help_text="SYNs that wait for capacity.",
+                value=self._gate.waiting_count,
+            ),
+            Gauge(
+                name="arbutuslift_shortages",
+                help_text="Sets of services whose upstreams can't take all new flows.",
+                value=self._gate.shortage_count,
+            ),
         ]
--- a/arbutuslift/loadfeatures.py
+++ b/arbutuslift/loadfeatures.py
@@ -7,6 +7,7 @@
 from .coordination.concurrency import TaskSet
 from .coordination.routing.flowobserver import FlowObserver
 from .coordination.routing.upstreamdirectory import UpstreamDirectory
+from .coordination.routing.upstreamselector import UpstreamSelector
 from .errors import Fault, SettingsError
 from .protocol.channel import Channel
 from .protocol.feed import FeedAnswer
@@ -14,6 +15,8 @@
 from .state.routingtable import RoutingTable
 
 if TYPE_CHECKING:
+    from .coordination.routing.admissiongate import AdmissionGate
+    from .coordination.routing.loadview import LoadView
     from .coordination.routing.locality import LocalityWeights
     from .coordination.routing.sharedloadchoice import SharedLoadChoice
     from .metricfamilies import MetricFamily
@@ -24,6 +27,7 @@
 
     Attributes:
         observer: Receives the flows, requests and answers that the router sees.
+        view: Load of all instances, None if it isn't shared.
         shared_choice: Chooses upstreams by the load of all instances, if that is known.
         locality: Decides the data centre of a new flow by the load of all of them.
     """
@@ -32,6 +36,7 @@
         self.observer = FlowObserver()
         self.shared_choice: SharedLoadChoice | None = None
         self.locality: LocalityWeights | None = None
+        self.view: LoadView | None = None
 
     def start(self, channel: Channel, tasks: TaskSet) -> None:
         """Start the tasks of the features.
@@ -62,7 +67,12 @@
     """
     _check(settings.load)
     if not settings.load.is_load_reported:
-        return LoadFeatures()
+        features = LoadFeatures()
+        if settings.load.is_admission_limited:
+            from .coordination.routing.loadtracker import LoadTracker
+
+            features.observer = LoadTracker(clock, settings.data_centre)
+        return features
     # Imported only if used, since an entry process starts with little processor time.
     from .sharedload import SharedLoad
 
@@ -80,3 +90,24 @@
         faults.append(Fault("load.remote_price_per_gb", reason))
     if faults:
         raise SettingsError(tuple(faults), step="make load features")
+
+
+def make_gate(
+    settings: EntrySettings,
+    clock: Clock,
+    selector: UpstreamSelector,
+    load: LoadFeatures,
+) -> "AdmissionGate | None":
+    """Return the gate of new flows, None if all are let through."""
+    if not settings.load.is_admission_limited:
+        return None
+    from .coordination.routing.admissiongate import open_gate
+
+    return open_gate(
+        clock,
+        selector,
+        load.observer,
+        settings.data_centre,
+        load.view,
+        settings.load.upstream_queue_length,
+    )
--- a/arbutuslift/rolesettings.py
+++ b/arbutuslift/rolesettings.py
@@ -26,6 +26,8 @@
             instances restored from disk.
         are_syns_hedged: Whether a SYN without an answer goes to a second upstream
             before the caller repeats it.
+        upstream_queue_length: Requests that wait at each upstream before it rejects
+            more, None if it isn't known.
         remote_price_per_gb: Price of traffic to another data centre, in the unit in
             which one second of a caller's waiting costs 1.
     """
@@ -35,6 +37,7 @@
     is_locality_weighted: bool = False
     may_use_restored_starts: bool = False
     are_syns_hedged: bool = False
+    upstream_queue_length: int | None = None
     remote_price_per_gb: float = 0.0
 
 
