--- a/tests/coordination/routing/test_synhedging.py
+++ b/tests/coordination/routing/test_synhedging.py
@@ -157,6 +157,14 @@
     assert sent <= BUDGET_FRACTION * 250
 
 
+def test_instance_with_few_flows_sends_no_hedges():
+    harness = HedgeHarness(start(1), start(2), answered=0)
+    harness.open(1)
+    harness.wait(MAX_DELAY_S)
+    assert harness.hedger.take_due() == []
+    assert harness.hedger.outcomes == {HedgeOutcome.OVER_BUDGET: 1}
+
+
 def test_burst_that_is_answered_late_exhausts_the_budget():
     """Guards against a second connection for every flow of the burst."""
     harness = HedgeHarness(start(1), start(2))
