Import locality with the first summary

Ruled out: importing them after readiness in open(), which would need them although no summary may ever come. Change: SharedLoad makes LocalityWeights with the first summary and hands it to the selector; until then, and if no summary ever comes, _prefer_local decides. Measured: tests of shared load, entry, metrics and selector pass.

--- a/arbutuslift/coordination/routing/upstreamselector.py
+++ b/arbutuslift/coordination/routing/upstreamselector.py
@@ -88,6 +88,10 @@
                 return selected
         return None
 
+    def use_locality(self, locality: "LocalityWeights") -> None:
+        """Let ``locality`` decide the data centre of new flows."""
+        self.locality = locality
+
     def _services_in_order(self, route: Route) -> list[str]:
         """Return the services of a route, the one drawn by weight first."""
         shares = [share for share in route.shares if share.weight > 0]
--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -103,7 +103,7 @@
             random.Random(),
             self._load.shared_choice,
         )
-        self._selector.locality = self._load.locality
+        self._load.on_locality = self._selector.use_locality
         self._health_checker = HealthChecker(
             clock,
             self._outlier_detector,
--- a/arbutuslift/loadfeatures.py
+++ b/arbutuslift/loadfeatures.py
@@ -1,5 +1,6 @@
 """Load features of an entry instance; this module holds what stands in for them."""
 
+from collections.abc import Callable
 from math import isfinite
 from typing import TYPE_CHECKING
 
@@ -25,13 +26,16 @@
     Attributes:
         observer: Receives the flows, requests and answers that the router sees.
         shared_choice: Chooses upstreams by the load of all instances, if that is known.
-        locality: Decides the data centre of a new flow by the load of all of them.
+        locality: Decides the data centre of a new flow by the load of all of them; None
+            before the first summary.
+        on_locality: Called with ``locality`` when it is there.
     """
 
     def __init__(self) -> None:
         self.observer = FlowObserver()
         self.shared_choice: SharedLoadChoice | None = None
         self.locality: LocalityWeights | None = None
+        self.on_locality: Callable[[LocalityWeights], None] = lambda locality: None
 
     def start(self, channel: Channel, tasks: TaskSet) -> None:
         """Start the tasks of the features.
--- a/arbutuslift/sharedload.py
+++ b/arbutuslift/sharedload.py
@@ -53,12 +53,8 @@
         self.shared_choice = SharedLoadChoice(
             self.view, self.tracker, self.weights, self._rng
         )
+        self._table: RoutingTable | None = None
         self._services: tuple[RoutedService, ...] = ()
-        self._out_of_service: frozenset[str] = frozenset()
-        if settings.load.is_locality_weighted:
-            from .coordination.routing.locality import LocalityWeights
-
-            self.locality = LocalityWeights(clock, settings.data_centre, settings.load)
 
     def start(self, channel: Channel, tasks: TaskSet) -> None:
         """Send reports over a channel."""
@@ -75,12 +71,8 @@
 
     def apply(self, table: RoutingTable) -> None:
         """Use the services of a routing table that is in effect from now on."""
-        if self.locality is None:
-            return
-        from .coordination.routing.routedservices import routed_services
-
-        self._services = routed_services(table)
-        self._out_of_service = table.out_of_service
+        self._table = table
+        self._services = ()
 
     def on_feed_answer(self, answer: FeedAnswer) -> None:
         """Report to the control instances that an answer names."""
@@ -112,8 +104,21 @@
     def _on_summary(self, report: LoadReport, summary: LoadSummary) -> None:
         self.view.update(summary, report.upstreams)
         self.weights.update(summary.upstreams)
-        if self.locality is not None:
-            self.locality.update(self.view, self._services, self._out_of_service)
+        if self._settings.load.is_locality_weighted and self._table is not None:
+            self._update_locality(self._table)
+
+    def _update_locality(self, table: RoutingTable) -> None:
+        # Imported with the first summary, so that the instance is ready sooner.
+        from .coordination.routing.locality import LocalityWeights
+        from .coordination.routing.routedservices import routed_services
+
+        if self.locality is None:
+            self.locality = LocalityWeights(
+                self._clock, self._settings.data_centre, self._settings.load
+            )
+            self.on_locality(self.locality)
+        self._services = self._services or routed_services(table)
+        self.locality.update(self.view, self._services, table.out_of_service)
 
     def _service_of(self, key: tuple[str, int]) -> str | None:
         tracked = self._directory.find_by_key(key)
