--- a/arbutuslift/coordination/routing/upstreamselector.py
+++ b/arbutuslift/coordination/routing/upstreamselector.py
@@ -112,6 +112,10 @@
             and (not tracked.is_remembered or may_receive_new_flows(tracked, limits))
         ]
 
+    def use_locality(self, locality: "LocalityWeights") -> None:
+        """Let ``locality`` decide the data centre of new flows."""
+        self.locality = locality
+
     def _services_in_order(self, route: Route) -> list[str]:
         """Return the services of a route, the one drawn by weight first."""
         shares = [share for share in route.shares if share.weight > 0]
