Keep the share of an instance above 0 without demand of its data centre

Cause: with a view in which only other data centres have demand, the share was 0, by which the load is divided. Change: the even share counts then.

--- a/arbutuslift/coordination/routing/poolsource.py
+++ b/arbutuslift/coordination/routing/poolsource.py
@@ -159,7 +159,7 @@
         demand.observe_total(own_per_s, view.instances, now_s)
         share = demand.share(view.instances, now_s)
         all_per_s = sum(row.arrivals_per_s for row in rows)
-        share_of_all = share * own_per_s / all_per_s if all_per_s else share
+        share_of_all = (share * own_per_s / all_per_s if all_per_s else 0.0) or share
         local = [k for k in eligible if k.start.data_centre == self._data_centre]
         if not local:
             return self._pool(name, eligible, table, share_of_all, now_s)
