List upstreams out of rotation in the document

Cause: operators want to stop new flows to one upstream without ending its open flows; the document knows data centres only. Change: `out_of_rotation` holds the identity of a start and an optional end as Unix time. The field is left out of the canonical JSON when empty, so documents keep their bytes and digests; the schema, the cross-field checks and the differences know it. Ruled out: a flag of the upstream's announcement, because the upstream would have to cooperate, and a list per service, because an identity is unique without it.

--- a/arbutuslift/commands/documents.py
+++ b/arbutuslift/commands/documents.py
@@ -1,15 +1,16 @@
 """Commands about documents: check, apply, show, history, diff."""
 
 import datetime
+import json
 from pathlib import Path
 from typing import Any
 
 import yaml
-from attrs import asdict, frozen
+from attrs import frozen
 
 from .. import api
 from ..errors import ArbutusliftError, OutcomeUnknown, UsageError
-from ..protocol.document import Document, load_document
+from ..protocol.document import Document, load_document, to_plain
 from ..protocol.documentdiff import Change, describe, diff
 from ..protocol.operators import RevisionEntry
 from .environment import Environment, open_session
@@ -174,10 +175,7 @@
 
 def to_yaml(document: Document) -> str:
     """Return a document as YAML in the order of its fields."""
-    content = asdict(document)
-    for centre in content["data_centres"]:
-        centre["instances"] = list(centre["instances"])
-    plain = {key: list(rows) for key, rows in content.items()}
+    plain = json.loads(json.dumps(to_plain(document)))  # Turns tuples into lists.
     return yaml.safe_dump(plain, sort_keys=False, allow_unicode=True)
 
 
--- a/arbutuslift/protocol/document.py
+++ b/arbutuslift/protocol/document.py
@@ -5,6 +5,7 @@
 
 import cattrs
 from attrs import field, frozen
+from cattrs.gen import make_dict_unstructure_fn, override
 
 from ..errors import DocumentError, Fault
 from .documentchecks import PRIORITIES, find_faults, find_shape_faults
@@ -15,11 +16,13 @@
     "Configuration",
     "DataCentre",
     "Document",
+    "OutOfRotation",
     "Service",
     "from_canonical_json",
     "load_document",
     "structure_document",
     "to_canonical_json",
+    "to_plain",
 ]
 
 _STEP = "check document"
@@ -76,6 +79,19 @@
     instances: tuple[str, ...] = ()
 
 
+@frozen(kw_only=True)
+class OutOfRotation:
+    """An upstream that gets no new flows; its open flows stay.
+
+    Attributes:
+        upstream_id: Identity of one start of the upstream's process.
+        until_s: End, in seconds since the Unix epoch; 0 if an operator ends it.
+    """
+
+    upstream_id: str
+    until_s: int = 0
+
+
 @frozen(kw_only=True)
 class Document:
     """One configuration.
@@ -83,10 +99,27 @@
     Attributes:
         services: All services.
         data_centres: All data centres.
+        out_of_rotation: Upstreams that get no new flows.
     """
 
     services: tuple[Service, ...] = ()
     data_centres: tuple[DataCentre, ...] = ()
+    out_of_rotation: tuple[OutOfRotation, ...] = ()
+
+
+def _omit_defaults(record_class: type, *names: str) -> None:
+    """Leave fields out of the canonical form while they have their defaults.
+
+    A document without these fields keeps the bytes and the digest that it had before
+    the fields were introduced.
+    """
+    overrides = {name: override(omit_if_default=True) for name in names}
+    hook = make_dict_unstructure_fn(record_class, _converter, **overrides)
+    _converter.register_unstructure_hook(record_class, hook)
+
+
+_omit_defaults(OutOfRotation, "until_s")
+_omit_defaults(Document, "out_of_rotation")
 
 
 @frozen(kw_only=True)
@@ -132,11 +165,15 @@
     return document
 
 
+def to_plain(document: Document) -> dict[str, object]:
+    """Return the document as plain values in the order of its fields."""
+    return _converter.unstructure(document)
+
+
 def to_canonical_json(document: Document) -> bytes:
     """Return the document as JSON bytes that are equal for equal documents."""
-    plain = _converter.unstructure(document)
     text = json.dumps(
-        plain,
+        to_plain(document),
         sort_keys=True,
         separators=(",", ":"),
         ensure_ascii=False,
--- a/arbutuslift/protocol/documentchecks.py
+++ b/arbutuslift/protocol/documentchecks.py
@@ -141,6 +141,7 @@
     yield from _find_duplicates(data_centres, "name")
     yield from _instance_faults(data_centres)
     yield from _service_capacity_faults(content, data_centres)
+    yield from _find_duplicates(_entries(content, "out_of_rotation"), "upstream_id")
 
 
 def _find_duplicates(entries: Iterable[_Entry], key: str) -> Iterator[Fault]:
--- a/arbutuslift/protocol/documentdiff.py
+++ b/arbutuslift/protocol/documentdiff.py
@@ -4,7 +4,8 @@
 
 from attrs import evolve, fields, frozen
 
-from .document import DataCentre, Document, Service
+from .document import DataCentre, Document, OutOfRotation, Service
+from .rotation import end_of, with_upstream_out, without_upstream_out
 
 Value = str | int | float | bool | tuple[str, ...]
 
@@ -76,6 +77,27 @@
     names: tuple[str, ...]
 
 
+@frozen(kw_only=True)
+class UpstreamTakenOut(Change):
+    """An upstream is out of rotation that wasn't, or with another end."""
+
+    entry: OutOfRotation
+
+
+@frozen(kw_only=True)
+class UpstreamBroughtBack(Change):
+    """An upstream is no longer out of rotation."""
+
+    upstream_id: str
+
+
+@frozen(kw_only=True)
+class RotationReordered(Change):
+    """The upstreams out of rotation are listed in a different order."""
+
+    upstream_ids: tuple[str, ...]
+
+
 def diff(old: Document, new: Document) -> list[Change]:
     """Return the changes from one document to another.
 
@@ -83,12 +105,19 @@
         old: Document with unique names.
         new: Document with unique names.
     """
-    changes = [*_service_changes(old, new), *_data_centre_changes(old, new)]
+    changes = [
+        *_service_changes(old, new),
+        *_data_centre_changes(old, new),
+        *_rotation_changes(old, new),
+    ]
     patched = patch(old, changes)
     if patched.services != new.services:
         changes.append(ServicesReordered(names=tuple(_by_name(new.services))))
     if patched.data_centres != new.data_centres:
         changes.append(DataCentresReordered(names=tuple(_by_name(new.data_centres))))
+    if patched.out_of_rotation != new.out_of_rotation:
+        upstream_ids = tuple(entry.upstream_id for entry in new.out_of_rotation)
+        changes.append(RotationReordered(upstream_ids=upstream_ids))
     return changes
 
 
@@ -136,6 +165,20 @@
     return changes
 
 
+def _rotation_changes(old: Document, new: Document) -> list[Change]:
+    kept_ids = {entry.upstream_id for entry in new.out_of_rotation}
+    changes: list[Change] = [
+        UpstreamBroughtBack(upstream_id=entry.upstream_id)
+        for entry in old.out_of_rotation
+        if entry.upstream_id not in kept_ids
+    ]
+    return changes + [
+        UpstreamTakenOut(entry=entry)
+        for entry in new.out_of_rotation
+        if entry not in old.out_of_rotation
+    ]
+
+
 def _field_changes(old: object, new: object) -> list[tuple[str, Value, Value]]:
     names = [attribute.name for attribute in fields(type(old))]
     values = [(name, getattr(old, name), getattr(new, name)) for name in names]
@@ -216,6 +259,23 @@
     return evolve(document, data_centres=_in_order(document.data_centres, change.names))
 
 
+@_apply.register
+def _(change: UpstreamTakenOut, document: Document) -> Document:
+    return with_upstream_out(document, change.entry)
+
+
+@_apply.register
+def _(change: UpstreamBroughtBack, document: Document) -> Document:
+    return without_upstream_out(document, change.upstream_id)
+
+
+@_apply.register
+def _(change: RotationReordered, document: Document) -> Document:
+    entries = {entry.upstream_id: entry for entry in document.out_of_rotation}
+    ordered = tuple(entries[upstream_id] for upstream_id in change.upstream_ids)
+    return evolve(document, out_of_rotation=ordered)
+
+
 @singledispatch
 def _describe(change: Change) -> str:
     raise NotImplementedError(type(change).__name__)
@@ -263,5 +323,21 @@
     return f"data centres reordered: {_format_value(change.names)}"
 
 
+@_describe.register
+def _(change: UpstreamTakenOut) -> str:
+    end = end_of(change.entry)
+    return f"upstream {change.entry.upstream_id} out of rotation {end}"
+
+
+@_describe.register
+def _(change: UpstreamBroughtBack) -> str:
+    return f"upstream {change.upstream_id} back in rotation"
+
+
+@_describe.register
+def _(change: RotationReordered) -> str:
+    return f"out of rotation reordered: {_format_value(change.upstream_ids)}"
+
+
 def _format_value(value: Value) -> str:
     return ", ".join(value) if isinstance(value, tuple) else str(value)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -10,6 +10,7 @@
     Configuration,
     DataCentre,
     Document,
+    OutOfRotation,
     Service,
 )
 from arbutuslift.protocol.packets import PROTOCOL_TCP, SYN, encode_tcp
@@ -132,12 +133,20 @@
 )
 
 
+_out_of_rotation = st.builds(
+    OutOfRotation, upstream_id=_names, until_s=st.integers(0, 2_000_000_000)
+)
+
+
 def documents() -> st.SearchStrategy[Document]:
     """Return a strategy for documents with unique names; other checks may fail."""
     return st.builds(
         Document,
         services=st.lists(_services, unique_by=lambda row: row.name).map(tuple),
         data_centres=st.lists(_data_centres, unique_by=lambda row: row.name).map(tuple),
+        out_of_rotation=st.lists(
+            _out_of_rotation, max_size=3, unique_by=lambda row: row.upstream_id
+        ).map(tuple),
     )
 
 
--- a/tests/protocol/test_document.py
+++ b/tests/protocol/test_document.py
@@ -39,6 +39,7 @@
 
 SERVICE = ["services", 0]
 CENTRE = ["data_centres", 0]
+OUT = "out_of_rotation"
 FAULTY = [
     ([*SERVICE, "name"], "claims", "services[1].name", "already used by services[0]"),
     ([*SERVICE, "name"], "a\n", "services[0].name", "must be a name"),
@@ -71,6 +72,10 @@
     ([*CENTRE, "instances"], ["dc-2-1"], "data_centres[1].instances[0]", "already"),
     ([*CENTRE, "instances"], [1], "data_centres[0].instances[0]", "type string"),
     (["data_centres"], [], "data_centres", "at least one must"),
+    ([OUT], [{"upstream_id": ""}], f"{OUT}[0].upstream_id", "must be a name"),
+    ([OUT], [{"upstream_id": "a"}] * 2, f"{OUT}[1].upstream_id", "already used"),
+    ([OUT], [{"upstream_id": "a", "until_s": -1}], f"{OUT}[0].until_s", "at least 0"),
+    ([OUT], [{"until_s": 1}], f"{OUT}[0].upstream_id", "missing"),
 ]
 
 
@@ -101,6 +106,19 @@
     assert 7 <= len(instances) <= 9
 
 
+def test_a_document_of_an_earlier_version_keeps_its_bytes():
+    # Instances compare documents by the digest of their canonical form.
+    body = (
+        b'{"data_centres":[{"in_service":true,"instances":["i"],"name":"dc-1",'
+        b'"region":""}],"services":[{"address":"127.10.0.1",'
+        b'"cold_new_flows_per_s":10,"idempotent":false,"kind":"alerts",'
+        b'"max_connections":2000,"name":"alerts","port":8443,"priority":"urgent",'
+        b'"protocol":"tcp","slots":2,"warm_up_s":30.0}]}'
+    )
+    assert to_canonical_json(from_canonical_json(body)) == body
+    assert to_canonical_json(structure_document(json.loads(body))) == body
+
+
 def with_shuffled_keys(value: object, random) -> object:
     if isinstance(value, dict):
         keys = list(value)
