Send no new flows to upstreams out of rotation

Cause: the list in the document had no effect. Change: `Rotation` tells ServiceTable which upstreams get no new flows. They stay in the slot table with a spillover mark, so open flows find them as a candidate at any instance, also at one that starts later, and a return changes no table. A confirmed sequence of datagrams stays. Ruled out: leaving the upstream out of the slot table.

--- a/arbutuslift/coordination/routing/services.py
+++ b/arbutuslift/coordination/routing/services.py
@@ -8,6 +8,7 @@
 from ...state.slottable import Generation, SlotTable, WeightedUpstream
 from ...state.spillovermarks import SpilloverMark, SpilloverMarks
 from ...state.upstreams import UpstreamRecord, UpstreamState, UpstreamView
+from .rotation import Rotation
 from .routes import ServiceRoutes
 
 # Slots whose candidates are cached, about 5 MB.
@@ -40,6 +41,7 @@
         self._routes: dict[str, ServiceRoutes] = {}
         self._by_endpoint: dict[bytes, ServiceRoutes] = {}
         self._out_of_service: set[str] = set()
+        self._rotation = Rotation(clock)
         self._marks = SpilloverMarks()
         self._holders_by_slot: dict[tuple[str, int], list[str]] = {}
 
@@ -52,6 +54,7 @@
         self._out_of_service = {
             centre.name for centre in document.data_centres if not centre.in_service
         }
+        self._rotation.apply(document.out_of_rotation)
         self._routes = {
             service.name: self._routes_for(service) for service in document.services
         }
@@ -92,9 +95,15 @@
             and record.data_centre not in self._out_of_service
         )
 
+    def may_keep_flows(self, record: UpstreamRecord | None) -> bool:
+        """Return whether flows without a connection may stay at the upstream."""
+        return self.may_receive_packets(record) and record.accepts_new_flows
+
     def may_receive_new_flows(self, record: UpstreamRecord | None) -> bool:
         """Return whether new flows may go to the upstream."""
-        return self.may_receive_packets(record) and record.accepts_new_flows
+        return self.may_keep_flows(record) and not self._rotation.is_out(
+            record.upstream_id
+        )
 
     def is_out_of_service(self, record: UpstreamRecord) -> bool:
         """Return whether the upstream's data centre is out of service."""
@@ -232,7 +241,9 @@
             if self._is_eligible(record, routes.service)
         ]
         for record in records:
-            if record.state == UpstreamState.COLD:
+            if record.state == UpstreamState.COLD or self._rotation.is_out(
+                record.upstream_id
+            ):
                 self.mark_spillover(record.upstream_id)
         generation = Generation.of(
             [WeightedUpstream(record.upstream_id, record.weight) for record in records]
@@ -263,8 +274,13 @@
         return routes
 
     def _is_eligible(self, record: UpstreamRecord, service: Service) -> bool:
+        """Return whether an upstream belongs to the slot table of its service.
+
+        An upstream out of rotation does: it stays a candidate for its open flows, also
+        at an instance that starts later, and its return changes no table.
+        """
         return (
-            self.may_receive_new_flows(record)
+            self.may_keep_flows(record)
             and record.weight > 0
             and service.kind in record.work_kinds
         )
--- a/arbutuslift/coordination/routing/slotrouter.py
+++ b/arbutuslift/coordination/routing/slotrouter.py
@@ -144,7 +144,7 @@
         self, packet: UdpPacket, flow: bytes, routes: ServiceRoutes, source: Address
     ) -> Decision:
         record = self._services.view.get(self._flows.confirmed_upstream(flow) or "")
-        if self._services.may_receive_new_flows(record):
+        if self._services.may_keep_flows(record):
             return _forward(Verdict.KNOWN_FLOW, packet.raw, [record])
         for record in self._services.preference_order(routes, flow):
             if self._admission.try_admit(record, routes.service.priority):
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -53,9 +53,15 @@
     return Service(**(fields | changes))
 
 
-def configuration(revision: int = 1, services=None, data_centres=None):
+def configuration(
+    revision: int = 1, services=None, data_centres=None, out_of_rotation=()
+):
     centres = data_centres or (DataCentre(name="dc-1"), DataCentre(name="dc-2"))
-    document = Document(services=services or (service(),), data_centres=centres)
+    document = Document(
+        services=services or (service(),),
+        data_centres=centres,
+        out_of_rotation=out_of_rotation,
+    )
     return Configuration(revision=revision, document=document)
 
 
