Add commands that take one upstream out of rotation and bring it back

Cause: the list in the document could only be changed by editing and submitting a whole file. Change: `take-upstream-out ID [--for_s=N]` and `bring-upstream-back ID` read the current document, change one entry, submit with the expected revision and retry after a conflict that concerns something else, as `take-out` does. The loop is written once, in documentedits.py, for all four commands. `status` prints the identity. Ruled out: refusing an identity that the asked server doesn't know, since during a partition its view is not complete.

--- a/arbutuslift/api.py
+++ b/arbutuslift/api.py
@@ -1,9 +1,9 @@
 """Functions that send operators' requests to the instances."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from typing import TypeVar
 
-from attrs import evolve, field, frozen
+from attrs import field, frozen
 
 from .clock import Clock
 from .errors import (
@@ -20,7 +20,6 @@
 from .protocol.channel import Channel
 from .protocol.document import (
     Configuration,
-    DataCentre,
     Document,
     from_canonical_json,
     to_canonical_json,
@@ -49,7 +48,6 @@
     StatusShown,
 )
 
-MAX_CONFLICT_RETRIES = 5
 MAX_PING_TIMEOUT_S = 2.0
 
 AnswerT = TypeVar("AnswerT", bound=Message)
@@ -182,72 +180,6 @@
     await _ask_servers(session, request, MemberReplaced)
 
 
-async def set_in_service(
-    session: Session,
-    name: str,
-    in_service: bool,
-    new_request_id: Callable[[], str],
-) -> Revision:
-    """Take a data centre out of service or bring it back.
-
-    After a conflict the change is retried on the current document, as long as that
-    document has the same entry for the data centre. Every attempt has its own request
-    identifier, since the answer to an attempt is stored under its identifier.
-
-    Args:
-        session: Connection to the system.
-        name: Name of the data centre.
-        in_service: Whether it is to be in service.
-        new_request_id: Returns an unused request identifier.
-
-    Returns:
-        The revision that has the requested state. Its entry is None if this call
-        submitted it.
-
-    Raises:
-        ChangeNotAccepted: There is no such data centre.
-        ConfigurationConflict: Another operator changed the data centre.
-        OutcomeUnknown: It is unknown whether the change was accepted.
-        ServersUnreachable: No server answered.
-    """
-    current = await fetch_revision(session)
-    centre = _find_data_centre(current.configuration.document, name)
-    if centre is None:
-        raise ChangeNotAccepted(f"there is no data centre {name}", step="show")
-    if centre.in_service == in_service:
-        return current
-    base = current.configuration
-    for _ in range(MAX_CONFLICT_RETRIES):
-        changed = _with_in_service(base.document, name, in_service)
-        try:
-            number = await apply_document(
-                session, changed, base.revision, new_request_id()
-            )
-        except ConfigurationConflict as error:
-            base = error.current
-            if _find_data_centre(base.document, name) != centre:
-                raise
-        else:
-            return Revision(
-                configuration=Configuration(revision=number, document=changed)
-            )
-    reason = f"{MAX_CONFLICT_RETRIES} tries met a newer revision"
-    raise ConfigurationConflict(reason, current=base, step="apply")
-
-
-def _find_data_centre(document: Document, name: str) -> DataCentre | None:
-    found = (centre for centre in document.data_centres if centre.name == name)
-    return next(found, None)
-
-
-def _with_in_service(document: Document, name: str, in_service: bool) -> Document:
-    centres = tuple(
-        evolve(centre, in_service=in_service) if centre.name == name else centre
-        for centre in document.data_centres
-    )
-    return evolve(document, data_centres=centres)
-
-
 async def _ask_servers(
     session: Session, request: OperatorRequest, expected: type[AnswerT]
 ) -> AnswerT:
--- a/arbutuslift/commands/operations.py
+++ b/arbutuslift/commands/operations.py
@@ -1,7 +1,18 @@
-"""Commands about the running system: status, members, data centres."""
+"""Commands about the running system: status, members, data centres, upstreams."""
+
+import math
 
 from .. import api
+from ..documentedits import (
+    BringUpstreamBack,
+    Edit,
+    SetInService,
+    TakeUpstreamOut,
+    describe_state,
+    edit_document,
+)
 from ..errors import ArbutusliftError, OutcomeUnknown, UsageError
+from ..protocol.document import OutOfRotation
 from ..protocol.operators import InstanceStatus, UpstreamStatus
 from .documents import RevisionNumber
 from .environment import Environment, open_session
@@ -45,12 +56,31 @@
 
 async def take_out(options: Options, environment: Environment) -> Outcome:
     """Take a data centre out of service; flows that end there are abandoned."""
-    return await _set_in_service(options, environment, in_service=False)
+    (name,) = _require_arguments(options, ("data centre",))
+    return await _edit(options, environment, SetInService(name=name, in_service=False))
 
 
 async def bring_back(options: Options, environment: Environment) -> Outcome:
     """Bring a data centre back into service."""
-    return await _set_in_service(options, environment, in_service=True)
+    (name,) = _require_arguments(options, ("data centre",))
+    return await _edit(options, environment, SetInService(name=name, in_service=True))
+
+
+async def take_upstream_out(options: Options, environment: Environment) -> Outcome:
+    """Send no new flows to an upstream, for --for_s or until it is brought back."""
+    (upstream_id,) = _require_arguments(options, ("upstream identity",))
+    now_s = environment.clock.wall_s()
+    until_s = math.ceil(now_s) + options.for_s if options.for_s else 0
+    entry = OutOfRotation(upstream_id=upstream_id, until_s=until_s)
+    return await _edit(options, environment, TakeUpstreamOut(entry=entry, now_s=now_s))
+
+
+async def bring_upstream_back(options: Options, environment: Environment) -> Outcome:
+    """Send new flows to an upstream again."""
+    (upstream_id,) = _require_arguments(options, ("upstream identity",))
+    now_s = environment.clock.wall_s()
+    edit = BringUpstreamBack(upstream_id=upstream_id, now_s=now_s)
+    return await _edit(options, environment, edit)
 
 
 async def replace_member(options: Options, environment: Environment) -> Outcome:
@@ -66,10 +96,7 @@
     return Outcome(message=f"{new_name} replaced {old_name} and is a voter")
 
 
-async def _set_in_service(
-    options: Options, environment: Environment, *, in_service: bool
-) -> Outcome:
-    (name,) = _require_arguments(options, ("data centre",))
+async def _edit(options: Options, environment: Environment, edit: Edit) -> Outcome:
     request_ids: list[str] = []
 
     def next_request_id() -> str:
@@ -80,9 +107,7 @@
 
     try:
         async with open_session(options, environment) as session:
-            revision = await api.set_in_service(
-                session, name, in_service, next_request_id
-            )
+            revision = await edit_document(session, edit, next_request_id)
     except ArbutusliftError as error:
         outcome = outcome_of(error)
         outcome.request_id = request_ids[-1] if request_ids else ""
@@ -92,10 +117,9 @@
             )
         return outcome
     number = revision.configuration.revision
-    state = "in service" if in_service else "out of service"
-    message = f"{name} is {state} as of revision {number}"
+    message = f"{describe_state(edit)} as of revision {number}"
     if revision.entry is not None:
-        message = f"{name} was already {state} in revision {number}"
+        message = f"{describe_state(edit)}, as already in revision {number}"
     return Outcome(
         message=message,
         request_id=request_ids[-1] if request_ids else "",
@@ -121,6 +145,7 @@
     return (
         f"upstream {upstream.name} {upstream.data_centre} {upstream.state} "
         f"service={upstream.service} address={upstream.address} "
+        f"upstream_id={upstream.upstream_id} "
         f"open_connections={upstream.open_connections} "
         f"busy_slots={upstream.busy_slots}"
     )
--- a/arbutuslift/commands/options.py
+++ b/arbutuslift/commands/options.py
@@ -16,6 +16,9 @@
 SERVER_KEYS_VARIABLE = "ARBUTUSLIFT_SERVER_KEYS_FOLDER"
 OUTPUTS = ("text", "json")
 
+# Ten years, which is far from the highest end that a document may have.
+MAX_FOR_S = 315_360_000
+
 
 @frozen(kw_only=True)
 class Options:
@@ -39,6 +42,7 @@
         limit: Maximum number of entries in a list.
         service: Restricts the upstreams to this service; empty for all.
         data_centre: Restricts the status to this data centre; empty for all.
+        for_s: How long an upstream stays out of rotation, 0 without an end.
         overwrite: Whether form and create-key may replace files.
     """
 
@@ -59,6 +63,7 @@
     limit: int = 100
     service: str = ""
     data_centre: str = ""
+    for_s: int = 0
     overwrite: bool = False
 
 
@@ -105,6 +110,14 @@
     define_number("limit", 100, "Maximum number of entries in a list.")
     define_text("service", "", "Only upstreams of this service.")
     define_text("data_centre", "", "Only this data centre.")
+    flags.DEFINE_integer(
+        "for_s",
+        0,
+        "How long an upstream stays out of rotation, in seconds; 0 has no end.",
+        lower_bound=0,
+        upper_bound=MAX_FOR_S,
+        flag_values=values,
+    )
     define_switch("overwrite", False, "Let form and create-key replace files.")
     define_switch("help", False, "Show the commands and flags.")
     return values
--- a/arbutuslift/ctl.py
+++ b/arbutuslift/ctl.py
@@ -25,6 +25,8 @@
     "members": operations.members,
     "take-out": operations.take_out,
     "bring-back": operations.bring_back,
+    "take-upstream-out": operations.take_upstream_out,
+    "bring-upstream-back": operations.bring_upstream_back,
     "replace-member": operations.replace_member,
     "form": form,
     "create-key": create_key,
@@ -62,7 +64,7 @@
     """Return the commands, exit codes and flags as text."""
     lines = ["commands:"]
     for name, command in COMMANDS.items():
-        lines.append(f"  {name:15} {command.__doc__.splitlines()[0]}")
+        lines.append(f"  {name:19} {command.__doc__.splitlines()[0]}")
     codes = ", ".join(
         f"{int(code)} {code.name.lower().replace('_', ' ')}" for code in ExitCode
     )
