Give services limits in the document

Cause: operators can limit each upstream, but not what a whole service gets. Change: `max_new_flows_per_s`, `max_open_requests` and `min_share_percent` of a service; 0 stands for no limit and is left out of the canonical JSON, so documents keep their bytes. Guaranteed shares over 100% in sum are a fault. The form asks for the new fields.

--- a/arbutuslift/protocol/document.py
+++ b/arbutuslift/protocol/document.py
@@ -47,6 +47,11 @@
         cold_new_flows_per_s: New flows per second that one upstream accepts during
             its cold start.
         warm_up_s: Duration of the cold start.
+        max_new_flows_per_s: New flows per second of the service; 0 means no limit.
+        max_open_requests: Requests that its upstreams process at the same time; 0
+            means no limit.
+        min_share_percent: Guaranteed part of the new flows that an instance still
+            starts while it sheds load; 0 means none.
     """
 
     name: str
@@ -60,6 +65,9 @@
     slots: int = 2
     cold_new_flows_per_s: int = 10
     warm_up_s: float = 30.0
+    max_new_flows_per_s: int = 0
+    max_open_requests: int = 0
+    min_share_percent: int = 0
 
 
 @frozen(kw_only=True)
@@ -118,6 +126,7 @@
     _converter.register_unstructure_hook(record_class, hook)
 
 
+_omit_defaults(Service, "max_new_flows_per_s", "max_open_requests", "min_share_percent")
 _omit_defaults(OutOfRotation, "until_s")
 _omit_defaults(Document, "out_of_rotation")
 
--- a/arbutuslift/protocol/documentchecks.py
+++ b/arbutuslift/protocol/documentchecks.py
@@ -138,6 +138,7 @@
     for service in services:
         yield from _address_faults(service)
         yield from _udp_faults(service)
+    yield from _share_faults(services)
     yield from _find_duplicates(data_centres, "name")
     yield from _instance_faults(data_centres)
     yield from _service_capacity_faults(content, data_centres)
@@ -183,6 +184,19 @@
         yield Fault(f"{service.path}.idempotent", reason)
 
 
+def _share_faults(services: Iterable[_Entry]) -> Iterator[Fault]:
+    total_percent = 0
+    for service in services:
+        percent = service.fields.get("min_share_percent", 0)
+        if type(percent) is not int or not 0 < percent <= 100:
+            continue
+        total_percent += percent
+        if total_percent > 100:
+            reason = f"the shares up to here add up to {total_percent}%, over 100%"
+            yield Fault(f"{service.path}.min_share_percent", reason)
+            return
+
+
 def _instance_faults(data_centres: Iterable[_Entry]) -> Iterator[Fault]:
     first_paths: dict[str, str] = {}
     for centre in data_centres:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -129,6 +129,9 @@
     priority=st.sampled_from(["urgent", "high", "ordinary"]),
     idempotent=st.booleans(),
     warm_up_s=st.floats(0.001, 86400),
+    max_new_flows_per_s=st.integers(0, 1000),
+    max_open_requests=st.integers(0, 1000),
+    min_share_percent=st.integers(0, 20),
 )
 _data_centres = st.builds(
     DataCentre,
--- a/tests/protocol/test_document.py
+++ b/tests/protocol/test_document.py
@@ -39,6 +39,7 @@
 
 SERVICE = ["services", 0]
 CENTRE = ["data_centres", 0]
+FIRST = "services[0]"
 OUT = "out_of_rotation"
 FAULTY = [
     ([*SERVICE, "name"], "claims", "services[1].name", "already used by services[0]"),
@@ -62,6 +63,9 @@
     ([*SERVICE, "warm_up_s"], 0, "services[0].warm_up_s", "more than 0"),
     ([*SERVICE, "warm_up_s"], float("nan"), "services[0].warm_up_s", "finite"),
     ([*SERVICE, "warm_up_s"], 10**400, "services[0].warm_up_s", "at most"),
+    ([*SERVICE, "max_new_flows_per_s"], -1, f"{FIRST}.max_new_flows_per_s", "least 0"),
+    ([*SERVICE, "max_open_requests"], 1.5, f"{FIRST}.max_open_requests", "integer"),
+    ([*SERVICE, "min_share_percent"], 101, f"{FIRST}.min_share_percent", "most 100"),
     ([*SERVICE, "colour"], "red", "services[0].colour", "unknown field"),
     (["extra"], 1, "extra", "unknown field"),
     (["services"], None, "services", "type array"),
@@ -98,6 +102,13 @@
     assert "in service" in faults_of(content)["data_centres"]
 
 
+def test_guaranteed_shares_over_100_percent_are_refused():
+    content = builders.document_dict()
+    for row, percent in zip(content["services"], (60, 41), strict=True):
+        row["min_share_percent"] = percent
+    assert "101%" in faults_of(content)["services[1].min_share_percent"]
+
+
 @pytest.mark.parametrize("name", ["agencia.yaml", "cydweithfa.yaml"])
 def test_examples_are_valid(name):
     centres = load_document(EXAMPLES / name).data_centres
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -174,7 +174,7 @@
     assert system.store.replacements == 1
 
 
-SERVICE = ["alerts", "127.10.0.1", "8443", "", "alerts", "", "", "", "", "", ""]
+SERVICE = ["alerts", "127.10.0.1", "8443", "", "alerts", *[""] * 9]
 
 
 async def test_form_asks_again_for_each_refused_answer(system, tmp_path):
@@ -182,7 +182,7 @@
     system.answers = ["maybe", "yes", *SERVICE]
     system.answers += ["yes", "alerts", "claims", "127.10.0.1", "127.10.0.2", "x"]
     system.answers += ["70000", "53", "udp", "claims", "top", "high", "no", "yes"]
-    system.answers += ["", "0", "3", "", "nan", "5", "no"]
+    system.answers += ["", "0", "3", "", "nan", "5", "", "-1", "70", "101", "50", "no"]
     system.answers += ["no", "yes", "dc-1", "", "no", "dc-1-1, dc-1-1", "dc-1-1"]
     system.answers += ["no", "yes", "dc-2", "north", "", "", "no"]
     assert await system.run("form", str(target)) == ExitCode.DONE
@@ -190,9 +190,10 @@
     assert [row.name for row in document.services] == ["alerts", "claims"]
     assert document.services[1].idempotent
     assert document.services[1].slots == 3
+    assert document.services[1].max_open_requests == 70
     assert document.data_centres[0].instances == ("dc-1-1",)
     assert system.answers == []
-    assert len(system.notes) == 13
+    assert len(system.notes) == 15
     assert system.notes[-1].strip() == "at least one must be in service"
 
 
