Limit the new flows of a service over all instances

Cause: the limits in the document had no effect. Change: `ServiceLimiter` divides each limit among the instances as those of cold upstreams are divided, so the sum holds while a revision spreads, after a restart and after a suspension. `LimitedAdmission` puts it in front of the budgets at upstreams, and SlotRouter refuses a flow over a limit at once (verdict `limited`). An instance without a share relays a SYN. Open requests are the busy slots that upstreams announce, and each flow since the last report counts as one. A guaranteed share is exempt from shedding when the receive queue fills. Ruled out: counting open flows at an instance, because the packets of one flow pass through any instance.

--- a/arbutuslift/coordination/routing/slotrouter.py
+++ b/arbutuslift/coordination/routing/slotrouter.py
@@ -45,6 +45,7 @@
     RELAYED = "relayed"
     REFUSED = "refused"
     SHED = "shed"
+    LIMITED = "limited"
     ABORTED = "aborted"
     RETURNED = "returned"
     DENIED = "denied"
@@ -146,6 +147,8 @@
         record = self._services.view.get(self._flows.confirmed_upstream(flow) or "")
         if self._services.may_keep_flows(record):
             return _forward(Verdict.KNOWN_FLOW, packet.raw, [record])
+        if self._admission.is_over_limit(routes.service.name):
+            return Decision(Verdict.LIMITED)
         for record in self._services.preference_order(routes, flow):
             if self._admission.try_admit(record, routes.service.priority):
                 return _forward(Verdict.NEW_FLOW, packet.raw, [record])
@@ -155,9 +158,12 @@
     def _(
         self, packet: SynPacket, flow: bytes, routes: ServiceRoutes, source: Address
     ) -> Decision:
-        priority = routes.service.priority
-        if self._queue_fill() >= SHED_QUEUE_FILL[priority]:
+        name, priority = routes.service.name, routes.service.priority
+        is_shedding = self._queue_fill() >= SHED_QUEUE_FILL[priority]
+        if is_shedding and not self._admission.has_unused_share(name):
             return _refuse(Verdict.SHED, packet)
+        if self._admission.is_over_limit(name):
+            return _refuse(Verdict.LIMITED, packet)
         skipped = []
         for record in self._syn_targets(routes, flow):
             if self._admission.try_admit(record, priority):
--- a/arbutuslift/instance.py
+++ b/arbutuslift/instance.py
@@ -15,7 +15,9 @@
 from .coordination.dissemination.upstreamtimeout import UpstreamTimeoutDetector
 from .coordination.routing.denials import DenialBuffer
 from .coordination.routing.forwarding import Forwarder
-from .coordination.routing.limits import limit_plan_of
+from .coordination.routing.limitedadmission import LimitedAdmission, ReportedUsage
+from .coordination.routing.limits import limit_plan_of, load_limit_plan_of
+from .coordination.routing.servicelimits import ServiceLimiter
 from .coordination.routing.services import ServiceTable
 from .coordination.routing.slotrouter import SlotRouter
 from .coordination.routing.tracedforwarding import TracedForwarder
@@ -87,6 +89,12 @@
         self._admission = AdmissionControl(
             clock, self._view, settings.name, self._alive_instances
         )
+        self._limiter = ServiceLimiter(
+            clock,
+            settings.name,
+            ReportedUsage(clock, self._view),
+            self._alive_instances,
+        )
 
     async def open(self) -> None:
         """Open sockets and files and start all tasks.
@@ -111,6 +119,7 @@
         )
         self._start_task(forwarder.run())
         self._start_task(self._admission.run())
+        self._start_task(self._limiter.run())
         self._start_task(timeout_detector.run())
         self._start_task(self._expire())
         self._start_task(self._report_metrics(forwarder))
@@ -132,6 +141,7 @@
         """Put a configuration in effect."""
         self._services.apply(configuration)
         self._admission.apply_plan(limit_plan_of(configuration.document))
+        self._limiter.apply_plan(load_limit_plan_of(configuration.document))
         self.endpoint.is_serving = not self._is_stopping
         _log.info("configuration_in_effect", revision=configuration.revision)
 
@@ -198,7 +208,7 @@
         router = SlotRouter(
             self._services,
             flows,
-            admission=self._admission,
+            admission=LimitedAdmission(self._admission, self._limiter),
             denials=denials,
             instance_address=self._directory.address_of,
             is_instance=self._directory.is_instance,
--- a/arbutuslift/state/admission.py
+++ b/arbutuslift/state/admission.py
@@ -63,6 +63,14 @@
     def relay_target(self, record: UpstreamRecord, flow: FlowKey) -> str | None:
         """Return the instance that a SYN is relayed to if this one has no share."""
 
+    def is_over_limit(self, service: str) -> bool:
+        """Return whether a limit of the service permits no new flow now."""
+        return False
+
+    def has_unused_share(self, service: str) -> bool:
+        """Return whether the service has a guaranteed part of which some is unused."""
+        return False
+
 
 class UnlimitedAdmission(Admission):
     """Admits every flow."""
--- a/arbutuslift/state/shares.py
+++ b/arbutuslift/state/shares.py
@@ -1,8 +1,8 @@
-"""Division of an upstream's limit among the instances of the agreed configuration.
+"""Division of limits among the instances of the agreed configuration.
 
-The division depends on the upstream's address, not on the identity of its process.
-Instances that haven't learned yet that a process was replaced thus divide the limit of
-the address in the same way as those that have.
+The division of an upstream's limit depends on its address, not on the identity of its
+process. Instances that haven't learned yet that a process was replaced thus divide the
+limit of the address in the same way as those that have.
 """
 
 from collections.abc import Callable
@@ -41,12 +41,30 @@
     slots: int = 2
 
 
+@frozen(kw_only=True)
+class LoadLimits:
+    """Limits of a whole service, 0 without a limit.
+
+    Attributes:
+        max_new_flows_per_s: Maximum rate of new flows.
+        max_open_requests: Maximum number of requests at all upstreams.
+        min_share_percent: Guaranteed part of the new flows while load is shed.
+    """
+
+    max_new_flows_per_s: int = 0
+    max_open_requests: int = 0
+    min_share_percent: int = 0
+
+
+Limits = UpstreamLimits | LoadLimits
+
+
 @frozen
 class NamedLimits:
-    """Limits of the upstreams of the named service."""
+    """Limits of the named service or of its upstreams."""
 
     service: str
-    limits: UpstreamLimits
+    limits: Limits
 
 
 @frozen(kw_only=True)
@@ -61,17 +79,17 @@
     instances: tuple[str, ...] = ()
     services: tuple[NamedLimits, ...] = ()
     _ordinals: dict[str, int] = field(init=False, eq=False, repr=False)
-    _limits: dict[str, UpstreamLimits] = field(init=False, eq=False, repr=False)
+    _limits: dict[str, Limits] = field(init=False, eq=False, repr=False)
 
     @_ordinals.default
     def _index_instances(self) -> dict[str, int]:
         return {name: number for number, name in enumerate(self.instances)}
 
     @_limits.default
-    def _index_services(self) -> dict[str, UpstreamLimits]:
+    def _index_services(self) -> dict[str, Limits]:
         return {named.service: named.limits for named in self.services}
 
-    def limits_of(self, service: str) -> UpstreamLimits | None:
+    def limits_of(self, service: str) -> Limits | None:
         """Return the limits of a service."""
         return self._limits.get(service)
 
@@ -172,7 +190,7 @@
             self._previous_plans.append(PreviousPlan(self.plan, expires_at_s))
         self.plan = plan
 
-    def limits_of(self, service: str) -> UpstreamLimits | None:
+    def limits_of(self, service: str) -> Limits | None:
         """Return the limits of a service in the plan in effect."""
         return self.plan.limits_of(service)
 
@@ -180,7 +198,7 @@
         self,
         service: str,
         address: str,
-        total_of: Callable[[UpstreamLimits], int],
+        total_of: Callable[[Limits], int],
     ) -> int:
         """Return this instance's share of an upstream's limit.
 
