Skip the limits of services where none is configured

Cause: the wrapper of the admission adds calls to every packet of an upstream and every SYN, also without any limit. Change: without a limit the wrapper asks the admission of upstreams directly, and packets of upstreams skip the wrapper. The time per packet was too noisy beside other processes to tell a difference.

--- a/arbutuslift/coordination/routing/limitedadmission.py
+++ b/arbutuslift/coordination/routing/limitedadmission.py
@@ -23,9 +23,13 @@
     def __init__(self, upstreams: Admission, services: ServiceLimiter) -> None:
         self._upstreams = upstreams
         self._services = services
+        # A call in between would cost time for every packet of an upstream.
+        self.record_return_traffic = upstreams.record_return_traffic
 
     def is_over_limit(self, service: str) -> bool:
         """Return whether a limit of the service permits no new flow now."""
+        if not self._services.is_limited:
+            return False
         return self._services.decide(service).outcome == LimitOutcome.REJECT
 
     def has_unused_share(self, service: str) -> bool:
@@ -34,6 +38,8 @@
 
     def try_admit(self, record: UpstreamRecord, priority: str) -> bool:
         """Admit a flow and consume a unit of both limits, or of none."""
+        if not self._services.is_limited:
+            return self._upstreams.try_admit(record, priority)
         if self._services.decide(record.service).outcome != LimitOutcome.ADMIT:
             return False
         if not self._upstreams.try_admit(record, priority):
--- a/arbutuslift/coordination/routing/servicelimits.py
+++ b/arbutuslift/coordination/routing/servicelimits.py
@@ -94,6 +94,9 @@
         instance: Name of this instance.
         usage: Returns the open requests of a service.
         alive_instances: Returns the names of the instances that are alive.
+
+    Attributes:
+        is_limited: Whether any service has a limit or a guaranteed share.
     """
 
     def __init__(
@@ -103,6 +106,7 @@
         usage: Callable[[str], ServiceUsage] = _no_usage,
         alive_instances: Callable[[], Iterable[str]] = tuple,
     ) -> None:
+        self.is_limited = False
         self._clock = clock
         self._instance = instance
         self._usage = usage
@@ -136,6 +140,7 @@
             for named in plan.services
             if named.limits != LoadLimits()
         }
+        self.is_limited = bool(self._limits)
         self._has_min_shares = any(
             limits.min_share_percent for limits in self._limits.values()
         )
