Report the faults of a document with their line and rule

Cause: a fault named its path only, which is hard to find in a file of 60,000 values; errors of the YAML parser took several lines; a 2 MB file of short values took the parser up to 1 KB of memory each; an empty file was reported as null of a wrong type. Change: documentlines.py finds the lines of faults in YAML and JSON. The cross-field checks are a table of named rules. Errors of parsers are one line, an empty file is called empty, and YAML may have 250,000 values.

--- a/arbutuslift/commands/outcome.py
+++ b/arbutuslift/commands/outcome.py
@@ -68,6 +68,9 @@
         head = self.message
         if self.code != ExitCode.DONE:
             head = f"{self.code.name.lower().replace('_', ' ')}: {head}"
+        if len(self.faults) == 1 and not self.faults[0].path:
+            head = f"{head}: {self.faults[0]}"
+            return "\n".join([head, *self.lines])
         faults = [f"  {fault}" for fault in self.faults]
         return "\n".join([head, *faults, *self.lines])
 
--- a/arbutuslift/errors.py
+++ b/arbutuslift/errors.py
@@ -10,13 +10,18 @@
     Attributes:
         path: Position in the input, such as ``services[0].port``.
         reason: What is wrong at this position.
+        rule: Name of the rule of the configuration that it breaks; empty for others.
+        line: Line in the file, from 1; 0 if unknown.
     """
 
     path: str
     reason: str
+    rule: str = ""
+    line: int = 0
 
     def __str__(self) -> str:
-        return f"{self.path}: {self.reason}" if self.path else self.reason
+        text = f"{self.path}: {self.reason}" if self.path else self.reason
+        return f"line {self.line}: {text}" if self.line else text
 
 
 class ArbutusliftError(Exception):
--- a/arbutuslift/protocol/document.py
+++ b/arbutuslift/protocol/document.py
@@ -9,7 +9,8 @@
 
 from ..errors import DocumentError, Fault
 from .documentchecks import PRIORITIES, find_faults, find_shape_faults
-from .documentfile import MAX_DOCUMENT_BYTES, parse_json, read_plain
+from .documentfile import FILE_RULE, MAX_DOCUMENT_BYTES, parse_json, read_plain
+from .documentlines import with_lines
 
 __all__ = [
     "PRIORITIES",
@@ -155,7 +156,8 @@
     try:
         return structure_document(content)
     except DocumentError as error:
-        raise DocumentError(error.faults, step=error.step, peer=str(path)) from error
+        faults = with_lines(path, error.faults)
+        raise DocumentError(faults, step=error.step, peer=str(path)) from error
 
 
 def structure_document(content: object) -> Document:
@@ -170,7 +172,7 @@
     document = _structure(content)
     if len(to_canonical_json(document)) > MAX_DOCUMENT_BYTES:
         reason = f"larger than {MAX_DOCUMENT_BYTES} bytes in canonical form"
-        raise DocumentError((Fault("", reason),), step=_STEP)
+        raise DocumentError((Fault("", reason, rule=FILE_RULE),), step=_STEP)
     return document
 
 
--- a/arbutuslift/protocol/documentchecks.py
+++ b/arbutuslift/protocol/documentchecks.py
@@ -4,10 +4,10 @@
 import itertools
 import json
 import math
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from importlib import resources
 
-from attrs import frozen
+from attrs import evolve, frozen
 from jsonschema import Draft202012Validator
 
 from ..errors import Fault
@@ -20,17 +20,35 @@
 # 1 KB of memory.
 MAX_REPORTED_FAULTS = 200
 
+# Name of the rule that every field has a valid value.
+FIELD_RULE = "field"
+
 _MAX_VALUE_CHARACTERS = 60
 
 
 @frozen
-class _Entry:
+class Entry:
     """An object in one of the document's lists; its fields may be malformed."""
 
     path: str
     fields: dict
 
 
+@frozen
+class CrossRule:
+    """A rule about several fields, which a document must keep to be accepted.
+
+    Attributes:
+        name: Name of the rule.
+        meaning: What it demands.
+        find: Yields the faults of a document given as plain values.
+    """
+
+    name: str
+    meaning: str
+    find: Callable[[object], Iterator[Fault]]
+
+
 def load_schema() -> dict:
     """Return the published JSON schema."""
     package = resources.files(__package__)
@@ -42,8 +60,7 @@
 
 def find_faults(content: object) -> tuple[Fault, ...]:
     """Return the distinct faults of a document given as plain values."""
-    cross_faults = itertools.islice(_find_cross_faults(content), MAX_REPORTED_FAULTS)
-    faults = [*find_shape_faults(content), *cross_faults]
+    faults = [*find_shape_faults(content), *_find_cross_faults(content)]
     return tuple(dict.fromkeys(faults))[:MAX_REPORTED_FAULTS]
 
 
@@ -54,10 +71,10 @@
     faults = [fault for error in errors for fault in _faults_of(error)]
     faults += [
         Fault(f"{entry.path}.warm_up_s", "must be finite")
-        for entry in _entries(content, "services")
+        for entry in entries_of(content, "services")
         if _is_not_finite(entry.fields.get("warm_up_s"))
     ]
-    return tuple(faults)
+    return tuple(evolve(fault, rule=FIELD_RULE) for fault in faults)
 
 
 def _sort_key(error: object) -> tuple[str, str]:
@@ -119,33 +136,39 @@
     return isinstance(value, float) and not math.isfinite(value)
 
 
-def _entries(content: object, key: str) -> list[_Entry]:
+def entries_of(content: object, key: str) -> list[Entry]:
+    """Return the objects in one of the document's lists."""
     rows = content.get(key) if isinstance(content, dict) else None
     if not isinstance(rows, list):
         return []
     return [
-        _Entry(f"{key}[{index}]", row)
+        Entry(f"{key}[{index}]", row)
         for index, row in enumerate(rows)
         if isinstance(row, dict)
     ]
 
 
 def _find_cross_faults(content: object) -> Iterator[Fault]:
-    services = _entries(content, "services")
-    data_centres = _entries(content, "data_centres")
-    yield from _find_duplicates(services, "name")
-    yield from _find_duplicates(services, "address")
-    for service in services:
-        yield from _address_faults(service)
-        yield from _udp_faults(service)
-    yield from _share_faults(services)
-    yield from _find_duplicates(data_centres, "name")
-    yield from _instance_faults(data_centres)
-    yield from _service_capacity_faults(content, data_centres)
-    yield from _find_duplicates(_entries(content, "out_of_rotation"), "upstream_id")
-
-
-def _find_duplicates(entries: Iterable[_Entry], key: str) -> Iterator[Fault]:
+    for rule in CROSS_RULES:
+        for fault in itertools.islice(rule.find(content), MAX_REPORTED_FAULTS):
+            yield evolve(fault, rule=rule.name)
+
+
+def _duplicates_in(key: str, name: str) -> Callable[[object], Iterator[Fault]]:
+    return lambda content: _find_duplicates(entries_of(content, key), name)
+
+
+def _for_each_service(
+    find: Callable[[Entry], Iterator[Fault]],
+) -> Callable[[object], Iterator[Fault]]:
+    def find_in_all(content: object) -> Iterator[Fault]:
+        for service in entries_of(content, "services"):
+            yield from find(service)
+
+    return find_in_all
+
+
+def _find_duplicates(entries: Iterable[Entry], key: str) -> Iterator[Fault]:
     """Return a fault for each value that an earlier entry already uses.
 
     An address must belong to a single service, because an upstream relies on it: it
@@ -162,7 +185,7 @@
             yield Fault(f"{entry.path}.{key}", reason)
 
 
-def _address_faults(service: _Entry) -> Iterator[Fault]:
+def _address_faults(service: Entry) -> Iterator[Fault]:
     value = service.fields.get("address")
     if not isinstance(value, str):
         return
@@ -176,7 +199,7 @@
         yield Fault(path, f"{value} must be a unicast address")
 
 
-def _udp_faults(service: _Entry) -> Iterator[Fault]:
+def _udp_faults(service: Entry) -> Iterator[Fault]:
     if service.fields.get("protocol") != "udp":
         return
     if service.fields.get("idempotent", False) is False:
@@ -184,9 +207,9 @@
         yield Fault(f"{service.path}.idempotent", reason)
 
 
-def _share_faults(services: Iterable[_Entry]) -> Iterator[Fault]:
+def _share_faults(content: object) -> Iterator[Fault]:
     total_percent = 0
-    for service in services:
+    for service in entries_of(content, "services"):
         percent = service.fields.get("min_share_percent", 0)
         if type(percent) is not int or not 0 < percent <= 100:
             continue
@@ -197,9 +220,9 @@
             return
 
 
-def _instance_faults(data_centres: Iterable[_Entry]) -> Iterator[Fault]:
+def _instance_faults(content: object) -> Iterator[Fault]:
     first_paths: dict[str, str] = {}
-    for centre in data_centres:
+    for centre in entries_of(content, "data_centres"):
         names = centre.fields.get("instances")
         for index, name in enumerate(names if isinstance(names, list) else []):
             path = f"{centre.path}.instances[{index}]"
@@ -212,16 +235,72 @@
                 )
 
 
-def _service_capacity_faults(
-    content: object, data_centres: list[_Entry]
-) -> Iterator[Fault]:
-    if not isinstance(content, dict):
-        return
-    if not isinstance(content.get("data_centres"), list):
-        return
-    states = [centre.fields.get("in_service", True) for centre in data_centres]
-    if all(state is False for state in states):
+def _service_faults(content: object) -> Iterator[Fault]:
+    data_centres = _listed_data_centres(content)
+    states = [centre.fields.get("in_service", True) for centre in data_centres or ()]
+    if data_centres is not None and all(state is False for state in states):
         yield Fault("data_centres", "at least one must be in service")
+
+
+def _missing_instance_faults(content: object) -> Iterator[Fault]:
+    data_centres = _listed_data_centres(content)
+    if data_centres is None:
+        return
     if not any(centre.fields.get("instances") for centre in data_centres):
         reason = "at least one must list instances, which share the limits of upstreams"
         yield Fault("data_centres", reason)
+
+
+def _listed_data_centres(content: object) -> list[Entry] | None:
+    """Return the data centres, or None if there is no list of them."""
+    if not isinstance(content, dict):
+        return None
+    if not isinstance(content.get("data_centres"), list):
+        return None
+    return entries_of(content, "data_centres")
+
+
+CROSS_RULES = (
+    CrossRule(
+        "service-name",
+        "No two services have the same name.",
+        _duplicates_in("services", "name"),
+    ),
+    CrossRule(
+        "service-address",
+        "No two services have the same address; the later one would never match.",
+        _duplicates_in("services", "address"),
+    ),
+    CrossRule(
+        "address-form",
+        "The address of a service is a dotted IPv4 unicast address.",
+        _for_each_service(_address_faults),
+    ),
+    CrossRule(
+        "udp-idempotent",
+        "A service over udp is idempotent.",
+        _for_each_service(_udp_faults),
+    ),
+    CrossRule(
+        "share-sum",
+        "The guaranteed shares of all services add up to 100% at most.",
+        _share_faults,
+    ),
+    CrossRule(
+        "data-centre-name",
+        "No two data centres have the same name.",
+        _duplicates_in("data_centres", "name"),
+    ),
+    CrossRule("instance-name", "No instance is listed twice.", _instance_faults),
+    CrossRule("in-service", "At least one data centre is in service.", _service_faults),
+    CrossRule(
+        "instances",
+        "At least one data centre lists instances.",
+        _missing_instance_faults,
+    ),
+    CrossRule(
+        "rotation-once",
+        "No upstream is listed twice in out_of_rotation.",
+        _duplicates_in("out_of_rotation", "upstream_id"),
+    ),
+)
--- a/arbutuslift/protocol/documentfile.py
+++ b/arbutuslift/protocol/documentfile.py
@@ -12,6 +12,13 @@
 MAX_DOCUMENT_BYTES = 2 * 1024 * 1024
 MAX_INTEGER = 2**63
 
+# The parser of YAML takes up to 1 KB for each value, so 2 MB of short values would take
+# 1 GB. A document of the target scale has 70,000 values.
+MAX_YAML_VALUES = 250_000
+
+# Name of the rule that the file can be read and parsed.
+FILE_RULE = "file"
+
 _STEP = "read document"
 _MERGE_TAG = "tag:yaml.org,2002:merge"
 
@@ -22,8 +29,17 @@
     Aliases would let a small file expand to a very large document.
     """
 
+    def __init__(self, stream: str) -> None:
+        super().__init__(stream)
+        self._value_count = 0
+
     def compose_node(self, parent: yaml.Node, index: object) -> yaml.Node:
-        """Refuse aliases."""
+        """Refuse aliases, and documents with too many values."""
+        self._value_count += 1
+        if self._value_count > MAX_YAML_VALUES:
+            mark = self.peek_event().start_mark
+            reason = f"more than {MAX_YAML_VALUES} values"
+            raise yaml.composer.ComposerError(None, None, reason, mark)
         if self.check_event(yaml.AliasEvent):
             mark = self.peek_event().start_mark
             raise yaml.composer.ComposerError(
@@ -61,11 +77,7 @@
     Raises:
         DocumentError: The file can't be read or parsed.
     """
-    try:
-        with path.open("rb") as file:
-            body = file.read(MAX_DOCUMENT_BYTES + 1)
-    except OSError as error:
-        raise _error(error.strerror or str(error), str(path)) from error
+    body = read_body(path)
     parse = parse_json if path.suffix == ".json" else parse_yaml
     try:
         return parse(body)
@@ -73,6 +85,20 @@
         raise DocumentError(error.faults, step=error.step, peer=str(path)) from error
 
 
+def read_body(path: Path) -> bytes:
+    """Read a file, but no more than one byte beyond the largest document.
+
+    Raises:
+        DocumentError: The file can't be read.
+    """
+    try:
+        with path.open("rb") as file:
+            return file.read(MAX_DOCUMENT_BYTES + 1)
+    except (OSError, ValueError) as error:  # A path with a NUL is a ValueError.
+        reason = getattr(error, "strerror", None) or str(error)
+        raise _error(reason, str(path)) from error
+
+
 def parse_yaml(body: bytes) -> object:
     """Return the values of a YAML document.
 
@@ -80,10 +106,12 @@
         DocumentError: Too large, not YAML, or with duplicate keys or aliases.
     """
     text = _decode(body)
+    if not text.strip():
+        raise _error("empty")
     try:
         return yaml.load(text, _Loader)  # _Loader derives from SafeLoader.
     except (yaml.YAMLError, ValueError, ArithmeticError, RecursionError) as error:
-        raise _error(f"not YAML: {error}") from error
+        raise _error(f"not YAML: {_one_line(error)}") from error
 
 
 def parse_json(body: bytes) -> object:
@@ -93,6 +121,8 @@
         DocumentError: Too large, not JSON, or with duplicate keys.
     """
     text = _decode(body)
+    if not text.strip():
+        raise _error("empty")
     try:
         return json.loads(
             text, object_pairs_hook=_build_mapping, parse_constant=_refuse_constant
@@ -101,6 +131,23 @@
         raise _error(f"not JSON: {error}") from error
 
 
+def compose_yaml(body: bytes) -> yaml.Node | None:
+    """Return the nodes of a YAML document, which know their lines.
+
+    Raises:
+        DocumentError: Not YAML.
+    """
+    try:
+        return yaml.compose(_decode(body), _Loader)
+    except (yaml.YAMLError, ValueError, RecursionError) as error:
+        raise _error(f"not YAML: {_one_line(error)}") from error
+
+
+def _one_line(error: Exception) -> str:
+    """Return an error as one line; those of YAML quote the input on several."""
+    return " ".join(str(error).split())
+
+
 def _decode(body: bytes) -> str:
     if len(body) > MAX_DOCUMENT_BYTES:
         raise _error(f"larger than {MAX_DOCUMENT_BYTES} bytes")
@@ -128,4 +175,5 @@
 
 
 def _error(reason: str, peer: str | None = None) -> DocumentError:
-    return DocumentError((Fault("", reason),), step=_STEP, peer=peer)
+    fault = Fault("", reason, rule=FILE_RULE)
+    return DocumentError((fault,), step=_STEP, peer=peer)
--- a/tests/protocol/test_document.py
+++ b/tests/protocol/test_document.py
@@ -170,6 +170,8 @@
     ("a.yaml", b"--- 1\n--- 2\n", "not YAML"),
     ("a.yaml", b"x: 0x" + b"f" * 5000, "too large"),
     ("a.yaml", b"!!python/object:os.system {}", "not YAML"),
+    ("a.yaml", b"", "empty"),
+    ("a.json", b" \n", "empty"),
     ("a.json", b'{"services": [], "services": []}', "duplicate key"),
     ("a.json", b"[" * 100_000, "not JSON"),
     ("a.json", b"NaN", "NaN"),
@@ -185,6 +187,15 @@
     with pytest.raises(DocumentError, match=reason) as caught:
         load_document(path)
     assert caught.value.peer == str(path)
+    assert "\n" not in str(caught.value)
+
+
+def test_the_number_of_yaml_values_is_bounded(monkeypatch):
+    # A file of 2 MB with a million short values would take 1 GB.
+    monkeypatch.setattr(documentfile, "MAX_YAML_VALUES", 100)
+    assert len(documentfile.parse_yaml(b"[" + b"1," * 99 + b"]")) == 99
+    with pytest.raises(DocumentError, match="more than 100 values"):
+        documentfile.parse_yaml(b"[" + b"1," * 100 + b"]")
 
 
 def test_the_number_of_faults_is_bounded():
