Check a document against one table of rules

Cause: `check` knew only what instances refuse; operators found routes that never match, contradictory limits and flows that a change ends after the change had been made. The code is 3 with errors, 8 with warnings, else 0. `apply` runs the same rules first. The list in OPERATIONS.md is generated, and a test says if it is out of date. Ruled out: calling contradictory limits errors, because a document with them may be in force and could then not be changed. Measured: tests/test_check.py (hypothesis: no bytes or values crash it, an error is what instances refuse), tests/test_ctl.py and tests/test_operations_page.py pass.

--- a/arbutuslift/commands/documents.py
+++ b/arbutuslift/commands/documents.py
@@ -1,4 +1,4 @@
-"""Commands about documents: check, apply, show, history, diff."""
+"""Commands about documents: apply, show, history, diff."""
 
 import datetime
 import json
@@ -10,23 +10,16 @@
 
 from .. import api
 from ..errors import ArbutusliftError, OutcomeUnknown, UsageError
+from ..protocol.configurationeffects import Examined
 from ..protocol.document import Document, load_document, to_plain
 from ..protocol.documentdiff import Change, describe, diff
 from ..protocol.operators import RevisionEntry
+from .check import findings_in
 from .environment import Environment, open_session
 from .options import Options
 from .outcome import Outcome, outcome_of
 
 
-@frozen(kw_only=True)
-class DocumentSize:
-    """Number of entries in a document."""
-
-    services: int
-    data_centres: int
-    instances: int
-
-
 @frozen(kw_only=True)
 class RevisionNumber:
     """The revision that resulted from a change."""
@@ -73,23 +66,6 @@
     changes: tuple[ShownChange, ...]
 
 
-async def check(options: Options, environment: Environment) -> Outcome:
-    """Check a document without submitting it."""
-    del environment
-    path = _require_one_path(options)
-    document = load_document(path)
-    size = DocumentSize(
-        services=len(document.services),
-        data_centres=len(document.data_centres),
-        instances=sum(len(centre.instances) for centre in document.data_centres),
-    )
-    message = (
-        f"{path} is valid: {size.services} services, {size.data_centres} data "
-        f"centres, {size.instances} instances"
-    )
-    return Outcome(message=message, result=size)
-
-
 async def apply(options: Options, environment: Environment) -> Outcome:
     """Submit a document based on --expected_revision."""
     path = _require_one_path(options)
@@ -100,6 +76,9 @@
             step="apply",
         )
     document = load_document(path)
+    examined = Examined(document=document, now_s=environment.clock.wall_s())
+    for finding in findings_in(path, examined):
+        environment.note(str(finding))
     request_id = options.request_id or environment.new_request_id()
     environment.note(f"request_id={request_id}")
     try:
--- a/arbutuslift/commands/options.py
+++ b/arbutuslift/commands/options.py
@@ -42,6 +42,8 @@
         limit: Maximum number of entries in a list.
         service: Restricts the upstreams to this service; empty for all.
         data_centre: Restricts the status to this data centre; empty for all.
+        against: What a document is compared with: ``servers`` or a file; empty for
+            nothing.
         for_s: How long an upstream stays out of rotation, 0 without an end.
         overwrite: Whether form and create-key may replace files.
     """
@@ -63,6 +65,7 @@
     limit: int = 100
     service: str = ""
     data_centre: str = ""
+    against: str = ""
     for_s: int = 0
     overwrite: bool = False
 
@@ -110,6 +113,9 @@
     define_number("limit", 100, "Maximum number of entries in a list.")
     define_text("service", "", "Only upstreams of this service.")
     define_text("data_centre", "", "Only this data centre.")
+    define_text(
+        "against", "", "What check compares the document with: servers or a file."
+    )
     flags.DEFINE_integer(
         "for_s",
         0,
--- a/arbutuslift/commands/outcome.py
+++ b/arbutuslift/commands/outcome.py
@@ -31,6 +31,7 @@
     NOT_ACCEPTED = 5
     UNKNOWN = 6
     UNREACHABLE = 7
+    WARNINGS = 8
 
 
 @frozen(kw_only=True)
--- a/arbutuslift/ctl.py
+++ b/arbutuslift/ctl.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 
 from .commands import documents, operations
+from .commands.check import check
 from .commands.environment import Environment
 from .commands.explain import explain_request
 from .commands.form import form
@@ -16,7 +17,7 @@
 Command = Callable[[Options, Environment], Awaitable[Outcome]]
 
 COMMANDS: dict[str, Command] = {
-    "check": documents.check,
+    "check": check,
     "apply": documents.apply,
     "show": documents.show,
     "history": documents.history,
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -55,6 +55,12 @@
 CASES = [
     (unchanged, "check {path}", ExitCode.DONE),
     (unchanged, "check {path}.none", ExitCode.INVALID),
+    (unchanged, "check {path} --against={path}", ExitCode.DONE),
+    (unchanged, "check {path} --against={path}.none", ExitCode.INVALID),
+    (unchanged, "check {path} --against=servers", ExitCode.WARNINGS),
+    (no_quorum, "check {path} --against=servers", ExitCode.NOT_ACCEPTED),
+    (no_server_answers, "check {path} --against=servers", ExitCode.UNREACHABLE),
+    (unchanged, "check", ExitCode.USAGE),
     (unchanged, APPLY, ExitCode.DONE),
     (unchanged, "apply {path} --expected_revision=0", ExitCode.CONFLICT),
     (unchanged, "apply {path} --expected_revision=0 --request_id=r", ExitCode.CONFLICT),
@@ -153,6 +159,20 @@
     assert change["details"] == expected
 
 
+async def test_apply_prints_warnings_and_sends_nothing_with_errors(system, tmp_path):
+    content = builders.document_dict()
+    content["services"][0] |= {"max_open_requests": 1}
+    target = tmp_path / "next.json"
+    target.write_text(json.dumps(content))
+    assert await system.run("apply", str(target), "--expected_revision=0") == 0
+    assert "[requests-below-slots]" in system.notes[0]
+    content["services"][0] |= {"max_open_requests": -1}
+    target.write_text(json.dumps(content))
+    code = await system.run("apply", str(target), "--expected_revision=1")
+    assert code == ExitCode.INVALID
+    assert len(system.clients) == 1
+
+
 async def test_request_id_is_printed_before_the_request_is_sent(system, path):
     # After an interruption of the client, the operator needs it for the resend.
     no_quorum(system)
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from arbutuslift import rulespage
 from arbutuslift.clock import ManualClock
 from arbutuslift.commands.outcome import ExitCode
 from arbutuslift.controlmetrics import ControlMetrics
@@ -86,6 +87,11 @@
     assert codes == {str(int(code)): code.name.lower() for code in ExitCode}
 
 
+def test_the_list_of_rules_is_up_to_date():
+    # Run the command in the marker of the page after a change of the table.
+    assert rulespage.render(PAGE) == PAGE
+
+
 def test_every_metric_of_both_roles_is_on_the_page():
     """Guards against metrics that aren't documented."""
     entry = RouterHarness()
