Show the load of services to operators

Cause: operators saw instances and upstreams, but not what callers demand, what is refused and what goes to another data centre. Change: `arbutusliftctl load` asks the first server that answers. Control instances answer from the load registry (LoadServer registers the query, so no further wiring is needed); `arbutusliftd` answers from the announcements of upstreams and says that the demand is unknown. Each row carries the age of its figures. Ruled out: asking several servers and adding up, because control instances already exchange their rows.

--- a/arbutuslift/api.py
+++ b/arbutuslift/api.py
@@ -24,6 +24,7 @@
     from_canonical_json,
     to_canonical_json,
 )
+from .protocol.loadquery import LoadShown, ShowLoad
 from .protocol.messages import Message
 from .protocol.operators import (
     ApplyDocument,
@@ -158,6 +159,19 @@
     return await _ask_servers(session, request, StatusShown)
 
 
+async def fetch_load(
+    session: Session, *, service: str, data_centre: str, limit: int
+) -> LoadShown:
+    """Return the load of services that the first server that answers knows."""
+    request = ShowLoad(
+        timeout_s=session.timeout_s,
+        service=service,
+        data_centre=data_centre,
+        limit=limit,
+    )
+    return await _ask_servers(session, request, LoadShown)
+
+
 async def fetch_members(session: Session) -> MembersShown:
     """Return the control fetch_members."""
     return await _ask_servers(
--- a/arbutuslift/coordination/controlplane.py
+++ b/arbutuslift/coordination/controlplane.py
@@ -27,6 +27,7 @@
 from .dissemination.groupmembership import GroupMembership
 from .dissemination.instancedirectory import InstanceDirectory
 from .dissemination.join import Seed
+from .dissemination.loadquery import LoadQueryServer, announced_load
 from .operators import OperatorsService, upstream_statuses
 from .routing.services import ServiceTable
 
@@ -105,6 +106,12 @@
             upstreams=lambda: upstream_statuses(services.view),
             tracer=tracer,
         )
+        LoadQueryServer(
+            self.channel,
+            lambda: announced_load(
+                clock, services.view, services.configuration.document
+            ),
+        )
         self._subscribe_to_state()
 
     def on_configuration(self, listener: Callable[[Configuration], None]) -> None:
--- a/arbutuslift/coordination/dissemination/loadserver.py
+++ b/arbutuslift/coordination/dissemination/loadserver.py
@@ -7,6 +7,7 @@
 from ...clock import Clock
 from ...protocol.channel import Channel
 from ...protocol.loads import LoadReport, LoadSummary, LoadTotals
+from .loadquery import KnownLoad, LoadQueryServer
 from .loadregistry import LoadRegistry
 from .startregistry import StartRegistry
 
@@ -44,6 +45,7 @@
         self._is_receiving = False
         channel.register_handler(LoadReport, self._on_report)
         channel.register_handler(LoadTotals, self._on_totals)
+        LoadQueryServer(channel, self._known_load, answers_pings=True)
 
     async def run(self) -> None:
         """Send totals every second until cancelled."""
@@ -67,3 +69,7 @@
 
     async def _on_totals(self, peer: str, totals: LoadTotals) -> None:
         self.registry.receive_totals(peer, totals, self._controls())
+
+    def _known_load(self) -> KnownLoad:
+        rows = self.registry.services()
+        return KnownLoad(rows=rows, is_demand_known=bool(rows))
--- a/arbutuslift/ctl.py
+++ b/arbutuslift/ctl.py
@@ -10,6 +10,7 @@
 from .commands.explain import explain_request
 from .commands.form import form
 from .commands.keys import create_key
+from .commands.load import load
 from .commands.options import Options, define_flags, parse, wants_json
 from .commands.outcome import ExitCode, Outcome, outcome_of
 from .errors import ArbutusliftError, UsageError
@@ -23,6 +24,7 @@
     "history": documents.history,
     "diff": documents.compare,
     "status": operations.status,
+    "load": load,
     "members": operations.members,
     "take-out": operations.take_out,
     "bring-back": operations.bring_back,
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -10,6 +10,7 @@
 from arbutuslift.clock import ManualClock
 from arbutuslift.commands.environment import Environment
 from arbutuslift.coordination.agreement.store import ConfigurationStore, MemberStatus
+from arbutuslift.coordination.dissemination.loadquery import KnownLoad, LoadQueryServer
 from arbutuslift.coordination.operators import OperatorsService, upstream_statuses
 from arbutuslift.ctl import execute
 from arbutuslift.errors import (
@@ -118,6 +119,10 @@
         self.store = FakeStore()
         self.view = UpstreamView()
         self.view.merge(builders.upstream(1))
+        self.load = KnownLoad(
+            rows=(builders.service_load(), builders.service_load(data_centre="dc-2")),
+            is_demand_known=True,
+        )
         self.output: list[str] = []
         self.notes: list[str] = []
         self.answers: list[str] = []
@@ -127,8 +132,10 @@
             self.add_instance(name, store)
 
     def add_instance(self, name: str, store: ConfigurationStore | None) -> None:
+        channel = Channel(self.network.bus(name))
+        LoadQueryServer(channel, lambda: self.load)
         OperatorsService(
-            Channel(self.network.bus(name)),
+            channel,
             self.clock,
             store=store,
             members=lambda: ["m1", "m2"],
