Test that an instance has the limits of its document in effect

Cause: no test noticed when the limiter didn't get the document. Measured: tests/test_instance.py passes (4); without the call that gives the limiter the document the new test doesn't.

--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -5,12 +5,14 @@
 
 import pytest
 import yaml
+from attrs import evolve
 
 from arbutuslift.clock import ManualClock
 from arbutuslift.errors import TransportError
 from arbutuslift.instance import Instance
-from arbutuslift.protocol.packets import SynPacket, decode
+from arbutuslift.protocol.packets import ResetPacket, SynPacket, decode
 from arbutuslift.settings import Settings
+from arbutuslift.state.shares import MAX_PROPAGATION_S
 from arbutuslift.transport.fabric import Address, UdpFabric
 
 from . import builders
@@ -72,6 +74,32 @@
         await stop
 
 
+async def test_limits_of_the_document_are_in_effect(settings):
+    # The limiter would permit everything if it didn't get the document.
+    content = builders.document_dict()
+    content["services"][0]["max_new_flows_per_s"] = 4  # One for each instance.
+    settings.document.write_text(yaml.safe_dump(content))
+    clock = ManualClock(start_s=100_000.0)
+    async with AsyncExitStack() as stack:
+        upstream = await UdpFabric.open(ANY_PORT)
+        fabric = await UdpFabric.open(ANY_PORT)
+        stack.callback(upstream.close)
+        stack.callback(fabric.close)
+        settings = evolve(settings, fabric=fabric.address)
+        instance = Instance(settings, clock, stack, on_stop=lambda: None)
+        await instance.open()
+        address = upstream.address
+        instance.registrar.accept(
+            builders.announcement(address=address.ip, port=address.port)
+        )
+        await clock.advance(MAX_PROPAGATION_S)
+        for number in (1, 2):
+            upstream.send(builders.syn(number), instance.fabric.address)
+        async with asyncio.timeout(30):
+            assert isinstance(decode((await upstream.receive()).data), SynPacket)
+            assert isinstance(decode((await fabric.receive()).data), ResetPacket)
+
+
 async def test_port_in_use_is_reported(settings):
     async with AsyncExitStack() as stack:
         other = await UdpFabric.open(ANY_PORT)
