--- a/arbutuslift/coordination/routing/slotrouter.py
+++ b/arbutuslift/coordination/routing/slotrouter.py
@@ -18,7 +18,7 @@
     without_payload,
 )
 from ...state.admission import Admission, UnlimitedAdmission
-from ...state.flows import FlowCache, FlowEntry, is_in_window
+from ...state.flows import FlowCache, FlowEntry, is_confirmed_at, is_in_window
 from ...state.tokenbucket import TokenBucket
 from ...state.upstreams import UpstreamRecord
 from ...transport.fabric import Address
@@ -241,7 +241,10 @@
         entry = self._flows.get(flow)
         if not packet.is_denial:
             return self._route_upstream_abort(packet, flow, sender, entry)
-        if _is_confirmed_holder(entry, sender) and packet.seq == entry.upstream_seq:
+        if (
+            is_confirmed_at(entry, sender.upstream_id)
+            and packet.seq == entry.upstream_seq
+        ):
             # The sequence number of a denial is the one that the caller acknowledged.
             # A denial with any other number, even a close one, may concern another
             # connection on a reused port.
@@ -262,7 +265,7 @@
         self._admission.record_return_traffic(sender.upstream_id)
         if self._is_held_elsewhere(entry, packet, sender):
             return Decision(Verdict.WRONG_SENDER)
-        if _is_confirmed_holder(entry, sender):
+        if is_confirmed_at(entry, sender.upstream_id):
             self._flows.remove(flow)
         return _to_caller(packet)
 
@@ -320,14 +323,6 @@
         )
 
 
-def _is_confirmed_holder(entry: FlowEntry | None, sender: UpstreamRecord) -> bool:
-    return (
-        entry is not None
-        and entry.is_confirmed
-        and entry.upstream_id == sender.upstream_id
-    )
-
-
 @lru_cache(maxsize=65536)
 def _tunnel_address(address: str, port: int) -> Address:
     return Address(address, port)
--- a/arbutuslift/state/flows.py
+++ b/arbutuslift/state/flows.py
@@ -103,3 +103,8 @@
 def is_in_window(left: int, right: int) -> bool:
     """Return whether two sequence numbers are close, modulo their range."""
     return (left - right + SEQ_WINDOW_BYTES) % SEQ_MODULUS < 2 * SEQ_WINDOW_BYTES
+
+
+def is_confirmed_at(entry: FlowEntry | None, upstream_id: str) -> bool:
+    """Return whether an upstream is known to hold the flow of an entry."""
+    return entry is not None and entry.is_confirmed and entry.upstream_id == upstream_id
