--- a/tests/test_ctl_over_zmq.py
+++ b/tests/test_ctl_over_zmq.py
@@ -10,11 +10,13 @@
 from arbutuslift.commands.environment import Environment
 from arbutuslift.commands.options import parse
 from arbutuslift.commands.outcome import ExitCode
+from arbutuslift.coordination.dissemination.loadserver import LoadServer
+from arbutuslift.coordination.dissemination.startregistry import StartRegistry
 from arbutuslift.coordination.operators import OperatorsService
 from arbutuslift.ctl import execute
 from arbutuslift.protocol.channel import Channel
 from arbutuslift.transport.keys import AllowedKeys, create_key_files, load_key_pair
-from arbutuslift.transport.zmqbus import Security, ZmqBus
+from arbutuslift.transport.zmqbus import Security, ZmqBus, endpoint_of_address
 
 from . import builders
 from .fakes import FakeStore
@@ -120,6 +122,25 @@
     assert await server.run("status") == ExitCode.DONE
 
 
+async def test_a_control_instance_without_operators_service_shows_its_load():
+    """Guards against a bus, whose peers are named by address, that refuses clients."""
+    bus = ZmqBus("127.0.0.1:1", allow_plain=True, endpoint_of=endpoint_of_address)
+    starts = StartRegistry(SystemClock(), 1.0, lambda: None)
+    server = LoadServer(Channel(bus), SystemClock(), starts, controls=tuple)
+    server.registry.receive(
+        "e1", builders.load_report(services=(builders.service_demand(rejected=2),))
+    )
+    await bus.open("tcp://127.0.0.1:0")
+    output = []
+    servers = f"--servers=c1={bus.endpoint.removeprefix('tcp://')}"
+    try:
+        assert await run(["load", servers], output) == ExitCode.DONE
+    finally:
+        await bus.close()
+    (row,) = json.loads(output[-1])["result"]["rows"]
+    assert (row["service"], row["rejected_per_s"]) == ("alerts", 2.0)
+
+
 REMOTE = "--servers=m1=192.0.2.1:7300"
 KEY = "--curve_key_file={0}/operator-ana.key_secret"
 KEYS = "--server_keys_folder={0}"
