--- a/arbutuslift/coordination/dissemination/loadserver.py
+++ b/arbutuslift/coordination/dissemination/loadserver.py
@@ -16,6 +16,7 @@
     expand,
 )
 from ...protocol.messages import Message
+from .loadquery import KnownLoad, LoadQueryServer
 from .loadregistry import LoadRegistry
 from .startregistry import StartRegistry
 
@@ -52,6 +53,7 @@
         self._controls = controls
         self._is_receiving = False
         channel.register_handler(CompressedLoad, self._on_load)
+        LoadQueryServer(channel, self._known_load, answers_pings=True)
 
     async def run(self) -> None:
         """Send totals every second until cancelled."""
@@ -87,3 +89,7 @@
     def _(self, message: LoadTotals, peer: str) -> Message | None:
         self.registry.receive_totals(peer, message, self._controls())
         return None
+
+    def _known_load(self) -> KnownLoad:
+        rows = self.registry.services()
+        return KnownLoad(rows=rows, is_demand_known=bool(rows))
--- a/arbutuslift/coordination/routing/slotrouter.py
+++ b/arbutuslift/coordination/routing/slotrouter.py
@@ -18,7 +18,7 @@
     without_payload,
 )
 from ...state.admission import Admission, UnlimitedAdmission
-from ...state.flows import FlowCache, FlowEntry, is_in_window
+from ...state.flows import FlowCache, FlowEntry, is_confirmed_at, is_in_window
 from ...state.tokenbucket import TokenBucket
 from ...state.upstreams import UpstreamRecord
 from ...transport.fabric import Address
@@ -46,6 +46,7 @@
     REFUSED = "refused"
     SHED = "shed"
     WAITING = "waiting"
+    LIMITED = "limited"
     ABORTED = "aborted"
     RETURNED = "returned"
     DENIED = "denied"
@@ -148,8 +149,10 @@
         self, packet: UdpPacket, flow: bytes, routes: ServiceRoutes, source: Address
     ) -> Decision:
         record = self._services.view.get(self._flows.confirmed_upstream(flow) or "")
-        if self._services.may_receive_new_flows(record):
+        if self._services.may_keep_flows(record):
             return _forward(Verdict.KNOWN_FLOW, packet.raw, [record])
+        if self._admission.is_over_limit(routes.service.name):
+            return Decision(Verdict.LIMITED)
         for record in self._services.preference_order(routes, flow):
             if self._admission.try_admit(record, routes.service.priority):
                 return _forward(Verdict.NEW_FLOW, packet.raw, [record])
@@ -159,9 +162,12 @@
     def _(
         self, packet: SynPacket, flow: bytes, routes: ServiceRoutes, source: Address
     ) -> Decision:
-        priority = routes.service.priority
-        if self._queue_fill() >= SHED_QUEUE_FILL[priority]:
+        name, priority = routes.service.name, routes.service.priority
+        is_shedding = self._queue_fill() >= SHED_QUEUE_FILL[priority]
+        if is_shedding and not self._admission.has_unused_share(name):
             return _refuse(Verdict.SHED, packet)
+        if self._admission.is_over_limit(name):
+            return _refuse(Verdict.LIMITED, packet)
         if not self._may_open(flow, routes):
             return Decision(Verdict.WAITING)
         skipped = []
@@ -241,7 +247,10 @@
         entry = self._flows.get(flow)
         if not packet.is_denial:
             return self._route_upstream_abort(packet, flow, sender, entry)
-        if _is_confirmed_holder(entry, sender) and packet.seq == entry.upstream_seq:
+        if (
+            is_confirmed_at(entry, sender.upstream_id)
+            and packet.seq == entry.upstream_seq
+        ):
             # The sequence number of a denial is the one that the caller acknowledged.
             # A denial with any other number, even a close one, may concern another
             # connection on a reused port.
@@ -262,7 +271,7 @@
         self._admission.record_return_traffic(sender.upstream_id)
         if self._is_held_elsewhere(entry, packet, sender):
             return Decision(Verdict.WRONG_SENDER)
-        if _is_confirmed_holder(entry, sender):
+        if is_confirmed_at(entry, sender.upstream_id):
             self._flows.remove(flow)
         return _to_caller(packet)
 
@@ -320,14 +329,6 @@
         )
 
 
-def _is_confirmed_holder(entry: FlowEntry | None, sender: UpstreamRecord) -> bool:
-    return (
-        entry is not None
-        and entry.is_confirmed
-        and entry.upstream_id == sender.upstream_id
-    )
-
-
 @lru_cache(maxsize=65536)
 def _tunnel_address(address: str, port: int) -> Address:
     return Address(address, port)
--- a/arbutuslift/ctl.py
+++ b/arbutuslift/ctl.py
@@ -5,10 +5,12 @@
 from collections.abc import Awaitable, Callable
 
 from .commands import documents, operations
+from .commands.check import check
 from .commands.environment import Environment
 from .commands.explain import explain_request
 from .commands.form import form
 from .commands.keys import create_key
+from .commands.load import load
 from .commands.options import Options, define_flags, parse, wants_json
 from .commands.outcome import ExitCode, Outcome, outcome_of
 from .errors import ArbutusliftError, UsageError
@@ -16,15 +18,18 @@
 Command = Callable[[Options, Environment], Awaitable[Outcome]]
 
 COMMANDS: dict[str, Command] = {
-    "check": documents.check,
+    "check": check,
     "apply": documents.apply,
     "show": documents.show,
     "history": documents.history,
     "diff": documents.compare,
     "status": operations.status,
+    "load": load,
     "members": operations.members,
     "take-out": operations.take_out,
     "bring-back": operations.bring_back,
+    "take-upstream-out": operations.take_upstream_out,
+    "bring-upstream-back": operations.bring_upstream_back,
     "replace-member": operations.replace_member,
     "form": form,
     "create-key": create_key,
@@ -62,7 +67,7 @@
     """Return the commands, exit codes and flags as text."""
     lines = ["commands:"]
     for name, command in COMMANDS.items():
-        lines.append(f"  {name:15} {command.__doc__.splitlines()[0]}")
+        lines.append(f"  {name:19} {command.__doc__.splitlines()[0]}")
     codes = ", ".join(
         f"{int(code)} {code.name.lower().replace('_', ' ')}" for code in ExitCode
     )
--- a/arbutuslift/protocol/document.py
+++ b/arbutuslift/protocol/document.py
@@ -5,21 +5,25 @@
 
 import cattrs
 from attrs import field, frozen
+from cattrs.gen import make_dict_unstructure_fn, override
 
 from ..errors import DocumentError, Fault
 from .documentchecks import PRIORITIES, find_faults, find_shape_faults
-from .documentfile import MAX_DOCUMENT_BYTES, parse_json, read_plain
+from .documentfile import FILE_RULE, MAX_DOCUMENT_BYTES, parse_json, read_plain
+from .documentlines import with_lines
 
 __all__ = [
     "PRIORITIES",
     "Configuration",
     "DataCentre",
     "Document",
+    "OutOfRotation",
     "Service",
     "from_canonical_json",
     "load_document",
     "structure_document",
     "to_canonical_json",
+    "to_plain",
 ]
 
 _STEP = "check document"
@@ -44,6 +48,11 @@
         cold_new_flows_per_s: New flows per second that one upstream accepts during
             its cold start.
         warm_up_s: Duration of the cold start.
+        max_new_flows_per_s: New flows per second of the service; 0 means no limit.
+        max_open_requests: Requests that its upstreams process at the same time; 0
+            means no limit.
+        min_share_percent: Guaranteed part of the new flows that an instance still
+            starts while it sheds load; 0 means none.
     """
 
     name: str
@@ -57,6 +66,9 @@
     slots: int = 2
     cold_new_flows_per_s: int = 10
     warm_up_s: float = 30.0
+    max_new_flows_per_s: int = 0
+    max_open_requests: int = 0
+    min_share_percent: int = 0
 
 
 @frozen(kw_only=True)
@@ -76,6 +88,19 @@
     instances: tuple[str, ...] = ()
 
 
+@frozen(kw_only=True)
+class OutOfRotation:
+    """An upstream that gets no new flows; its open flows stay.
+
+    Attributes:
+        upstream_id: Identity of one start of the upstream's process.
+        until_s: End, in seconds since the Unix epoch; 0 if an operator ends it.
+    """
+
+    upstream_id: str
+    until_s: int = 0
+
+
 @frozen(kw_only=True)
 class Document:
     """One configuration.
@@ -83,10 +108,28 @@
     Attributes:
         services: All services.
         data_centres: All data centres.
+        out_of_rotation: Upstreams that get no new flows.
     """
 
     services: tuple[Service, ...] = ()
     data_centres: tuple[DataCentre, ...] = ()
+    out_of_rotation: tuple[OutOfRotation, ...] = ()
+
+
+def _omit_defaults(record_class: type, *names: str) -> None:
+    """Leave fields out of the canonical form while they have their defaults.
+
+    A document without these fields keeps the bytes and the digest that it had before
+    the fields were introduced.
+    """
+    overrides = {name: override(omit_if_default=True) for name in names}
+    hook = make_dict_unstructure_fn(record_class, _converter, **overrides)
+    _converter.register_unstructure_hook(record_class, hook)
+
+
+_omit_defaults(Service, "max_new_flows_per_s", "max_open_requests", "min_share_percent")
+_omit_defaults(OutOfRotation, "until_s")
+_omit_defaults(Document, "out_of_rotation")
 
 
 @frozen(kw_only=True)
@@ -113,7 +156,8 @@
     try:
         return structure_document(content)
     except DocumentError as error:
-        raise DocumentError(error.faults, step=error.step, peer=str(path)) from error
+        faults = with_lines(path, error.faults)
+        raise DocumentError(faults, step=error.step, peer=str(path)) from error
 
 
 def structure_document(content: object) -> Document:
@@ -128,15 +172,19 @@
     document = _structure(content)
     if len(to_canonical_json(document)) > MAX_DOCUMENT_BYTES:
         reason = f"larger than {MAX_DOCUMENT_BYTES} bytes in canonical form"
-        raise DocumentError((Fault("", reason),), step=_STEP)
+        raise DocumentError((Fault("", reason, rule=FILE_RULE),), step=_STEP)
     return document
 
 
+def to_plain(document: Document) -> dict[str, object]:
+    """Return the document as plain values in the order of its fields."""
+    return _converter.unstructure(document)
+
+
 def to_canonical_json(document: Document) -> bytes:
     """Return the document as JSON bytes that are equal for equal documents."""
-    plain = _converter.unstructure(document)
     text = json.dumps(
-        plain,
+        to_plain(document),
         sort_keys=True,
         separators=(",", ":"),
         ensure_ascii=False,
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -11,6 +11,7 @@
     Configuration,
     DataCentre,
     Document,
+    OutOfRotation,
     Service,
 )
 from arbutuslift.protocol.loads import LoadReport, LoadSummary
@@ -55,9 +56,15 @@
     return Service(**(fields | changes))
 
 
-def configuration(revision: int = 1, services=None, data_centres=None):
+def configuration(
+    revision: int = 1, services=None, data_centres=None, out_of_rotation=()
+):
     centres = data_centres or (DataCentre(name="dc-1"), DataCentre(name="dc-2"))
-    document = Document(services=services or (service(),), data_centres=centres)
+    document = Document(
+        services=services or (service(),),
+        data_centres=centres,
+        out_of_rotation=out_of_rotation,
+    )
     return Configuration(revision=revision, document=document)
 
 
@@ -125,6 +132,9 @@
     priority=st.sampled_from(["urgent", "high", "ordinary"]),
     idempotent=st.booleans(),
     warm_up_s=st.floats(0.001, 86400),
+    max_new_flows_per_s=st.integers(0, 1000),
+    max_open_requests=st.integers(0, 1000),
+    min_share_percent=st.integers(0, 20),
 )
 _data_centres = st.builds(
     DataCentre,
@@ -135,12 +145,20 @@
 )
 
 
+_out_of_rotation = st.builds(
+    OutOfRotation, upstream_id=_names, until_s=st.integers(0, 2_000_000_000)
+)
+
+
 def documents() -> st.SearchStrategy[Document]:
     """Return a strategy for documents with unique names; other checks may fail."""
     return st.builds(
         Document,
         services=st.lists(_services, unique_by=lambda row: row.name).map(tuple),
         data_centres=st.lists(_data_centres, unique_by=lambda row: row.name).map(tuple),
+        out_of_rotation=st.lists(
+            _out_of_rotation, max_size=3, unique_by=lambda row: row.upstream_id
+        ).map(tuple),
     )
 
 
--- a/tests/protocol/test_document.py
+++ b/tests/protocol/test_document.py
@@ -39,6 +39,8 @@
 
 SERVICE = ["services", 0]
 CENTRE = ["data_centres", 0]
+FIRST = "services[0]"
+OUT = "out_of_rotation"
 FAULTY = [
     ([*SERVICE, "name"], "claims", "services[1].name", "already used by services[0]"),
     ([*SERVICE, "name"], "a\n", "services[0].name", "must be a name"),
@@ -61,6 +63,9 @@
     ([*SERVICE, "warm_up_s"], 0, "services[0].warm_up_s", "more than 0"),
     ([*SERVICE, "warm_up_s"], float("nan"), "services[0].warm_up_s", "finite"),
     ([*SERVICE, "warm_up_s"], 10**400, "services[0].warm_up_s", "at most"),
+    ([*SERVICE, "max_new_flows_per_s"], -1, f"{FIRST}.max_new_flows_per_s", "least 0"),
+    ([*SERVICE, "max_open_requests"], 1.5, f"{FIRST}.max_open_requests", "integer"),
+    ([*SERVICE, "min_share_percent"], 101, f"{FIRST}.min_share_percent", "most 100"),
     ([*SERVICE, "colour"], "red", "services[0].colour", "unknown field"),
     (["extra"], 1, "extra", "unknown field"),
     (["services"], None, "services", "type array"),
@@ -71,6 +76,10 @@
     ([*CENTRE, "instances"], ["dc-2-1"], "data_centres[1].instances[0]", "already"),
     ([*CENTRE, "instances"], [1], "data_centres[0].instances[0]", "type string"),
     (["data_centres"], [], "data_centres", "at least one must"),
+    ([OUT], [{"upstream_id": ""}], f"{OUT}[0].upstream_id", "must be a name"),
+    ([OUT], [{"upstream_id": "a"}] * 2, f"{OUT}[1].upstream_id", "already used"),
+    ([OUT], [{"upstream_id": "a", "until_s": -1}], f"{OUT}[0].until_s", "at least 0"),
+    ([OUT], [{"until_s": 1}], f"{OUT}[0].upstream_id", "missing"),
 ]
 
 
@@ -93,6 +102,13 @@
     assert "in service" in faults_of(content)["data_centres"]
 
 
+def test_guaranteed_shares_over_100_percent_are_refused():
+    content = builders.document_dict()
+    for row, percent in zip(content["services"], (60, 41), strict=True):
+        row["min_share_percent"] = percent
+    assert "101%" in faults_of(content)["services[1].min_share_percent"]
+
+
 @pytest.mark.parametrize("name", ["agencia.yaml", "cydweithfa.yaml"])
 def test_examples_are_valid(name):
     centres = load_document(EXAMPLES / name).data_centres
@@ -101,6 +117,19 @@
     assert 7 <= len(instances) <= 9
 
 
+def test_a_document_of_an_earlier_version_keeps_its_bytes():
+    # Instances compare documents by the digest of their canonical form.
+    body = (
+        b'{"data_centres":[{"in_service":true,"instances":["i"],"name":"dc-1",'
+        b'"region":""}],"services":[{"address":"127.10.0.1",'
+        b'"cold_new_flows_per_s":10,"idempotent":false,"kind":"alerts",'
+        b'"max_connections":2000,"name":"alerts","port":8443,"priority":"urgent",'
+        b'"protocol":"tcp","slots":2,"warm_up_s":30.0}]}'
+    )
+    assert to_canonical_json(from_canonical_json(body)) == body
+    assert to_canonical_json(structure_document(json.loads(body))) == body
+
+
 def with_shuffled_keys(value: object, random) -> object:
     if isinstance(value, dict):
         keys = list(value)
@@ -141,6 +170,8 @@
     ("a.yaml", b"--- 1\n--- 2\n", "not YAML"),
     ("a.yaml", b"x: 0x" + b"f" * 5000, "too large"),
     ("a.yaml", b"!!python/object:os.system {}", "not YAML"),
+    ("a.yaml", b"", "empty"),
+    ("a.json", b" \n", "empty"),
     ("a.json", b'{"services": [], "services": []}', "duplicate key"),
     ("a.json", b"[" * 100_000, "not JSON"),
     ("a.json", b"NaN", "NaN"),
@@ -156,6 +187,15 @@
     with pytest.raises(DocumentError, match=reason) as caught:
         load_document(path)
     assert caught.value.peer == str(path)
+    assert "\n" not in str(caught.value)
+
+
+def test_the_number_of_yaml_values_is_bounded(monkeypatch):
+    # A file of 2 MB with a million short values would take 1 GB.
+    monkeypatch.setattr(documentfile, "MAX_YAML_VALUES", 100)
+    assert len(documentfile.parse_yaml(b"[" + b"1," * 99 + b"]")) == 99
+    with pytest.raises(DocumentError, match="more than 100 values"):
+        documentfile.parse_yaml(b"[" + b"1," * 100 + b"]")
 
 
 def test_the_number_of_faults_is_bounded():
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -55,6 +55,12 @@
 CASES = [
     (unchanged, "check {path}", ExitCode.DONE),
     (unchanged, "check {path}.none", ExitCode.INVALID),
+    (unchanged, "check {path} --against={path}", ExitCode.DONE),
+    (unchanged, "check {path} --against={path}.none", ExitCode.INVALID),
+    (unchanged, "check {path} --against=servers", ExitCode.WARNINGS),
+    (no_quorum, "check {path} --against=servers", ExitCode.NOT_ACCEPTED),
+    (no_server_answers, "check {path} --against=servers", ExitCode.UNREACHABLE),
+    (unchanged, "check", ExitCode.USAGE),
     (unchanged, APPLY, ExitCode.DONE),
     (unchanged, "apply {path} --expected_revision=0", ExitCode.CONFLICT),
     (unchanged, "apply {path} --expected_revision=0 --request_id=r", ExitCode.CONFLICT),
@@ -77,11 +83,26 @@
     (unchanged, "diff --to_revision=1", ExitCode.DONE),
     (unchanged, "diff", ExitCode.USAGE),
     (unchanged, "status --data_centre=dc-1 --service=alerts", ExitCode.DONE),
+    (unchanged, "load --service=alerts --data_centre=dc-1", ExitCode.DONE),
+    (no_quorum, "load", ExitCode.DONE),
+    (no_server_answers, "load", ExitCode.UNREACHABLE),
+    (unchanged, "load alerts", ExitCode.USAGE),
     (unchanged, "members", ExitCode.DONE),
     (unchanged, "take-out dc-1", ExitCode.DONE),
     (unchanged, "take-out nowhere", ExitCode.NOT_ACCEPTED),
     (lose_answer, "take-out dc-1", ExitCode.UNKNOWN),
     (unchanged, "bring-back dc-1", ExitCode.DONE),
+    (unchanged, "take-upstream-out u1", ExitCode.DONE),
+    (unchanged, "take-upstream-out u1 --for_s=60", ExitCode.DONE),
+    (unchanged, "take-upstream-out u1 --for_s=-1", ExitCode.USAGE),
+    (unchanged, "take-upstream-out u1 --for_s=1e3", ExitCode.USAGE),
+    (unchanged, "take-upstream-out u1 --for_s=999999999999", ExitCode.USAGE),
+    (unchanged, "take-upstream-out u/1", ExitCode.INVALID),
+    (unchanged, "take-upstream-out", ExitCode.USAGE),
+    (lose_answer, "take-upstream-out u1", ExitCode.UNKNOWN),
+    (no_quorum, "take-upstream-out u1", ExitCode.NOT_ACCEPTED),
+    (unchanged, "bring-upstream-back u1", ExitCode.DONE),
+    (unchanged, "bring-upstream-back", ExitCode.USAGE),
     (unchanged, "replace-member m2 m3", ExitCode.DONE),
     (unchanged, "replace-member m9 m3", ExitCode.NOT_ACCEPTED),
     (unchanged, "replace-member m2", ExitCode.USAGE),
@@ -142,6 +163,20 @@
     assert change["details"] == expected
 
 
+async def test_apply_prints_warnings_and_sends_nothing_with_errors(system, tmp_path):
+    content = builders.document_dict()
+    content["services"][0] |= {"max_open_requests": 1}
+    target = tmp_path / "next.json"
+    target.write_text(json.dumps(content))
+    assert await system.run("apply", str(target), "--expected_revision=0") == 0
+    assert "[requests-below-slots]" in system.notes[0]
+    content["services"][0] |= {"max_open_requests": -1}
+    target.write_text(json.dumps(content))
+    code = await system.run("apply", str(target), "--expected_revision=1")
+    assert code == ExitCode.INVALID
+    assert len(system.clients) == 1
+
+
 async def test_request_id_is_printed_before_the_request_is_sent(system, path):
     # After an interruption of the client, the operator needs it for the resend.
     no_quorum(system)
@@ -163,7 +198,7 @@
     assert system.store.replacements == 1
 
 
-SERVICE = ["alerts", "127.10.0.1", "8443", "", "alerts", "", "", "", "", "", ""]
+SERVICE = ["alerts", "127.10.0.1", "8443", "", "alerts", *[""] * 9]
 
 
 async def test_form_asks_again_for_each_refused_answer(system, tmp_path):
@@ -171,7 +206,7 @@
     system.answers = ["maybe", "yes", *SERVICE]
     system.answers += ["yes", "alerts", "claims", "127.10.0.1", "127.10.0.2", "x"]
     system.answers += ["70000", "53", "udp", "claims", "top", "high", "no", "yes"]
-    system.answers += ["", "0", "3", "", "nan", "5", "no"]
+    system.answers += ["", "0", "3", "", "nan", "5", "", "-1", "70", "101", "50", "no"]
     system.answers += ["no", "yes", "dc-1", "", "no", "dc-1-1, dc-1-1", "dc-1-1"]
     system.answers += ["no", "yes", "dc-2", "north", "", "", "no"]
     assert await system.run("form", str(target)) == ExitCode.DONE
@@ -179,9 +214,10 @@
     assert [row.name for row in document.services] == ["alerts", "claims"]
     assert document.services[1].idempotent
     assert document.services[1].slots == 3
+    assert document.services[1].max_open_requests == 70
     assert document.data_centres[0].instances == ("dc-1-1",)
     assert system.answers == []
-    assert len(system.notes) == 13
+    assert len(system.notes) == 15
     assert system.notes[-1].strip() == "at least one must be in service"
 
 
