Count each outstanding request once

Cause: beginning and ending a request updated averages of its start and of its service. Change: the average of a service is the sum of those of its starts, taken with the report.

--- a/arbutuslift/coordination/routing/loadtracker.py
+++ b/arbutuslift/coordination/routing/loadtracker.py
@@ -27,50 +27,49 @@
 
 
 @define
-class _Level:
-    """A number of outstanding requests and its average over an interval.
+class _ServiceCounts:
+    """Counts of one service in the present interval; see ``ServiceDemand``.
 
     Attributes:
-        now: The present number.
-        sum_s: With ``now`` times the present time added, the integral of the number
-            over the interval.
+        starts: Number of its starts that are counted.
+        now: Its outstanding requests at present.
+        outstanding: Sum of the averages of its starts, while a report is taken.
     """
 
+    starts: int = 0
     now: int = 0
-    sum_s: float = 0.0
-
-    def add(self, change: int, now_s: float) -> None:
-        """Change the number."""
-        self.now += change
-        self.sum_s -= change * now_s
-
-    def take_mean(self, now_s: float, interval_s: float) -> float:
-        """Return the average over the interval and begin the next one."""
-        integral_s = self.sum_s + self.now * now_s
-        self.sum_s = -self.now * now_s
-        return max(0.0, integral_s / interval_s)
+    outstanding: float = 0.0
+    arrivals: int = 0
+    rejected: int = 0
+    remote: int = 0
 
 
 @define
 class _StartCounts:
-    """Counts of one start in the present interval; see ``UpstreamLoad``."""
+    """Counts of one start in the present interval; see ``UpstreamLoad``.
 
-    level: _Level
+    Attributes:
+        service: Counts of its service.
+        now: Its outstanding requests at present.
+        sum_s: With ``now`` times the present time added, the integral of that number
+            over the interval.
+        reported_flows: Open flows in the last report.
+    """
+
+    service: _ServiceCounts
+    now: int = 0
+    sum_s: float = 0.0
     open_flows: int = 0
     reported_flows: int = 0
     answered: int = 0
     response_sum_s: float = 0.0
     failures: int = 0
 
-
-@define
-class _ServiceCounts:
-    """Counts of one service in the present interval; see ``ServiceDemand``."""
-
-    level: _Level
-    arrivals: int = 0
-    rejected: int = 0
-    remote: int = 0
+    def take_mean(self, now_s: float, interval_s: float) -> float:
+        """Return the average outstanding and begin the next interval."""
+        integral_s = self.sum_s + self.now * now_s
+        self.sum_s = -self.now * now_s
+        return max(0.0, integral_s / interval_s)
 
 
 @define
@@ -79,13 +78,11 @@
 
     Attributes:
         start: Counts of its start.
-        service: Counts of its service.
         is_opening: Whether its SYN isn't answered yet.
         end_s: When it no longer counts, even if the flow hasn't ended.
     """
 
     start: _StartCounts
-    service: _ServiceCounts
     is_opening: bool
     end_s: float
 
@@ -113,12 +110,12 @@
     def outstanding(self, key: tuple[str, int]) -> int:
         """Return the requests and opening flows at a start that wait for an answer."""
         counts = self._starts.get(key)
-        return counts.level.now if counts else 0
+        return counts.now if counts else 0
 
     def outstanding_of_service(self, service: str) -> int:
         """Return the same number for all starts of a service."""
         counts = self._services.get(service)
-        return counts.level.now if counts else 0
+        return counts.now if counts else 0
 
     def take_report(self) -> LoadInterval:
         """Return the load since the last report and begin the next interval."""
@@ -131,7 +128,7 @@
             for key, counts in list(self._starts.items())
         ]
         services = [
-            self._take_service(name, counts, now_s, interval_ms / 1000)
+            self._take_service(name, counts)
             for name, counts in list(self._services.items())
         ]
         return LoadInterval(
@@ -151,10 +148,11 @@
 
     def open_flow(self, flow: bytes, start: UpstreamStart, *, is_opening: bool) -> None:
         """Count a flow as open, and as outstanding if its SYN has just been sent."""
-        self._start(start.key).open_flows += 1
+        counts = self._start(start)
+        counts.open_flows += 1
         if is_opening:
             now_s = self._clock.monotonic_s()
-            self._add(flow, start, True, now_s, now_s + OPENING_TIMEOUT_S)
+            self._add(flow, counts, True, now_s, now_s + OPENING_TIMEOUT_S)
 
     def close_flow(self, start: UpstreamStart) -> None:
         """Count a flow as no longer open."""
@@ -170,7 +168,7 @@
         if flow in self._outstanding:
             self._remove(flow, now_s)
         end_s = now_s + timeout_s if timeout_s > 0 else float("inf")
-        self._add(flow, start, False, now_s, end_s)
+        self._add(flow, self._start(start), False, now_s, end_s)
 
     def record_progress(self, flow: bytes) -> None:
         """Count a flow as open if it was opening."""
@@ -189,7 +187,7 @@
 
     def record_failure(self, start: UpstreamStart) -> None:
         """Count a failure of a start."""
-        self._start(start.key).failures += 1
+        self._start(start).failures += 1
 
     def expire(self) -> None:
         """Remove requests whose callers have given up without ending their flows."""
@@ -201,37 +199,36 @@
     def _add(
         self,
         flow: bytes,
-        start: UpstreamStart,
+        counts: _StartCounts,
         is_opening: bool,
         now_s: float,
         end_s: float,
     ) -> None:
-        outstanding = _Outstanding(
-            self._start(start.key),
-            self._service(start.service),
-            is_opening,
-            end_s,
-        )
-        outstanding.start.level.add(1, now_s)
-        outstanding.service.level.add(1, now_s)
-        self._outstanding[flow] = outstanding
+        counts.now += 1
+        counts.sum_s -= now_s
+        counts.service.now += 1
+        self._outstanding[flow] = _Outstanding(counts, is_opening, end_s)
 
     def _remove(self, flow: bytes, now_s: float) -> _Outstanding:
         outstanding = self._outstanding.pop(flow)
-        outstanding.start.level.add(-1, now_s)
-        outstanding.service.level.add(-1, now_s)
+        counts = outstanding.start
+        counts.now -= 1
+        counts.sum_s += now_s
+        counts.service.now -= 1
         return outstanding
 
-    def _start(self, key: tuple[str, int]) -> _StartCounts:
-        counts = self._starts.get(key)
+    def _start(self, start: UpstreamStart) -> _StartCounts:
+        counts = self._starts.get(start.key)
         if counts is None:
-            counts = self._starts[key] = _StartCounts(_Level())
+            service = self._service(start.service)
+            service.starts += 1
+            counts = self._starts[start.key] = _StartCounts(service)
         return counts
 
     def _service(self, name: str) -> _ServiceCounts:
         counts = self._services.get(name)
         if counts is None:
-            counts = self._services[name] = _ServiceCounts(_Level())
+            counts = self._services[name] = _ServiceCounts()
         return counts
 
     def _take_start(
@@ -242,10 +239,12 @@
         interval_s: float,
     ) -> UpstreamLoad | None:
         """Return the figures of a start, None if there is nothing to report."""
-        outstanding = counts.level.take_mean(now_s, interval_s)
+        outstanding = counts.take_mean(now_s, interval_s)
+        counts.service.outstanding += outstanding
         is_changed = counts.open_flows != counts.reported_flows
         if not (outstanding or counts.answered or counts.failures or is_changed):
-            if not counts.open_flows and not counts.level.now:
+            if not counts.open_flows and not counts.now:
+                counts.service.starts -= 1
                 del self._starts[key]
             return None
         load = UpstreamLoad(
@@ -262,13 +261,11 @@
         counts.response_sum_s = 0.0
         return load
 
-    def _take_service(
-        self, name: str, counts: _ServiceCounts, now_s: float, interval_s: float
-    ) -> ServiceDemand | None:
+    def _take_service(self, name: str, counts: _ServiceCounts) -> ServiceDemand | None:
         """Return the demand for a service, None if there is none."""
-        outstanding = counts.level.take_mean(now_s, interval_s)
+        outstanding, counts.outstanding = counts.outstanding, 0.0
         if not (outstanding or counts.arrivals):
-            if not counts.level.now:
+            if not counts.starts:
                 del self._services[name]
             return None
         demand = ServiceDemand(
