Explain rejected and waiting flows, and test their metrics

Cause: arbutuslift's explain command knew nothing of admission, and the metrics of the gate had no test. Change: causes for rejected_busy, dropped_busy and syn_waits, shortages as context; a test of both metrics and their rows.

--- a/arbutuslift/explanation.py
+++ b/arbutuslift/explanation.py
@@ -15,6 +15,8 @@
 _CAUSES = (
     ("refused_no_route", "no route in the configuration in effect: nothing has run"),
     ("refused_no_upstream", "no upstream took new flows: nothing has run"),
+    ("rejected_busy", "no capacity within the time that it may wait: nothing has run"),
+    ("dropped_busy", "no capacity for the copy of a SYN, which was left unanswered"),
     ("reset_route_removed", "a configuration removed the route of the open flow"),
     ("reset_upstream_gone", "the upstream that held the flow had ended"),
     ("reset_upstream_lost", "the upstream that held the flow couldn't be reached"),
@@ -26,6 +28,7 @@
     ("started", "the instance had just been started again"),
     ("repeated", "the upstream gave no answer within 150 ms, or it was lost"),
     ("request_unanswered", "the upstream gave no answer before the caller gave up"),
+    ("syn_waits", "it waited for capacity before it was opened"),
     ("syn_moved", "the first upstream left the opening unanswered"),
 )
 _CONTEXT_EVENTS = (
@@ -34,6 +37,7 @@
     "draining",
     "started",
     "configuration_in_effect",
+    "shortage_",
 )
 CAUSE_NOT_FOUND = (
     "no line speaks for a cause here: look at the upstream, or at the network"
--- a/tests/test_entrymetrics.py
+++ b/tests/test_entrymetrics.py
@@ -1,11 +1,14 @@
 """Guards against metrics of an entry instance that misstate its work."""
 
+from pathlib import Path
+
 from arbutuslift.coordination.routing.flowtagrouter import Verdict
 from arbutuslift.entrymetrics import EntryMetrics
 from arbutuslift.metricspage import render_metrics
 from arbutuslift.state.starts import Phase
 
 from .builders import egress_queue, start
+from .coordination.routing.test_admissiongate import GateHarness
 from .coordination.routing.test_flowtagrouter import RouterHarness
 from .coordination.routing.test_restoredstarts import add_restored
 
@@ -42,3 +45,19 @@
     assert 'arbutuslift_packets_total{verdict="new_flow"} 2.0' in page
     assert "arbutuslift_revision 1.0" in page
     assert "arbutuslift_packet_seconds_count 1.0" in page
+
+
+def test_waiting_flows_and_shortages_are_counted_and_on_the_page():
+    """Guards against a shortage that operators can't see."""
+    entry = GateHarness(start(1))
+    for number in range(1, 100):
+        entry.syn(number)
+    metrics = EntryMetrics(
+        entry.router, entry.directory, egress_queue(entry.clock), gate=entry.gate
+    )
+    families = {family.name: family for family in metrics.families()}
+    waiting = families["arbutuslift_waiting_flows"].value
+    assert waiting == entry.gate.waiting_count > 0
+    assert families["arbutuslift_shortages"].value == 1
+    page = (Path(__file__).parents[1] / "docs" / "OPERATIONS.md").read_text()
+    assert {name for name in families if name not in page} == set()
