--- a/arbutuslift/coordination/routing/centreloads.py
+++ b/arbutuslift/coordination/routing/centreloads.py
@@ -23,6 +23,7 @@
             upstreams.
         service_s: Time that a request takes there without waiting.
         upstream_slots: Slots of one of its upstreams.
+        trust: Part of its room that is used, 1 for new figures.
         is_queueing: Whether more requests are outstanding there than there are slots.
     """
 
@@ -31,6 +32,7 @@
     capacity_per_s: float
     service_s: float
     upstream_slots: int
+    trust: float = 1.0
     is_queueing: bool = False
 
     @property
--- a/arbutuslift/coordination/routing/loadlevelling.py
+++ b/arbutuslift/coordination/routing/loadlevelling.py
@@ -126,4 +126,5 @@
 
 
 def _room_per_s(centre: CentreLoad, wait_s: float) -> float:
-    return max(0.0, centre.rate_at_wait(wait_s) - centre.rate_per_s)
+    room_per_s = centre.rate_at_wait(wait_s) - centre.rate_per_s
+    return centre.trust * max(0.0, room_per_s)
--- a/arbutuslift/coordination/routing/locality.py
+++ b/arbutuslift/coordination/routing/locality.py
@@ -11,12 +11,10 @@
 from ...clock import Clock
 from ...state.loadfigures import ServiceLoad
 from .localityfractions import LocalityFractions
-from .localitytargets import LocalityTargets
+from .localitytargets import MAX_ROW_AGE_S, LocalityTargets
 from .routedservices import RoutedService
 from .trackedstart import TrackedStart
 
-# Figures reach a control instance within 3 s and are valid in the view for 3 s.
-MAX_ROW_AGE_S = 6.0
 VIEW_MAX_AGE_S = 3.0
 SUMMARY_INTERVAL_S = 1.0
 # Summaries in a row without an eligible local upstream, after which the flows of the
--- a/arbutuslift/coordination/routing/localitytargets.py
+++ b/arbutuslift/coordination/routing/localitytargets.py
@@ -14,6 +14,11 @@
 NEW_WEIGHT = 0.5
 # A data centre without rows for longer isn't reckoned with any more.
 MEMORY_S = 60.0
+# Figures reach a control instance within 3 s and are valid in the view for 3 s.
+MAX_ROW_AGE_S = 6.0
+# Part of the room that is used by a row of that age. The demand of a data centre may
+# have grown since, and what is sent there falls by steps only.
+OLDEST_TRUST = 1 / 3
 # Own loads that are kept, one for each summary; rows are at most 6 s old.
 KEPT_LOADS = 16
 
@@ -66,7 +71,10 @@
             now_s: Present time.
         """
         loads = estimate_centre_loads(list(rows.values()), out_of_service)
-        self.centres = tuple(self._average(load) for load in loads)
+        self.centres = tuple(
+            evolve(self._average(load), trust=_trust(ages_s[load.data_centre]))
+            for load in loads
+        )
         self.age_s = max(ages_s.values(), default=0.0)
         for centre in self.centres:
             self._averages[centre.data_centre] = centre
@@ -161,3 +169,7 @@
 
 def _moved(known: float, newest: float) -> float:
     return known + NEW_WEIGHT * (newest - known)
+
+
+def _trust(age_s: float) -> float:
+    return 1 - (1 - OLDEST_TRUST) * age_s / MAX_ROW_AGE_S
--- a/tests/coordination/routing/test_loadlevelling.py
+++ b/tests/coordination/routing/test_loadlevelling.py
@@ -69,3 +69,13 @@
         {"dc-1": 2 / 3, "dc-2": 1 / 3}
     )
     assert displaced_shares(loads(900.0, 900.0)) == {"dc-1": 0.5, "dc-2": 0.5}
+
+
+def test_less_room_is_used_by_older_figures():
+    new, old = (
+        level_loads(
+            [*loads(900.0), centre_load(data_centre="dc-2", trust=trust)], 0.05, 0.25
+        )
+        for trust in (1.0, 0.5)
+    )
+    assert old[0].fraction < new[0].fraction
