Refuse documents that are nested deeper than 32

Cause: JSON nested 939 to 941 deep (at the stack depth of the test) passed the parser, and the text of the value in the schema check then exceeded the limit on recursion, at the client and at the instance that checks a submitted document. Change: the depth is checked first, without recursion. A document has a depth of 5. The test of a deep YAML file uses nested lists in blocks: brackets took 17 s under tracemalloc, against 0.5 s without it. Ruled out: catching the RecursionError, which would leave a document near the limit accepted or refused by chance.

--- a/arbutuslift/protocol/documentchecks.py
+++ b/arbutuslift/protocol/documentchecks.py
@@ -20,6 +20,10 @@
 # 1 KB of memory.
 MAX_REPORTED_FAULTS = 200
 
+# A document has a depth of 5. The text of a value nested almost as deep as the parser
+# permits exceeds the limit on recursion.
+MAX_DEPTH = 32
+
 # Name of the rule that every field has a valid value.
 FIELD_RULE = "field"
 
@@ -66,6 +70,8 @@
 
 def find_shape_faults(content: object) -> tuple[Fault, ...]:
     """Return the faults of single fields: unknown, missing or malformed."""
+    if _is_too_deep(content):
+        return (Fault("", f"nested deeper than {MAX_DEPTH}", rule=FIELD_RULE),)
     errors = itertools.islice(_validator.iter_errors(content), MAX_REPORTED_FAULTS)
     errors = sorted(errors, key=_sort_key)
     faults = [fault for error in errors for fault in _faults_of(error)]
@@ -77,6 +83,19 @@
     return tuple(evolve(fault, rule=FIELD_RULE) for fault in faults)
 
 
+def _is_too_deep(content: object) -> bool:
+    level = [content]
+    for _ in range(MAX_DEPTH):
+        level = [inner for value in level for inner in _values_in(value)]
+    return bool(level)
+
+
+def _values_in(value: object) -> Iterable[object]:
+    if isinstance(value, dict):
+        return value.values()
+    return value if isinstance(value, list) else ()
+
+
 def _sort_key(error: object) -> tuple[str, str]:
     return error.json_path, error.message
 
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -103,7 +103,7 @@
     ("empty.yaml", lambda path: path.touch()),
     ("huge.yaml", sparse),
     ("huge.json", sparse),
-    ("deep.yaml", lambda path: path.write_bytes(b"[" * 100_000)),
+    ("deep.yaml", lambda path: path.write_bytes(b"- " * 100_000)),
     ("deep.json", lambda path: path.write_bytes(b"[" * MAX_DOCUMENT_BYTES)),
 ]
 
@@ -122,6 +122,17 @@
     assert peak_bytes < 10 * MAX_DOCUMENT_BYTES
 
 
+def test_no_depth_that_the_parser_permits_crashes_the_check(tmp_path):
+    # The text of a value almost as deep as the parser permits exceeded the limit on
+    # recursion. How deep that is depends on the stack of the caller.
+    path = tmp_path / "deep.json"
+    for depth in (30, 40, *range(880, 1000)):
+        path.write_text('{"services": ' + "[" * depth + "]" * depth + "}")
+        code, shown = run("check", str(path))
+        assert code == ExitCode.INVALID
+        assert shown["faults"]
+
+
 def rules_of(shown):
     return {finding["rule"] for finding in shown["result"]["findings"]}
 
