Load the features of an entry instance after the packets that wait at its start

Ruled out: lazy modules for each feature (attrs classes are built by decorators at import). Change: an instance starts without load features and adds them once the readiness endpoint is open; settings that contradict each other are still refused at the start.

--- a/arbutuslift/coordination/routing/flowtagrouter.py
+++ b/arbutuslift/coordination/routing/flowtagrouter.py
@@ -83,6 +83,11 @@
         self._opening_flows: deque[TrackedFlow] = deque()
         self._recent_by_caller: OrderedDict[bytes, deque[TrackedFlow]] = OrderedDict()
 
+    def use(self, observer: FlowObserver, gate: "AdmissionGate | None") -> None:
+        """Tell an observer of flows and ask a gate about new ones from now on."""
+        self._observer = observer
+        self._gate = gate
+
     @property
     def flow_count(self) -> int:
         """Return the number of tracked flows."""
--- a/arbutuslift/coordination/routing/upstreamselector.py
+++ b/arbutuslift/coordination/routing/upstreamselector.py
@@ -39,10 +39,10 @@
         outlier_detector: Excludes upstreams that stop answering.
         data_centre: Data centre of this instance.
         rng: Draws services by weight and breaks ties between upstreams.
-        shared_choice: Chooses among upstreams while the load of all instances is known;
-            without it the flows of this instance decide.
 
     Attributes:
+        shared_choice: Chooses among upstreams while the load of all instances is known;
+            without it the flows of this instance decide.
         entry_count: Entry instances that share the limit of a cold upstream.
         locality: Decides the data centre of a new flow by the load of all of them;
             without it the response times at this instance decide.
@@ -58,6 +58,7 @@
         shared_choice: "SharedLoadChoice | None" = None,
     ) -> None:
         self.entry_count = 1
+        self.shared_choice = shared_choice
         self.locality: LocalityWeights | None = None
         self._clock = clock
         self._started_s = clock.monotonic_s()
@@ -65,7 +66,6 @@
         self._outlier_detector = outlier_detector
         self._data_centre = data_centre
         self._rng = rng
-        self._shared_choice = shared_choice
         self._last_cold_flow_s: dict[tuple[str, int], float] = {}
 
     def select(
@@ -181,8 +181,8 @@
 
         With an equal share of flows, a slow upstream would delay all of them.
         """
-        if self._shared_choice is not None and self._shared_choice.is_usable:
-            return self._shared_choice.choose(starts)
+        if self.shared_choice is not None and self.shared_choice.is_usable:
+            return self.shared_choice.choose(starts)
         now_s = self._clock.monotonic_s()
         median_s = _median(_responses_s(starts, now_s))
 
--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -27,7 +27,12 @@
 from .decisionlog import DecisionLog, log_changed_starts
 from .entrymetrics import EntryMetrics
 from .errors import PacketError, StorageError
-from .loadfeatures import make_gate, make_load_features
+from .loadfeatures import (
+    LoadFeatures,
+    check_load_settings,
+    make_gate,
+    make_load_features,
+)
 from .protocol.channel import Channel
 from .protocol.feed import FeedAnswer
 from .roleinstance import RoleInstance
@@ -36,6 +41,7 @@
 from .transport.callerpackets import CallerPacket, PacketCodec
 
 if TYPE_CHECKING:
+    from .coordination.routing.admissiongate import AdmissionGate
     from .coordination.routing.synhedging import SynHedger
 
 MAX_DATAGRAM_BYTES = 2048
@@ -104,16 +110,17 @@
             clock, may_use_restored_starts=settings.load.may_use_restored_starts
         )
         self._outlier_detector = OutlierDetector(clock)
-        self._load = make_load_features(settings, clock, self._directory)
+        check_load_settings(settings.load)
+        self._load = LoadFeatures()
+        self._gate: AdmissionGate | None = None
+        self._hedger: SynHedger | None = None
         self._selector = UpstreamSelector(
             clock,
             self._directory,
             self._outlier_detector,
             settings.data_centre,
             random.Random(),
-            self._load.shared_choice,
         )
-        self._load.on_locality = self._selector.use_locality
         self._health_checker = HealthChecker(
             clock,
             self._outlier_detector,
@@ -122,7 +129,6 @@
             self._on_lost,
             self._directory.last_to_answer,
         )
-        self._gate = make_gate(settings, clock, self._selector, self._load)
         self._router = FlowTagRouter(
             clock,
             self._directory,
@@ -130,13 +136,8 @@
             self._selector,
             self._health_checker.check,
             self._decisions.log_unanswered_request,
-            observer=self._load.observer,
-            gate=self._gate,
         )
-        self.metrics = EntryMetrics(
-            self._router, self._directory, self._egress, self._load, self._gate
-        )
-        self._hedger = self._make_hedger() if settings.load.are_syns_hedged else None
+        self.metrics = EntryMetrics(self._router, self._directory, self._egress)
         self._last_answer_s = clock.monotonic_s()
         self._feed: FeedClient | None = None
 
@@ -146,12 +147,33 @@
         has_state = self._router.table is not None and self._has_upstreams
         return has_state and not self._is_stopping
 
-    def _make_hedger(self) -> "SynHedger":
-        from .coordination.routing.synhedging import SynHedger
+    def add_load_features(self) -> None:
+        """Decide by the load features of the settings from now on.
 
-        hedger = SynHedger(self._clock, self._selector, self._router)
-        self.metrics.hedges = hedger.outcomes
-        return hedger
+        Their modules aren't loaded before the waiting packets are forwarded, since that
+        would delay them.
+        """
+        settings = self._settings
+        self._load = make_load_features(settings, self._clock, self._directory)
+        self._load.on_locality = self._selector.use_locality
+        self._selector.shared_choice = self._load.shared_choice
+        self._gate = make_gate(settings, self._clock, self._selector, self._load)
+        self._router.use(self._load.observer, self._gate)
+        self.metrics.use(self._load, self._gate)
+        if self._router.table is not None:
+            self._load.apply(self._router.table)
+        if settings.load.are_syns_hedged:
+            from .coordination.routing.synhedging import SynHedger
+
+            self._hedger = SynHedger(self._clock, self._selector, self._router)
+            self.metrics.hedges = self._hedger.outcomes
+
+    def _start_load_features(self, channel: Channel) -> None:
+        self._load.start(channel, self._tasks)
+        if self._hedger is not None:
+            self._tasks.spawn(self._hedger.run(self._receive, self._send_hedge))
+        if self._gate is not None:
+            self._tasks.spawn(self._gate.run(self._router.route, self._carry_out))
 
     async def open(self) -> None:
         """Open the bus and the readiness endpoint, and start all tasks.
@@ -173,15 +195,12 @@
             self._directory.remove_source,
         )
         self._tasks.spawn(self._feed.run())
-        self._load.start(channel, self._tasks)
         self._tasks.spawn(self._expire())
         self._tasks.spawn(self._send_queued())
-        if self._hedger is not None:
-            self._tasks.spawn(self._hedger.run(self._receive, self._send_hedge))
-        if self._gate is not None:
-            self._tasks.spawn(self._gate.run(self._router.route, self._carry_out))
         await self._forward_waiting_packets()
         await self._open_readiness()
+        self.add_load_features()
+        self._start_load_features(channel)
         _log.info("started", listen_port=settings.listen_port)
 
     async def _forward_waiting_packets(self) -> None:
--- a/arbutuslift/entrymetrics.py
+++ b/arbutuslift/entrymetrics.py
@@ -52,6 +52,11 @@
         self._load = load or LoadFeatures()
         self._gate = gate
 
+    def use(self, load: LoadFeatures, gate: "AdmissionGate | None") -> None:
+        """Return the metrics of these load features as well."""
+        self._load = load
+        self._gate = gate
+
     def families(self) -> "list[MetricFamily]":
         """Return all metric families with their current values."""
         # Imported on the first request: few processes serve a page, and an entry
--- a/arbutuslift/loadfeatures.py
+++ b/arbutuslift/loadfeatures.py
@@ -69,7 +69,7 @@
     Raises:
         SettingsError: The settings contradict each other or are out of range.
     """
-    _check(settings.load)
+    check_load_settings(settings.load)
     if not settings.load.is_load_reported:
         features = LoadFeatures()
         if settings.load.is_admission_limited:
@@ -83,7 +83,12 @@
     return SharedLoad(settings, clock, directory)
 
 
-def _check(settings: LoadSettings) -> None:
+def check_load_settings(settings: LoadSettings) -> None:
+    """Check that the settings of the load features agree.
+
+    Raises:
+        SettingsError: They contradict each other or are out of range.
+    """
     faults = []
     if settings.is_locality_weighted and not settings.is_load_reported:
         reason = "needs is_load_reported, which is off"
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -191,6 +191,7 @@
         self.instance._router.apply(routing_table(routes=(timed,)))
         self.sent = []
         self.instance._send = lambda data, address: self.sent.append(data)
+        self.instance.add_load_features()
         gate = self.instance._gate
         task = gate.run(self.instance._router.route, self.instance._carry_out)
         stack.callback(asyncio.ensure_future(task).cancel)
--- a/tests/test_sharedload.py
+++ b/tests/test_sharedload.py
@@ -182,6 +182,7 @@
                 settings, packets, PlatformCodec(), ManualClock(), stack, lambda: None
             )
             instance._apply("control", encode_table(routing_table()))
+            instance.add_load_features()
             instance._load._on_summary(load_report(), load_summary())
             assert (instance._selector.locality is not None) == is_weighted
             names = {family.name for family in instance.metrics.families()}
