Move the sending half of an entry instance to a module of its own; ask for route times until they come

Route times were asked for once, of one control instance, and locality never got them. Change: packetsender.py sends and paces; route times are asked for every 5 s, of the subscribed control instances in turns, until the table has them or another one is in effect; locality gets the table with times.

--- a/arbutuslift/coordination/dissemination/feedclient.py
+++ b/arbutuslift/coordination/dissemination/feedclient.py
@@ -66,6 +66,11 @@
         self._subscribed_names: set[str] = set()
         self._table_source = ""
 
+    @property
+    def subscribed_names(self) -> list[str]:
+        """Return the names of the control instances that it subscribes to."""
+        return sorted(self._subscribed_names)
+
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Add the seeds of changed settings."""
         self._add_known_names(seeds)
--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -12,7 +12,6 @@
 
 from .clock import Clock
 from .coordination.dissemination.feedclient import FeedClient
-from .coordination.routing.egressqueue import EgressQueue, OutgoingPacket
 from .coordination.routing.flowtagrouter import (
     RESET_VERDICTS,
     Decision,
@@ -33,8 +32,9 @@
     make_gate,
     make_load_features,
 )
+from .packetsender import PacketSender
 from .protocol.channel import Channel
-from .protocol.feed import FeedAnswer
+from .protocol.feed import FeedAnswer, RouteTimes
 from .roleinstance import RoleInstance
 from .rolesettings import EntrySettings
 from .state.routingtable import decode_table, with_route_times
@@ -60,6 +60,8 @@
 FIRST_PACKETS_WAIT_S = 0.1
 # Part of the stop time-out that is reserved for closing sockets.
 CLOSE_RESERVE_S = 0.7
+# A control instance of an earlier version doesn't answer, and its successor may.
+ROUTE_TIMES_RETRY_S = 5.0
 # Ticks are half a second apart. A longer gap means that the process was suspended and
 # that queued datagrams are stale.
 MAX_TICK_GAP_S = 1.5
@@ -100,10 +102,9 @@
         self._has_upstreams = False
         self._last_boottime_s = clock.boottime_s()
         self._socket = packets
-        self._egress = EgressQueue(
-            clock, settings.link_bytes_per_s, self._send, self._on_dropped
+        self._sender = PacketSender(
+            packets, codec, clock, settings.link_bytes_per_s, settings.listen_port
         )
-        self._has_queued = asyncio.Event()
         self._has_read_all = asyncio.Event()
         self._decisions = DecisionLog(codec)
         self._directory = UpstreamDirectory(
@@ -137,7 +138,8 @@
             self._health_checker.check,
             self._decisions.log_unanswered_request,
         )
-        self.metrics = EntryMetrics(self._router, self._directory, self._egress)
+        self.metrics = EntryMetrics(self._router, self._directory, self._sender.queue)
+        self._sender.dropped = self.metrics.packets
         self._last_answer_s = clock.monotonic_s()
         self._feed: FeedClient | None = None
 
@@ -196,7 +198,7 @@
         )
         self._tasks.spawn(self._feed.run())
         self._tasks.spawn(self._expire())
-        self._tasks.spawn(self._send_queued())
+        self._tasks.spawn(self._sender.run(self._drop_stale))
         await self._forward_waiting_packets()
         await self._open_readiness()
         self.add_load_features()
@@ -233,7 +235,7 @@
         self._feed.set_stopping()
         _log.info("draining", drain_s=DRAIN_S, is_turn=is_turn)
         await self._clock.sleep(DRAIN_S)
-        await self._clock.sleep(min(self._egress.drain_s(), CLOSE_RESERVE_S))
+        await self._clock.sleep(min(self._sender.queue.drain_s(), CLOSE_RESERVE_S))
         _log.info("stopped", flows=self._router.flow_count)
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
@@ -248,8 +250,7 @@
         loop.call_soon(self._receive)
 
     def _receive(self) -> None:
-        if self._was_suspended():
-            self._drop_queued_datagrams()
+        self._drop_stale()
         before_s = time.perf_counter()
         for count in range(BATCH_DATAGRAMS):
             try:
@@ -267,6 +268,10 @@
             before_s = now_s
         self.metrics.batch_packets.observe(BATCH_DATAGRAMS)
 
+    def _drop_stale(self) -> None:
+        if self._was_suspended():
+            self._drop_queued_datagrams()
+
     def _was_suspended(self) -> bool:
         """Return whether the process was suspended since the last tick."""
         now_s = self._clock.boottime_s()
@@ -284,7 +289,7 @@
         instance is as old as they are. Those that waited for the link were routed by
         that view.
         """
-        self.metrics.packets[Verdict.DROPPED_STALE] += self._egress.clear()
+        self.metrics.packets[Verdict.DROPPED_STALE] += self._sender.queue.clear()
         if self._gate is not None:
             self.metrics.packets[Verdict.DROPPED_STALE] += self._gate.clear()
         try:
@@ -311,64 +316,16 @@
             if self._hedger is not None:
                 self._hedger.add(packet)
         if decision.upstream is not None and verdict not in RESET_VERDICTS:
-            self._forward(packet, decision)
+            self._sender.forward(packet, decision.upstream)
         elif verdict in RESET_VERDICTS and not packet.is_reset:
-            self._reset(packet)
+            self._sender.reset(packet)
         self._decisions.log_decision(packet, decision, self._router.table)
 
     def _send_hedge(self, packet: CallerPacket, decision: Decision) -> None:
         self.metrics.packets[decision.verdict] += 1
-        self._forward(packet, decision)
+        self._sender.forward(packet, decision.upstream)
         self._decisions.log_decision(packet, decision, self._router.table)
 
-    def _forward(self, packet: CallerPacket, decision: Decision) -> None:
-        start = decision.upstream.start
-        encapsulated = self._codec.encapsulate(
-            packet.datagram, start.number, decision.upstream.tag
-        )
-        self._pace(packet, encapsulated, start.address)
-
-    def _reset(self, packet: CallerPacket) -> None:
-        caller = socket.inet_ntoa(packet.caller_ip)
-        self._send(
-            self._codec.encode_reset(packet), (caller, self._settings.listen_port)
-        )
-
-    def _pace(
-        self, packet: CallerPacket, datagram: bytes, address: tuple[str, int]
-    ) -> None:
-        """Send a datagram as soon as the link takes it."""
-        self._egress.push(
-            OutgoingPacket(
-                packet.flow, packet.seq, packet.data_length_bytes, datagram, address
-            )
-        )
-        if self._egress.queued_bytes:
-            self._has_queued.set()
-
-    def _on_dropped(self, packet: OutgoingPacket) -> None:
-        verdict = Verdict.DROPPED_LINK_FULL
-        self.metrics.packets[verdict] += 1
-        _log.warning(verdict, flow=packet.flow.hex(), peer=packet.address[0])
-
-    async def _send_queued(self) -> None:
-        """Send queued packets at the pace of the link."""
-        while True:
-            await self._has_queued.wait()
-            await self._clock.sleep(self._egress.wait_s())
-            if self._was_suspended():
-                self._drop_queued_datagrams()
-            self._egress.send_due()
-            if not self._egress.queued_bytes:
-                self._has_queued.clear()
-
-    def _send(self, datagram: bytes, address: tuple[str, int]) -> None:
-        try:
-            self._socket.sendto(datagram, address)
-        except OSError as error:
-            # The datagram is lost, as it would be in the network. Senders retransmit.
-            _log.warning("send_failed", peer=address[0], reason=str(error))
-
     def _revision(self) -> int:
         return self._router.table.revision if self._router.table else 0
 
@@ -419,24 +376,37 @@
                 out_of_service=",".join(sorted(table.out_of_service)),
                 source=source,
             )
-            if self._settings.load.is_admission_limited:
-                self._tasks.spawn(self._add_route_times(source))
+            load = self._settings.load
+            if load.is_admission_limited or load.is_locality_weighted:
+                self._tasks.spawn(self._add_route_times(source, table.revision))
+
+    async def _add_route_times(self, source: str, revision: int) -> None:
+        """Add the times of the routes, until another table is in effect."""
+        names = [source]
+        while self._router.table.revision == revision:
+            answer = await self._feed.request_route_times(names[0])
+            if answer is not None and self._use_route_times(names[0], answer):
+                return
+            await self._clock.sleep(ROUTE_TIMES_RETRY_S)
+            names = [*names[1:], *self._feed.subscribed_names] or names
 
-    async def _add_route_times(self, source: str) -> None:
-        answer = await self._feed.request_route_times(source)
-        table = self._router.table
-        if answer is None or answer.revision != table.revision:
-            return
+    def _use_route_times(self, source: str, answer: RouteTimes) -> bool:
+        """Put the times in an answer in effect; return whether they fit the table."""
+        if answer.revision != self._router.table.revision:
+            return False
         try:
-            self._router.replace(with_route_times(table, answer.times))
+            table = with_route_times(self._router.table, answer.times)
         except StorageError as error:
             _log.warning("route_times_refused", peer=source, reason=str(error))
+            return False
+        self._router.replace(table)
+        self._load.apply(table)
+        return True
 
     async def _expire(self) -> None:
         while True:
             await self._clock.sleep(EXPIRE_INTERVAL_S)
-            if self._was_suspended():
-                self._drop_queued_datagrams()
+            self._drop_stale()
             self._last_boottime_s = self._clock.boottime_s()
             self._router.expire()
             if self._gate is not None:
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -128,14 +128,17 @@
         self.instance = make_instance(stack, self.clock, link_bytes_per_s=250_000.0)
         self.instance._feed = FeedWithoutStopPermit(self.clock)
         self.sent = []
-        self.instance._egress._send = lambda data, address: self.sent.append(data)
-        for work in (self.instance._send_queued(), self.instance._expire()):
+        self.instance._sender.queue._send = lambda data, address: self.sent.append(data)
+        for work in (
+            self.instance._sender.run(self.instance._drop_stale),
+            self.instance._expire(),
+        ):
             stack.callback(asyncio.ensure_future(work).cancel)
 
     def send_window(self):
         for number in range(16):
             packet = caller_packet(seq=1200 * number, data_length_bytes=1200)
-            self.instance._pace(packet, bytes(1240), ("127.0.0.1", 9))
+            self.instance._sender.pace(packet, bytes(1240), ("127.0.0.1", 9))
 
 
 async def test_packets_that_wait_for_the_link_are_sent_before_the_end():
@@ -190,7 +193,7 @@
         timed = evolve(route(), aim_s=0.3, timeout_s=1.5)
         self.instance._router.apply(routing_table(routes=(timed,)))
         self.sent = []
-        self.instance._send = lambda data, address: self.sent.append(data)
+        self.instance._sender.send = lambda data, address: self.sent.append(data)
         self.instance.add_load_features()
         gate = self.instance._gate
         task = gate.run(self.instance._router.route, self.instance._carry_out)
