--- a/arbutuslift/coordination/controlplane.py
+++ b/arbutuslift/coordination/controlplane.py
@@ -24,10 +24,11 @@
 from ..tracer import APPLY, Tracer
 from ..transport.bus import Bus
 from .agreement.member import Member
+from .dissemination.announcedload import announced_load
 from .dissemination.groupmembership import GroupMembership
 from .dissemination.instancedirectory import InstanceDirectory
 from .dissemination.join import Seed
-from .dissemination.loadquery import LoadQueryServer, announced_load
+from .dissemination.loadquery import LoadQueryServer
 from .operators import OperatorsService, upstream_statuses
 from .routing.services import ServiceTable
 
--- a/tests/coordination/dissemination/test_loadquery.py
+++ b/tests/coordination/dissemination/test_loadquery.py
@@ -4,7 +4,7 @@
 
 from arbutuslift import api
 from arbutuslift.clock import ManualClock
-from arbutuslift.coordination.dissemination.loadquery import announced_load
+from arbutuslift.coordination.dissemination.announcedload import announced_load
 from arbutuslift.coordination.dissemination.loadserver import LoadServer
 from arbutuslift.coordination.dissemination.startregistry import StartRegistry
 from arbutuslift.protocol.channel import Channel
