Name the model behind the tests of admission for what it is: a demand model

admissionsim.py read as a simulator, and its docstring as that of the product's parts. It is now admissionload.py with AdmissionLoad: arrivals, upstreams that answer them, and a summary once a second. The parameters that no test set (queue_length, the changes of upstreams) or the model didn't read (routes), the unused late_rejections and the class nested in a function are gone; the instance itself is the source of pools, and the constants have names.

--- a/tests/coordination/routing/test_flowadmission.py
+++ b/tests/coordination/routing/test_flowadmission.py
@@ -17,7 +17,7 @@
 from arbutuslift.coordination.routing.servicepool import PooledUpstream, ServicePool
 
 from ...builders import route
-from .admissionsim import Simulation
+from .admissionload import START_S, AdmissionLoad
 
 STEADY = evolve(route(1), aim_s=0.3, timeout_s=1.5, priority=0)
 BURST = evolve(route(2), aim_s=0.3, timeout_s=1.5, priority=1)
@@ -49,10 +49,10 @@
 @pytest.mark.parametrize("load", [0.4, 0.7])
 def test_poisson_load_is_not_rejected_and_hardly_waits(load, has_view):
     """Guards against random clusters at a small instance that count as a shortage."""
-    sim = Simulation((STEADY,), has_view=has_view, **SMALL)
-    sim.offer(STEADY, load * FULL_LOAD_PER_S, 0.0, 30.0)
-    sim.run(32.0)
-    results = sim.results[STEADY.port]
+    demand = AdmissionLoad(has_view=has_view, **SMALL)
+    demand.offer(STEADY, load * FULL_LOAD_PER_S, 0.0, 30.0)
+    demand.run(32.0)
+    results = demand.results[STEADY.port]
     assert results["rejected"] == 0
     assert results["waited"] < 0.01 * results["offered"]
 
@@ -60,27 +60,27 @@
 @pytest.mark.parametrize("has_view", [True, False])
 def test_burst_of_one_class_beside_a_steady_one(has_view):
     """Guards against a steady class that pays for the burst of another one."""
-    sim = Simulation((STEADY, BURST), has_view=has_view, **SMALL)
-    sim.offer(STEADY, 0.2 * FULL_LOAD_PER_S, 0.0, 10.0)
-    sim.offer(BURST, 0.5 * FULL_LOAD_PER_S, 0.0, 10.0)
-    sim.offer(BURST, 1.3 * FULL_LOAD_PER_S, 4.0, 7.0)
-    sim.run(12.0)
-    steady, burst = sim.results[STEADY.port], sim.results[BURST.port]
+    demand = AdmissionLoad(has_view=has_view, **SMALL)
+    demand.offer(STEADY, 0.2 * FULL_LOAD_PER_S, 0.0, 10.0)
+    demand.offer(BURST, 0.5 * FULL_LOAD_PER_S, 0.0, 10.0)
+    demand.offer(BURST, 1.3 * FULL_LOAD_PER_S, 4.0, 7.0)
+    demand.run(12.0)
+    steady, burst = demand.results[STEADY.port], demand.results[BURST.port]
     assert burst["rejected"] > 0
     assert fraction_in_time(steady) >= fraction_in_time(steady + burst) - 0.02
 
 
 def test_callers_that_return_all_at_once_after_a_loss_of_power():
     """Guards against a backlog of 2 s that is followed by rejections for long."""
-    sim = Simulation((STEADY, BURST), has_view=False, **SMALL)
+    demand = AdmissionLoad(has_view=False, **SMALL)
     for item, load in ((STEADY, 0.2), (BURST, 0.5)):
-        sim.offer(item, 40 * load * FULL_LOAD_PER_S, 0.0, 0.05)
-        sim.offer(item, load * FULL_LOAD_PER_S, 0.05, 10.0)
-    sim.run(12.0)
-    steady, burst = sim.results[STEADY.port], sim.results[BURST.port]
+        demand.offer(item, 40 * load * FULL_LOAD_PER_S, 0.0, 0.05)
+        demand.offer(item, load * FULL_LOAD_PER_S, 0.05, 10.0)
+    demand.run(12.0)
+    steady, burst = demand.results[STEADY.port], demand.results[BURST.port]
     assert steady["rejected"] + burst["rejected"] > 0
     # Full upstreams have a queue of 5 requests per slot, which takes 130 ms.
-    assert sim.last_rejection_s < 1000.05 + 0.15 + 1.0
+    assert demand.last_rejection_s < START_S + 0.05 + 0.15 + 1.0
     assert fraction_in_time(steady) >= fraction_in_time(steady + burst) - 0.02
 
 
@@ -92,26 +92,26 @@
     """Guards against requests that the other half could have served."""
     served = Counter()
     for seed, is_limited in itertools.product(range(1, 7), (True, False)):
-        sim = Simulation(
-            (STEADY,), has_view=has_view, is_limited=is_limited, seed=seed, **SMALL
+        demand = AdmissionLoad(
+            has_view=has_view, is_limited=is_limited, seed=seed, **SMALL
         )
-        sim.offer(STEADY, 0.7 * FULL_LOAD_PER_S, 0.0, 10.0)
-        for upstream in sim.upstreams[::2]:
-            sim.at(1003.0, setattr, upstream, "is_alive", False)
-        sim.run(12.0)
-        served[is_limited] += sim.results[STEADY.port]["in_time"]
+        demand.offer(STEADY, 0.7 * FULL_LOAD_PER_S, 0.0, 10.0)
+        for upstream in demand.upstreams[::2]:
+            demand.at(START_S + 3.0, setattr, upstream, "is_alive", False)
+        demand.run(12.0)
+        served[is_limited] += demand.results[STEADY.port]["in_time"]
     assert served[True] >= 0.98 * served[False]
 
 
 @pytest.mark.parametrize("has_view", [True, False])
 def test_slow_upstreams_that_are_not_full(has_view):
     """Guards against slow upstreams that are taken for full ones."""
-    sim = Simulation((STEADY,), has_view=has_view, **SMALL)
-    for upstream in sim.upstreams[:2]:
+    demand = AdmissionLoad(has_view=has_view, **SMALL)
+    for upstream in demand.upstreams[:2]:
         upstream.work_s *= 3.0
-    sim.offer(STEADY, 0.4 * FULL_LOAD_PER_S, 0.0, 20.0)
-    sim.run(22.0)
-    results = sim.results[STEADY.port]
+    demand.offer(STEADY, 0.4 * FULL_LOAD_PER_S, 0.0, 20.0)
+    demand.run(22.0)
+    results = demand.results[STEADY.port]
     assert results["rejected"] == 0
     assert results["waited"] < 0.01 * results["offered"]
 
