Request route times of the present subscriptions, not of all former ones

Every retry removed one name from the list and added all subscribed ones, so the list grew by two each 5 s, and a control instance that had come anew was asked only after all names from before: after an hour without an answer, about two hours later. The names are now taken again once each has been asked.

The new test fails without the change (the last of its 44 requests still goes to a former name, with 77 more before the new one) and passes with it; tests/test_entry.py: 10 passed.

--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -382,13 +382,14 @@
 
     async def _add_route_times(self, source: str, revision: int) -> None:
         """Add the times of the routes, until another table is in effect."""
-        names = [source]
+        name, others = source, []
         while self._router.table.revision == revision:
-            answer = await self._feed.request_route_times(names[0])
-            if answer is not None and self._use_route_times(names[0], answer):
+            answer = await self._feed.request_route_times(name)
+            if answer is not None and self._use_route_times(name, answer):
                 return
             await self._clock.sleep(ROUTE_TIMES_RETRY_S)
-            names = [*names[1:], *self._feed.subscribed_names] or names
+            others = others or self._feed.subscribed_names
+            name = others.pop(0) if others else source
 
     def _use_route_times(self, source: str, answer: RouteTimes) -> bool:
         """Put the times in an answer in effect; return whether they fit the table."""
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -12,7 +12,12 @@
 from arbutuslift import entry
 from arbutuslift.clock import ManualClock
 from arbutuslift.coordination.routing.flowtagrouter import Verdict
-from arbutuslift.entry import BATCH_DATAGRAMS, DRAIN_S, EntryInstance
+from arbutuslift.entry import (
+    BATCH_DATAGRAMS,
+    DRAIN_S,
+    ROUTE_TIMES_RETRY_S,
+    EntryInstance,
+)
 from arbutuslift.protocol.feed import FeedAnswer, StartNews
 from arbutuslift.rolesettings import LoadSettings
 from arbutuslift.state.routingtable import encode_table
@@ -39,6 +44,21 @@
         """Do nothing."""
 
 
+class FeedWithoutRouteTimes:
+    """A feed client of control instances of an earlier version."""
+
+    def __init__(self, names):
+        self.names = names
+        self.asked = []
+
+    @property
+    def subscribed_names(self):
+        return list(self.names)
+
+    async def request_route_times(self, name):
+        self.asked.append(name)
+
+
 def make_instance(stack, clock, **changes):
     packets = open_packet_socket("127.0.0.1", 0)
     stack.callback(packets.close)
@@ -111,6 +131,22 @@
     )
 
 
+async def test_route_times_are_requested_of_a_new_control_instance_within_a_round():
+    """Guards against former control instances that are all asked again before it."""
+    clock = ManualClock()
+    async with AsyncExitStack() as stack:
+        instance = make_instance(stack, clock)
+        feed = instance._feed = FeedWithoutRouteTimes(["a", "b", "c"])
+        instance._router.apply(routing_table())
+        task = asyncio.ensure_future(instance._add_route_times("a", revision=1))
+        await clock.advance(40 * ROUTE_TIMES_RETRY_S)
+        assert set(feed.asked[-3:]) == {"a", "b", "c"}
+        feed.names = ["new"]
+        await clock.advance(3 * ROUTE_TIMES_RETRY_S)
+        assert feed.asked[-1] == "new"
+        task.cancel()
+
+
 class SuspendableClock(ManualClock):
     """A clock whose boot time also counts the time in suspend."""
 
