Refuse a negative queue length, and say units and bounds where they were missing

check_load_settings checked the price but let a negative upstream_queue_length pass. It is a fault now, as the flag of arbutusliftd has it. The test names it and fails without the change.

Docstrings: fields of SetInService, seconds of for_s, out of range instead of negative in the checks of load messages, the time that MAX_VALUE exceeds, LoadFeatures, EntryMetrics.use, and fetch_members, whose text a renaming had garbled. check no longer builds an Examined field by field, nor sets a variable that both branches overwrite.

--- a/arbutuslift/api.py
+++ b/arbutuslift/api.py
@@ -173,7 +173,7 @@
 
 
 async def fetch_members(session: Session) -> MembersShown:
-    """Return the control fetch_members."""
+    """Return the members of the agreement."""
     return await _ask_servers(
         session, ShowMembers(timeout_s=session.timeout_s), MembersShown
     )
--- a/arbutuslift/commands/check.py
+++ b/arbutuslift/commands/check.py
@@ -2,7 +2,7 @@
 
 from pathlib import Path
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from .. import api
 from ..errors import DocumentError, UsageError
@@ -29,8 +29,10 @@
 class CheckResult:
     """Number of entries in a document, and what the rules found.
 
+    All numbers are 0 if the document has errors.
+
     Attributes:
-        services: Number of services; 0 if the document has errors.
+        services: Number of services.
         data_centres: Number of data centres.
         instances: Number of instances.
         findings: Errors, warnings and notes.
@@ -62,7 +64,12 @@
 
 
 def findings_in(path: Path, examined: Examined) -> tuple[Finding, ...]:
-    """Return the warnings and notes about a document, with their lines."""
+    """Return the warnings and notes about a document, with their lines.
+
+    Args:
+        path: File of the document.
+        examined: The document and what it is compared with.
+    """
     found = find_warnings_and_notes(examined)
     faults = with_lines(path, [fault for _, fault in found])
     return tuple(
@@ -74,22 +81,14 @@
 async def _compared(
     examined: Examined, options: Options, environment: Environment
 ) -> Examined:
-    current, status = None, None
-    if options.against == AGAINST_SERVERS:
-        async with open_session(options, environment) as session:
-            revision = await api.fetch_revision(session)
-            status = await api.fetch_status(
-                session, service="", data_centre="", limit=MAX_STATUS_ENTRIES
-            )
-        current = revision.configuration.document
-    else:
-        current = load_document(Path(options.against))
-    return Examined(
-        document=examined.document,
-        now_s=examined.now_s,
-        current=current,
-        status=status,
-    )
+    if options.against != AGAINST_SERVERS:
+        return evolve(examined, current=load_document(Path(options.against)))
+    async with open_session(options, environment) as session:
+        revision = await api.fetch_revision(session)
+        status = await api.fetch_status(
+            session, service="", data_centre="", limit=MAX_STATUS_ENTRIES
+        )
+    return evolve(examined, current=revision.configuration.document, status=status)
 
 
 def _outcome(path: Path, examined: Examined) -> Outcome:
--- a/arbutuslift/commands/options.py
+++ b/arbutuslift/commands/options.py
@@ -44,7 +44,7 @@
         data_centre: Restricts the status to this data centre; empty for all.
         against: What a document is compared with: ``servers`` or a file; empty for
             nothing.
-        for_s: How long an upstream stays out of rotation, 0 without an end.
+        for_s: Seconds that an upstream stays out of rotation, 0 without an end.
         overwrite: Whether form and create-key may replace files.
     """
 
--- a/arbutuslift/documentedits.py
+++ b/arbutuslift/documentedits.py
@@ -28,7 +28,12 @@
 
 @frozen(kw_only=True)
 class SetInService(Edit):
-    """Take a data centre out of service or bring it back."""
+    """Take a data centre out of service or bring it back.
+
+    Attributes:
+        name: Name of the data centre.
+        in_service: Whether it is to be in service.
+    """
 
     name: str
     in_service: bool
@@ -109,7 +114,7 @@
 
 @singledispatch
 def find_entry(edit: Edit, document: Document) -> Entry:
-    """Return the entry that an edit concerns."""
+    """Return the entry that an edit concerns, None if the document lacks it."""
     raise NotImplementedError(type(edit).__name__)
 
 
--- a/arbutuslift/entrymetrics.py
+++ b/arbutuslift/entrymetrics.py
@@ -53,7 +53,7 @@
         self._gate = gate
 
     def use(self, load: LoadFeatures, gate: "AdmissionGate | None") -> None:
-        """Return the metrics of these load features as well."""
+        """Set the load features and the gate, which are loaded after the start."""
         self._load = load
         self._gate = gate
 
--- a/arbutuslift/loadfeatures.py
+++ b/arbutuslift/loadfeatures.py
@@ -1,4 +1,4 @@
-"""Load features of an entry instance; this module holds what stands in for them."""
+"""Creates the load features of an entry instance that its settings ask for."""
 
 from collections.abc import Callable
 from math import isfinite
@@ -24,7 +24,7 @@
 
 
 class LoadFeatures:
-    """Does nothing: the instance decides by what it sees itself.
+    """Base class, used while no load is shared; its methods do nothing.
 
     Attributes:
         observer: Receives the flows, requests and answers that the router sees.
@@ -32,7 +32,7 @@
         shared_choice: Chooses upstreams by the load of all instances, if that is known.
         locality: Decides the data centre of a new flow by the load of all of them; None
             before the first summary.
-        on_locality: Called with ``locality`` when it is there.
+        on_locality: Called with ``locality`` once it exists.
     """
 
     def __init__(self) -> None:
@@ -93,6 +93,10 @@
     if settings.is_locality_weighted and not settings.is_load_reported:
         reason = "needs is_load_reported, which is off"
         faults.append(Fault("load.is_locality_weighted", reason))
+    queue_length = settings.upstream_queue_length
+    if queue_length is not None and queue_length < 0:
+        reason = f"{queue_length} is not a number from 0"
+        faults.append(Fault("load.upstream_queue_length", reason))
     price_per_gb = settings.remote_price_per_gb
     if not isfinite(price_per_gb) or price_per_gb < 0:
         reason = f"{price_per_gb} is not a number from 0"
--- a/arbutuslift/protocol/loads.py
+++ b/arbutuslift/protocol/loads.py
@@ -21,8 +21,8 @@
 # Largest number of upstreams to design for.
 MAX_ROWS = 50_000
 MAX_NAME_CHARACTERS = 256
-# Larger than any time in ms of this age. The sum of such values over all instances
-# still fits into the 64 bits of an encoded integer.
+# Larger than the present time in ms since the Unix epoch, about 2**41. The sum of such
+# values over all instances still fits into the 64 bits of an encoded integer.
 MAX_VALUE = 2**48
 
 # Numbers are sent as multiples of 1/1024, whose zero bytes compress well.
@@ -131,7 +131,7 @@
     """Check the values of a report; the codec has checked their types.
 
     Raises:
-        MessageError: A value is negative, or there are too many rows.
+        MessageError: A value is out of range, or there are too many rows.
     """
     if report.sequence < 0:
         raise MessageError(f"sequence {report.sequence}", step=STEP)
@@ -147,7 +147,7 @@
     """Check the values of totals; the codec has checked their types.
 
     Raises:
-        MessageError: A value is negative, or there are too many rows.
+        MessageError: A value is out of range, or there are too many rows.
     """
     _check_rows(totals.services)
 
@@ -156,7 +156,7 @@
     """Check the values of a summary; the codec has checked their types.
 
     Raises:
-        MessageError: A value is negative, or there are too many rows.
+        MessageError: A value is out of range, or there are too many rows.
     """
     if summary.instances < 0:
         raise MessageError(f"instances {summary.instances}", step=STEP)
--- a/tests/test_sharedload.py
+++ b/tests/test_sharedload.py
@@ -189,13 +189,17 @@
             assert ("arbutuslift_remote_fraction" in names) == is_weighted
 
 
-def test_settings_that_contradict_each_other_are_refused():
+def test_load_settings_out_of_range_or_in_contradiction_are_refused():
+    """Guards against an instance that starts and then decides by senseless values."""
     clock = ManualClock()
-    load = LoadSettings(is_locality_weighted=True, remote_price_per_gb=-1.0)
+    load = LoadSettings(
+        is_locality_weighted=True, upstream_queue_length=-1, remote_price_per_gb=-1.0
+    )
     settings = evolve(entry_settings(), load=load)
     with pytest.raises(SettingsError) as caught:
         make_load_features(settings, clock, UpstreamDirectory(clock))
     assert [fault.path for fault in caught.value.faults] == [
         "load.is_locality_weighted",
+        "load.upstream_queue_length",
         "load.remote_price_per_gb",
     ]
