--- a/arbutuslift/documentedits.py
+++ b/arbutuslift/documentedits.py
@@ -16,7 +16,7 @@
     without_upstream_out,
 )
 
-MAX_CONFLICT_RETRIES = 5
+MAX_ATTEMPTS = 5
 
 Entry = DataCentre | OutOfRotation | None
 
@@ -94,7 +94,7 @@
     entry = find_entry(edit, base.document)
     if is_made(edit, entry):
         return current
-    for _ in range(MAX_CONFLICT_RETRIES):
+    for _ in range(MAX_ATTEMPTS):
         changed = edited(edit, base.document)
         try:
             number = await apply_document(
@@ -108,7 +108,7 @@
             return Revision(
                 configuration=Configuration(revision=number, document=changed)
             )
-    reason = f"{MAX_CONFLICT_RETRIES} tries met a newer revision"
+    reason = f"{MAX_ATTEMPTS} tries met a newer revision"
     raise ConfigurationConflict(reason, current=base, step="apply")
 
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,4 +1,7 @@
-"""Guards against an entry instance that stays ready too long after a stop signal."""
+"""Guards against an entry instance that stops late, or acts on stale data.
+
+Stale are packets from before a suspension and names of former control instances.
+"""
 
 import asyncio
 import subprocess
