Divide a step of the locality demand model into what it does

DemandModel._step divided the demand, served it, counted it, recorded it and informed the policies in 45 lines, with tuples of four. These are methods now, with a class for the tuple. The delay of a cut, the bound on the utilisation and the two factors of the healthy fraction have names. "present rule" is named for what it is, a response time threshold; the list of patterns that stood twice in test_locality.py stands once.

--- a/measure/demandmodel.py
+++ b/measure/demandmodel.py
@@ -13,6 +13,8 @@
 
 from arbutuslift.state.loadfigures import ServiceLoad
 
+from .demandpattern import Centre, Pattern
+
 STEP_S = 0.1
 ROW_INTERVAL_S = 1.0
 # Control instances drop rows after this time.
@@ -23,51 +25,11 @@
 SERVICE = "alerts"
 SEED = 1
 ROUND_TRIP_S = 0.003
-
-
-@frozen(kw_only=True)
-class Centre:
-    """A data centre of the model.
-
-    Attributes:
-        name: Name of the data centre.
-        load: Demand of its callers over the capacity of ``reference_upstreams``, by
-            time.
-        upstreams: Upstreams that are eligible, by time.
-        reference_upstreams: Upstreams that the load refers to.
-        slowness: Factor of the time that requests take there, by time.
-    """
-
-    name: str
-    load: Callable[[float], float]
-    upstreams: Callable[[float], int]
-    reference_upstreams: int = 20
-    slowness: Callable[[float], float] = lambda now_s: 1.0
-
-
-@frozen(kw_only=True)
-class Pattern:
-    """Recorded demand, and what fails while it lasts.
-
-    Attributes:
-        name: Name of the pattern.
-        centres: The data centres.
-        duration_s: Length of the record.
-        row_delay_s: Time after which a row reaches another data centre.
-        is_cut: Whether two data centres can't reach each other, by time.
-        is_row_lost: Whether a row of the first is lost on its way to the second.
-        out_of_service: Data centres that get nothing new, by time.
-        noise: Standard deviation of the figures in rows, as a part of them.
-    """
-
-    name: str
-    centres: tuple[Centre, ...]
-    duration_s: float = 60.0
-    row_delay_s: float = 1.0
-    is_cut: Callable[[str, str, float], bool] = lambda one, other, now_s: False
-    is_row_lost: Callable[[str, str, float], bool] = lambda one, other, now_s: False
-    out_of_service: Callable[[float], frozenset[str]] = lambda now_s: frozenset()
-    noise: float = 0.0
+# Time until a data centre knows that another one is cut off, or reachable again.
+CUT_DELAY_S = 1.0
+# Highest utilisation for which the wait follows from random arrivals. It grows without
+# bound towards 1, where the backlog determines it.
+MAX_UTILISATION = 0.95
 
 
 class Policy(Protocol):
@@ -159,45 +121,79 @@
         return seconds
 
     def _step(self, second: Second, now_s: float, part: float) -> None:
+        """Divide the demand of a step, serve it and add it to its second.
+
+        Args:
+            second: The second that contains the step.
+            now_s: Begin of the step.
+            part: Length of the step in seconds.
+        """
+        slots = {c.name: self._slots(c, now_s) for c in self._pattern.centres}
+        streams = self._divide(slots, now_s)
+        inflow = dict.fromkeys(slots, 0.0)
+        for stream in streams:
+            if not stream.is_lost:
+                inflow[stream.destination] += stream.rate_per_s
+        served = {
+            c.name: self._serve(c, slots[c.name], inflow[c.name], now_s)
+            for c in self._pattern.centres
+        }
+        for stream in streams:
+            served_part = 0.0 if stream.is_lost else served[stream.destination]
+            self._count(second, stream, stream.rate_per_s * part, served_part)
+        for centre in self._pattern.centres:
+            second.requests[centre.name] += self._rate(centre, now_s) * part
+            self._record(second, centre, slots, inflow, now_s)
+        self._inform_policies(streams)
+
+    def _divide(self, slots: Mapping[str, int], now_s: float) -> list["_Stream"]:
+        """Return the streams into which the policies divide the demand.
+
+        Policies know of a cut only a second after it began or ended.
+        """
         pattern = self._pattern
-        slots = {c.name: self._slots(c, now_s) for c in pattern.centres}
-        inflow: dict[str, float] = defaultdict(float)
-        flows: list[tuple[str, str, float, bool]] = []
+        streams = []
         for centre in pattern.centres:
-            rate = self._rate(centre, now_s)
+            rate_per_s = self._rate(centre, now_s)
             reachable = {
                 name: count
                 for name, count in slots.items()
-                if count and not pattern.is_cut(centre.name, name, now_s - 1.0)
+                if count and not pattern.is_cut(centre.name, name, now_s - CUT_DELAY_S)
             }
             parts = self._policies[centre.name].fractions(reachable)
-            for name, fraction in parts.items():
-                is_lost = pattern.is_cut(centre.name, name, now_s)
-                flows.append((centre.name, name, rate * fraction, is_lost))
-                inflow[name] += 0.0 if is_lost else rate * fraction
-            second.requests[centre.name] += rate * part
-        served = {
-            c.name: self._serve(c, slots[c.name], inflow[c.name], now_s)
-            for c in pattern.centres
-        }
-        for origin, name, rate, is_lost in flows:
-            self._count(
-                second, origin, name, rate * part, 0.0 if is_lost else served[name]
-            )
-        for centre in pattern.centres:
-            name, work_s = centre.name, self._centre_work_s(centre, now_s)
-            capacity = slots[name] / work_s
-            second.loads[name] = (
-                self._rate(centre, now_s) / capacity if capacity else 0.0
-            )
-            second.totals[name] = inflow[name] / capacity if capacity else 0.0
-            second.waits_s[name] = self._response_s[name] - work_s
+            streams += [
+                _Stream(
+                    origin=centre.name,
+                    destination=name,
+                    rate_per_s=rate_per_s * fraction,
+                    is_lost=pattern.is_cut(centre.name, name, now_s),
+                )
+                for name, fraction in parts.items()
+            ]
+        return streams
+
+    def _record(
+        self,
+        second: Second,
+        centre: Centre,
+        slots: Mapping[str, int],
+        inflow: Mapping[str, float],
+        now_s: float,
+    ) -> None:
+        """Record the load and the wait of a data centre in a step."""
+        name, work_s = centre.name, self._centre_work_s(centre, now_s)
+        capacity = slots[name] / work_s
+        second.loads[name] = self._rate(centre, now_s) / capacity if capacity else 0.0
+        second.totals[name] = inflow[name] / capacity if capacity else 0.0
+        second.waits_s[name] = self._response_s[name] - work_s
+
+    def _inform_policies(self, streams: Sequence["_Stream"]) -> None:
         for origin, policy in self._policies.items():
             policy.observe(
                 {
-                    n: self._response_s[n]
-                    for o, n, rate, _ in flows
-                    if o == origin and rate
+                    stream.destination: self._response_s[stream.destination]
+                    for stream in streams
+                    if stream.origin == origin and stream.rate_per_s
                 }
             )
             policy.advance(STEP_S)
@@ -225,7 +221,7 @@
         backlog = self._backlog[name] + (inflow - capacity) * STEP_S
         rejected = max(0.0, backlog - limit)
         self._backlog[name] = min(limit, max(0.0, backlog))
-        utilisation = min(0.95, inflow / capacity)
+        utilisation = min(MAX_UTILISATION, inflow / capacity)
         # The exact wait of two slots with one queue (M/M/2).
         random_s = work_s * utilisation**2 / (1 - utilisation**2)
         wait_s = min(max(random_s, self._backlog[name] / capacity), limit / capacity)
@@ -233,8 +229,10 @@
         return 1 - rejected / (inflow * STEP_S) if inflow else 1.0
 
     def _count(
-        self, second: Second, origin: str, name: str, requests: float, served: float
+        self, second: Second, stream: "_Stream", requests: float, served: float
     ) -> None:
+        """Add the requests of a stream, of which a part is served."""
+        origin, name = stream.origin, stream.destination
         response_s = self._response_s[name] + (ROUND_TRIP_S if origin != name else 0.0)
         second.sent[origin, name] += requests
         late = 1.0 if response_s > self._aim_s else 1 - served
@@ -308,6 +306,16 @@
         )
 
 
+@frozen(kw_only=True)
+class _Stream:
+    """Requests per second from one data centre to one; a cut may lose them."""
+
+    origin: str
+    destination: str
+    rate_per_s: float
+    is_lost: bool
+
+
 @frozen
 class _SentRow:
     """A row, when it was sent, and its callers' outstanding requests by data centre."""
--- a/measure/locality.py
+++ b/measure/locality.py
@@ -10,7 +10,8 @@
 from arbutuslift.coordination.routing.trackedstart import TrackedStart
 from tests.builders import load_summary, service_load, start
 
-from .demandmodel import Centre, DemandModel, Pattern, Second, reversals
+from .demandmodel import DemandModel, Second, reversals
+from .demandpattern import Centre, Pattern
 from .localitypolicies import POLICIES, LevelledWaits
 from .result import Measure, at_most
 
--- a/measure/localitypolicies.py
+++ b/measure/localitypolicies.py
@@ -21,6 +21,10 @@
 from .demandmodel import SERVICE
 
 AIM_S = 0.5
+# A data centre keeps all flows while this many times its healthy part covers them.
+OVERPROVISIONING = 1.4
+# With a smaller healthy part all upstreams count as healthy.
+PANIC_THRESHOLD = 0.5
 
 
 class _Policy:
@@ -96,8 +100,8 @@
         return self.weights.shares(SERVICE, candidates)
 
 
-class PresentRule(_Policy):
-    """The rule without load reports, by the selector itself."""
+class ResponseTimeThreshold(_Policy):
+    """The rule without load reports, decided by the selector itself."""
 
     def __init__(self, data_centre: str) -> None:
         super().__init__(data_centre)
@@ -130,7 +134,7 @@
 
 
 class HealthyFraction(_Policy):
-    """Weights by healthy upstreams, overprovisioning factor 1.4, panic below a half."""
+    """Weights by healthy upstreams, as proxies with a panic threshold use them."""
 
     def __init__(self, data_centre: str) -> None:
         super().__init__(data_centre)
@@ -144,7 +148,9 @@
         name = self.data_centre
         most = self.most[name] = max(self.most.get(name, 1), own.slots)
         healthy = own.slots / most
-        local = 1.0 if healthy < 0.5 else min(1.0, 1.4 * healthy)
+        local = (
+            1.0 if healthy < PANIC_THRESHOLD else min(1.0, OVERPROVISIONING * healthy)
+        )
         return {n: (1 - local) * v for n, v in _in_proportion(slots).items()}
 
 
@@ -190,7 +196,7 @@
 
 POLICIES = (
     NamedPolicy("levelled waits", LevelledWaits),
-    NamedPolicy("present rule", PresentRule),
+    NamedPolicy("response time threshold", ResponseTimeThreshold),
     NamedPolicy("healthy fraction", HealthyFraction),
     NamedPolicy("queue spill-over", QueueSpill),
     NamedPolicy("least cost", LeastCost),
--- a/tests/coordination/routing/test_locality.py
+++ b/tests/coordination/routing/test_locality.py
@@ -33,6 +33,14 @@
 
 PATTERNS = build_patterns()
 COST_S = RoutedService(name="alerts", aim_s=AIM_S).leaving_cost_s(0.0)
+STEPS = (
+    "step, rows of 1 s",
+    "step, rows of 5 s",
+    "step, random differences",
+    "slow upstreams",
+    "two overloaded neighbours",
+    "one tiny data centre",
+)
 # Summaries until a fraction has its final value: ten steps of 0.1, and three for rows
 # and averages.
 SETTLE_S = 13
@@ -80,18 +88,7 @@
                 assert waited_s >= COST_S
 
 
-@pytest.mark.parametrize(
-    "name",
-    [
-        "step, rows of 1 s",
-        "step, rows of 5 s",
-        "step, random differences",
-        "slow upstreams",
-        "one-way loss of reports",
-        "two overloaded neighbours",
-        "one tiny data centre",
-    ],
-)
+@pytest.mark.parametrize("name", [*STEPS, "one-way loss of reports"])
 def test_after_a_step_the_fraction_changes_direction_once_at_most(name):
     seconds = play(name)
     for centre in PATTERNS[name].centres:
@@ -110,17 +107,7 @@
     assert late_fraction(seconds) == 0.0
 
 
-@pytest.mark.parametrize(
-    "name",
-    [
-        "step, rows of 1 s",
-        "step, rows of 5 s",
-        "step, random differences",
-        "slow upstreams",
-        "two overloaded neighbours",
-        "one tiny data centre",
-    ],
-)
+@pytest.mark.parametrize("name", STEPS)
 def test_no_request_is_late_once_the_fraction_has_settled(name):
     settled_s = CHANGE_S + PATTERNS[name].row_delay_s + SETTLE_S
     assert late_fraction(between(play(name), settled_s, END_S)) == 0.0
