Give edits of a document methods instead of four dispatching functions

Each of find_entry, is_made, edited and describe_state was dispatched over the same three classes, so that what one edit does stood in four places. They are methods of the edits now; a fourth kind of edit that lacks one can't be created. FirstFlows in measure/recovery.py is named for what it holds, no longer Return.

--- a/arbutuslift/commands/operations.py
+++ b/arbutuslift/commands/operations.py
@@ -8,7 +8,6 @@
     Edit,
     SetInService,
     TakeUpstreamOut,
-    describe_state,
     edit_document,
 )
 from ..errors import ArbutusliftError, OutcomeUnknown, UsageError
@@ -117,9 +116,9 @@
             )
         return outcome
     number = revision.configuration.revision
-    message = f"{describe_state(edit)} as of revision {number}"
+    message = f"{edit.requested_state} as of revision {number}"
     if revision.entry is not None:
-        message = f"{describe_state(edit)}, as already in revision {number}"
+        message = f"{edit.requested_state}, as already in revision {number}"
     return Outcome(
         message=message,
         request_id=request_ids[-1] if request_ids else "",
--- a/arbutuslift/documentedits.py
+++ b/arbutuslift/documentedits.py
@@ -1,7 +1,7 @@
 """Edits of one entry of the current document, retried if it has changed meanwhile."""
 
+from abc import ABC, abstractmethod
 from collections.abc import Callable
-from functools import singledispatch
 
 from attrs import evolve, frozen
 
@@ -21,14 +21,34 @@
 Entry = DataCentre | OutOfRotation | None
 
 
-@frozen(kw_only=True)
-class Edit:
-    """Base of all edits."""
+class Edit(ABC):
+    """A change of one entry of the document."""
+
+    @property
+    @abstractmethod
+    def requested_state(self) -> str:
+        """The state that the entry is to have, as text."""
+
+    @abstractmethod
+    def find_entry(self, document: Document) -> Entry:
+        """Return the entry that the edit concerns, None if the document lacks it."""
+
+    @abstractmethod
+    def is_made(self, entry: Entry) -> bool:
+        """Return whether the entry has the requested state already.
+
+        Raises:
+            ChangeNotAccepted: The entry that the edit changes is missing.
+        """
+
+    @abstractmethod
+    def apply(self, document: Document) -> Document:
+        """Return the document after the edit."""
 
 
 @frozen(kw_only=True)
 class SetInService(Edit):
-    """Take a data centre out of service or bring it back.
+    """Takes a data centre out of service or brings it back.
 
     Attributes:
         name: Name of the data centre.
@@ -38,10 +58,40 @@
     name: str
     in_service: bool
 
+    @property
+    def requested_state(self) -> str:
+        """Return the name of the data centre and its state."""
+        return f"{self.name}: {'in service' if self.in_service else 'out of service'}"
+
+    def find_entry(self, document: Document) -> Entry:
+        """Return the data centre."""
+        found = (centre for centre in document.data_centres if centre.name == self.name)
+        return next(found, None)
+
+    def is_made(self, entry: Entry) -> bool:
+        """Return whether the data centre is in service, or out of it, as requested.
+
+        Raises:
+            ChangeNotAccepted: There is no such data centre.
+        """
+        if entry is None:
+            raise ChangeNotAccepted(f"there is no data centre {self.name}", step="show")
+        return entry.in_service == self.in_service
+
+    def apply(self, document: Document) -> Document:
+        """Return the document with the state of the data centre."""
+        centres = tuple(
+            evolve(centre, in_service=self.in_service)
+            if centre.name == self.name
+            else centre
+            for centre in document.data_centres
+        )
+        return evolve(document, data_centres=centres)
+
 
 @frozen(kw_only=True)
 class TakeUpstreamOut(Edit):
-    """Take an upstream out of rotation.
+    """Takes an upstream out of rotation.
 
     Attributes:
         entry: The entry of the document.
@@ -51,10 +101,27 @@
     entry: OutOfRotation
     now_s: float
 
+    @property
+    def requested_state(self) -> str:
+        """Return the identity of the upstream and its end out of rotation."""
+        return f"{self.entry.upstream_id}: out of rotation {end_of(self.entry)}"
+
+    def find_entry(self, document: Document) -> Entry:
+        """Return the entry of the upstream, None if it is in rotation."""
+        return find_out_of_rotation(document, self.entry.upstream_id)
+
+    def is_made(self, entry: Entry) -> bool:
+        """Return whether the upstream is out of rotation with the same end."""
+        return entry == self.entry
+
+    def apply(self, document: Document) -> Document:
+        """Return the document with the entry, without expired ones."""
+        return with_upstream_out(without_expired(document, self.now_s), self.entry)
+
 
 @frozen(kw_only=True)
 class BringUpstreamBack(Edit):
-    """Bring an upstream back into rotation.
+    """Brings an upstream back into rotation.
 
     Attributes:
         upstream_id: Identity of the upstream.
@@ -64,6 +131,24 @@
     upstream_id: str
     now_s: float
 
+    @property
+    def requested_state(self) -> str:
+        """Return the identity of the upstream, which is to be in rotation."""
+        return f"{self.upstream_id}: in rotation"
+
+    def find_entry(self, document: Document) -> Entry:
+        """Return the entry of the upstream, None if it is in rotation."""
+        return find_out_of_rotation(document, self.upstream_id)
+
+    def is_made(self, entry: Entry) -> bool:
+        """Return whether the upstream is in rotation."""
+        return entry is None
+
+    def apply(self, document: Document) -> Document:
+        """Return the document without the entry, and without expired ones."""
+        kept = without_expired(document, self.now_s)
+        return without_upstream_out(kept, self.upstream_id)
+
 
 async def edit_document(
     session: Session, edit: Edit, new_request_id: Callable[[], str]
@@ -91,18 +176,18 @@
     """
     current = await fetch_revision(session)
     base = current.configuration
-    entry = find_entry(edit, base.document)
-    if is_made(edit, entry):
+    entry = edit.find_entry(base.document)
+    if edit.is_made(entry):
         return current
     for _ in range(MAX_ATTEMPTS):
-        changed = edited(edit, base.document)
+        changed = edit.apply(base.document)
         try:
             number = await apply_document(
                 session, changed, base.revision, new_request_id()
             )
         except ConfigurationConflict as error:
             base = error.current
-            if find_entry(edit, base.document) != entry:
+            if edit.find_entry(base.document) != entry:
                 raise
         else:
             return Revision(
@@ -110,100 +195,3 @@
             )
     reason = f"{MAX_ATTEMPTS} tries met a newer revision"
     raise ConfigurationConflict(reason, current=base, step="apply")
-
-
-@singledispatch
-def find_entry(edit: Edit, document: Document) -> Entry:
-    """Return the entry that an edit concerns, None if the document lacks it."""
-    raise NotImplementedError(type(edit).__name__)
-
-
-@find_entry.register
-def _(edit: SetInService, document: Document) -> Entry:
-    found = (centre for centre in document.data_centres if centre.name == edit.name)
-    return next(found, None)
-
-
-@find_entry.register
-def _(edit: TakeUpstreamOut, document: Document) -> Entry:
-    return find_out_of_rotation(document, edit.entry.upstream_id)
-
-
-@find_entry.register
-def _(edit: BringUpstreamBack, document: Document) -> Entry:
-    return find_out_of_rotation(document, edit.upstream_id)
-
-
-@singledispatch
-def is_made(edit: Edit, entry: Entry) -> bool:
-    """Return whether the entry has the requested state already.
-
-    Raises:
-        ChangeNotAccepted: The entry that the edit changes is missing.
-    """
-    raise NotImplementedError(type(edit).__name__)
-
-
-@is_made.register
-def _(edit: SetInService, entry: Entry) -> bool:
-    if entry is None:
-        raise ChangeNotAccepted(f"there is no data centre {edit.name}", step="show")
-    return entry.in_service == edit.in_service
-
-
-@is_made.register
-def _(edit: TakeUpstreamOut, entry: Entry) -> bool:
-    return entry == edit.entry
-
-
-@is_made.register
-def _(edit: BringUpstreamBack, entry: Entry) -> bool:
-    return entry is None
-
-
-@singledispatch
-def edited(edit: Edit, document: Document) -> Document:
-    """Return the document after an edit."""
-    raise NotImplementedError(type(edit).__name__)
-
-
-@edited.register
-def _(edit: SetInService, document: Document) -> Document:
-    centres = tuple(
-        evolve(centre, in_service=edit.in_service)
-        if centre.name == edit.name
-        else centre
-        for centre in document.data_centres
-    )
-    return evolve(document, data_centres=centres)
-
-
-@edited.register
-def _(edit: TakeUpstreamOut, document: Document) -> Document:
-    return with_upstream_out(without_expired(document, edit.now_s), edit.entry)
-
-
-@edited.register
-def _(edit: BringUpstreamBack, document: Document) -> Document:
-    return without_upstream_out(without_expired(document, edit.now_s), edit.upstream_id)
-
-
-@singledispatch
-def describe_state(edit: Edit) -> str:
-    """Return the requested state as text."""
-    raise NotImplementedError(type(edit).__name__)
-
-
-@describe_state.register
-def _(edit: SetInService) -> str:
-    return f"{edit.name}: {'in service' if edit.in_service else 'out of service'}"
-
-
-@describe_state.register
-def _(edit: TakeUpstreamOut) -> str:
-    return f"{edit.entry.upstream_id}: out of rotation {end_of(edit.entry)}"
-
-
-@describe_state.register
-def _(edit: BringUpstreamBack) -> str:
-    return f"{edit.upstream_id}: in rotation"
--- a/measure/recovery.py
+++ b/measure/recovery.py
@@ -60,7 +60,7 @@
 
 
 @frozen(kw_only=True)
-class Return:
+class FirstFlows:
     """The first new flows after one loss.
 
     Attributes:
@@ -109,7 +109,7 @@
     ]
 
 
-async def _measure(folder: Path) -> tuple[list[Return], list[Return]]:
+async def _measure(folder: Path) -> tuple[list[FirstFlows], list[FirstFlows]]:
     async with AsyncExitStack() as stack:
         seeds = tuple(f"127.97.0.{number + 1}" for number in range(3))
         addresses = [f"{ip}:{CONTROL_PORT}" for ip in seeds]
@@ -131,7 +131,7 @@
             await target.open()
             stack.callback(target.crash)
         await Operator(addresses, SERVICES, HOST, ledger, random.Random(1)).put()
-        results: tuple[list[Return], list[Return]] = ([], [])
+        results: tuple[list[FirstFlows], list[FirstFlows]] = ([], [])
         for _ in range(LOSSES):
             for items, features in zip(results, ((), FEATURES), strict=True):
                 entry.features = features
@@ -139,7 +139,7 @@
         return results
 
 
-async def _lose_all(controls: list[Program], entry: LoadedEntry) -> Return:
+async def _lose_all(controls: list[Program], entry: LoadedEntry) -> FirstFlows:
     """Kill all programs, start them again and send SYNs to the entry."""
     entry.start()
     await asyncio.sleep(RUNNING_S)
@@ -158,7 +158,7 @@
     entry.kill()
     text = output.read_text()
     flows = Counter(NEW_FLOW.findall(text))
-    return Return(
+    return FirstFlows(
         unused=TARGETS - len(flows),
         most=max(flows.values(), default=0),
         refused=text.count("event=refused_no_upstream"),
