Set the load features of the metrics in one way

EntryMetrics took load and gate in its constructor as well as in use(); only one test used the former, so it now uses what the instance does. The two times in entry.py say what they are the times of.

test_entrymetrics, test_entry, test_sharedload, test_operations_page, test_lightimports: 30 passed.

--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -60,12 +60,14 @@
 FIRST_PACKETS_WAIT_S = 0.1
 # Part of the stop time-out that is reserved for closing sockets.
 CLOSE_RESERVE_S = 0.7
-# A control instance of an earlier version doesn't answer, and its successor may.
+# Interval of requests for route times. A control instance of an earlier version doesn't
+# answer them, but does once it is upgraded.
 ROUTE_TIMES_RETRY_S = 5.0
 # Ticks are half a second apart. A longer gap means that the process was suspended and
 # that queued datagrams are stale.
 MAX_TICK_GAP_S = 1.5
-# Long enough for the event loop to read the waiting packets first.
+# Delay of the lines about the upstreams of a first answer, in which the event loop
+# reads the packets that are waiting.
 LOG_DELAY_S = 0.005
 
 _log = structlog.get_logger()
--- a/arbutuslift/entrymetrics.py
+++ b/arbutuslift/entrymetrics.py
@@ -22,8 +22,6 @@
         router: Holds the flows and the routing table in effect.
         directory: Holds the upstreams.
         egress: Holds the packets that wait for the link.
-        load: Load features, with metrics of their own.
-        gate: Holds the SYNs that wait for capacity; None without admission.
 
     Attributes:
         packets: Number of packets by verdict.
@@ -34,12 +32,7 @@
     """
 
     def __init__(
-        self,
-        router: FlowTagRouter,
-        directory: UpstreamDirectory,
-        egress: EgressQueue,
-        load: LoadFeatures | None = None,
-        gate: "AdmissionGate | None" = None,
+        self, router: FlowTagRouter, directory: UpstreamDirectory, egress: EgressQueue
     ) -> None:
         self.packets: Counter[Verdict] = Counter()
         self.hedges: Counter[str] = Counter()
@@ -49,11 +42,16 @@
         self._router = router
         self._directory = directory
         self._egress = egress
-        self._load = load or LoadFeatures()
-        self._gate = gate
+        self._load = LoadFeatures()
+        self._gate: AdmissionGate | None = None
 
     def use(self, load: LoadFeatures, gate: "AdmissionGate | None") -> None:
-        """Set the load features and the gate, which are loaded after the start."""
+        """Set what is loaded after the start.
+
+        Args:
+            load: Load features, with metrics of their own.
+            gate: Holds the SYNs that wait for capacity; None without admission.
+        """
         self._load = load
         self._gate = gate
 
--- a/tests/test_entrymetrics.py
+++ b/tests/test_entrymetrics.py
@@ -4,6 +4,7 @@
 
 from arbutuslift.coordination.routing.flowtagrouter import Verdict
 from arbutuslift.entrymetrics import EntryMetrics
+from arbutuslift.loadfeatures import LoadFeatures
 from arbutuslift.metricspage import render_metrics
 from arbutuslift.state.starts import Phase
 
@@ -52,9 +53,8 @@
     entry = GateHarness(start(1))
     for number in range(1, 100):
         entry.syn(number)
-    metrics = EntryMetrics(
-        entry.router, entry.directory, egress_queue(entry.clock), gate=entry.gate
-    )
+    metrics = EntryMetrics(entry.router, entry.directory, egress_queue(entry.clock))
+    metrics.use(LoadFeatures(), entry.gate)
     families = {family.name: family for family in metrics.families()}
     waiting = families["arbutuslift_waiting_flows"].value
     assert waiting == entry.gate.waiting_count > 0
