--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -60,12 +60,14 @@
 FIRST_PACKETS_WAIT_S = 0.1
 # Part of the stop time-out that is reserved for closing sockets.
 CLOSE_RESERVE_S = 0.7
-# A control instance of an earlier version doesn't answer, and its successor may.
+# Interval of requests for route times. A control instance of an earlier version doesn't
+# answer them, but does once it is upgraded.
 ROUTE_TIMES_RETRY_S = 5.0
 # Ticks are half a second apart. A longer gap means that the process was suspended and
 # that queued datagrams are stale.
 MAX_TICK_GAP_S = 1.5
-# Long enough for the event loop to read the waiting packets first.
+# Delay of the lines about the upstreams of a first answer, in which the event loop
+# reads the packets that are waiting.
 LOG_DELAY_S = 0.005
 
 _log = structlog.get_logger()
@@ -382,13 +384,14 @@
 
     async def _add_route_times(self, source: str, revision: int) -> None:
         """Add the times of the routes, until another table is in effect."""
-        names = [source]
+        name, others = source, []
         while self._router.table.revision == revision:
-            answer = await self._feed.request_route_times(names[0])
-            if answer is not None and self._use_route_times(names[0], answer):
+            answer = await self._feed.request_route_times(name)
+            if answer is not None and self._use_route_times(name, answer):
                 return
             await self._clock.sleep(ROUTE_TIMES_RETRY_S)
-            names = [*names[1:], *self._feed.subscribed_names] or names
+            others = others or self._feed.subscribed_names
+            name = others.pop(0) if others else source
 
     def _use_route_times(self, source: str, answer: RouteTimes) -> bool:
         """Put the times in an answer in effect; return whether they fit the table."""
