--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -74,6 +74,12 @@
     assert not load.is_admission_limited
 
 
+def test_a_price_may_be_a_whole_number(tmp_path):
+    """Guards against an instance that doesn't start for want of a decimal point."""
+    load = load_settings(tmp_path, load={"remote_price_per_gb": 5})
+    assert load.remote_price_per_gb == 5.0
+
+
 @pytest.mark.parametrize("load", [{"is_admission_limited": 1}, {"unknown": True}, 3])
 def test_unusable_load_settings_are_refused(tmp_path, load):
     with pytest.raises(SettingsError):
