Name the keys of starts and routes once

Five modules had an alias Key for tuple[str, int] and others spelt the type out, and eight places built the key of a start or route from its fields. StartKey and RouteKey now stand beside UpstreamStart and Route, and UpstreamLoad and Route have a property key. Fields and behaviour are unchanged.

The tests of coordination/routing, coordination/dissemination, state, test_sharedload.py and test_lightimports.py pass; ruff check passes.

--- a/arbutuslift/coordination/dissemination/loadregistry.py
+++ b/arbutuslift/coordination/dissemination/loadregistry.py
@@ -15,7 +15,7 @@
     check_totals,
 )
 from ...state.loadfigures import ServiceLoad
-from ...state.starts import UpstreamStart
+from ...state.starts import StartKey, UpstreamStart
 from .loadsums import UpstreamSums
 from .serviceloads import LocatedLoad, merge_rows, rows_of_reports
 from .startregistry import StartRegistry
@@ -202,7 +202,7 @@
         return MessageError(reason, step="receive load", peer=peer)
 
     def _summary(self, report: LoadReport) -> LoadSummary:
-        reported = {(load.upstream_id, load.born_ms) for load in report.upstreams}
+        reported = {load.key for load in report.upstreams}
         others = [
             key for key in self._keys_in(report.data_centre) if key not in reported
         ]
@@ -215,7 +215,7 @@
             services=self.services(),
         )
 
-    def _keys_in(self, data_centre: str) -> list[tuple[str, int]]:
+    def _keys_in(self, data_centre: str) -> list[StartKey]:
         """Return the keys of the starts in a data centre that have a sum."""
         located = ((self._start_of(key), key) for key in self._sums)
         return [
@@ -233,7 +233,7 @@
             if start is not None
         ]
 
-    def _start_of(self, key: tuple[str, int]) -> UpstreamStart | None:
+    def _start_of(self, key: StartKey) -> UpstreamStart | None:
         """Return the start with a key, None if it isn't known or was replaced."""
         start = self._starts.find(key[0])
         return start if start is not None and start.key == key else None
--- a/arbutuslift/coordination/dissemination/loadsums.py
+++ b/arbutuslift/coordination/dissemination/loadsums.py
@@ -5,8 +5,7 @@
 from attrs import define
 
 from ...state.loadfigures import UpstreamLoad
-
-Key = tuple[str, int]
+from ...state.starts import StartKey
 
 
 @define
@@ -43,32 +42,30 @@
     """
 
     def __init__(self) -> None:
-        self._sums: dict[Key, _Sum] = {}
+        self._sums: dict[StartKey, _Sum] = {}
 
     def add(self, loads: tuple[UpstreamLoad, ...]) -> None:
         """Add the rows of a report."""
         for load in loads:
-            key = (load.upstream_id, load.born_ms)
-            self._sums.setdefault(key, _Sum()).add(load, 1)
+            self._sums.setdefault(load.key, _Sum()).add(load, 1)
 
     def subtract(self, loads: tuple[UpstreamLoad, ...]) -> None:
         """Subtract the rows of a report that were added before."""
         for load in loads:
-            key = (load.upstream_id, load.born_ms)
-            total = self._sums[key]
+            total = self._sums[load.key]
             total.add(load, -1)
             if not total.rows:
                 # Rounding errors of the mean values end with the last row.
-                del self._sums[key]
+                del self._sums[load.key]
 
-    def __iter__(self) -> Iterator[Key]:
+    def __iter__(self) -> Iterator[StartKey]:
         return iter(self._sums)
 
-    def outstanding(self, key: Key) -> float:
+    def outstanding(self, key: StartKey) -> float:
         """Return the mean number of outstanding requests at a start."""
         return self._sums[key].outstanding
 
-    def load(self, key: Key) -> UpstreamLoad:
+    def load(self, key: StartKey) -> UpstreamLoad:
         """Return the sum for a start.
 
         Its ``failures`` are the number of instances that report some, so that 2 means
--- a/arbutuslift/coordination/routing/admissiongate.py
+++ b/arbutuslift/coordination/routing/admissiongate.py
@@ -4,9 +4,8 @@
 from collections.abc import Callable, Iterator
 
 from ...clock import Clock
-from ...state.routingtable import Route, RoutingTable
+from ...state.routingtable import Route, RouteKey, RoutingTable
 from ...transport.callerpackets import CallerPacket
-from .fairshares import RouteKey
 from .flowadmission import (
     AdmissionDecision,
     AdmissionRequest,
@@ -88,7 +87,7 @@
             is_admitted = not self._waiting.count(name) and self._admission.try_admit(
                 name,
                 self._pools.outstanding(route),
-                (route.ip, route.port),
+                route.key,
                 route.priority,
                 route.aim_s,
             )
@@ -213,7 +212,7 @@
 ) -> AdmissionRequest:
     copies = min(packet.ack, len(COPY_TIMES_S) - 1)
     return AdmissionRequest(
-        route=(route.ip, route.port),
+        route=route.key,
         pool=pool,
         priority=route.priority,
         aim_s=route.aim_s,
--- a/arbutuslift/coordination/routing/fairshares.py
+++ b/arbutuslift/coordination/routing/fairshares.py
@@ -5,8 +5,7 @@
 from attrs import define, field
 
 from ...clock import Clock
-
-RouteKey = tuple[bytes, int]
+from ...state.routingtable import RouteKey
 
 # The share of a route follows its ordinary demand. A burst lasts for seconds, a change
 # of the ordinary demand for minutes.
--- a/arbutuslift/coordination/routing/flowadmission.py
+++ b/arbutuslift/coordination/routing/flowadmission.py
@@ -6,7 +6,8 @@
 from attrs import frozen
 
 from ...clock import Clock
-from .fairshares import IDLE_S, FairShares, RouteKey
+from ...state.routingtable import RouteKey
+from .fairshares import IDLE_S, FairShares
 from .poolload import PoolLoad
 from .randomclusters import ordinary_limit
 from .servicepool import ServicePool
--- a/arbutuslift/coordination/routing/flowtagrouter.py
+++ b/arbutuslift/coordination/routing/flowtagrouter.py
@@ -5,7 +5,8 @@
 from typing import TYPE_CHECKING
 
 from ...clock import Clock
-from ...state.routingtable import Route, RoutingTable
+from ...state.routingtable import Route, RouteKey, RoutingTable
+from ...state.starts import StartKey
 from ...transport.callerpackets import CallerPacket
 from .flowobserver import FlowObserver
 from .outlierdetector import OutlierDetector
@@ -78,7 +79,7 @@
         self._on_unanswered = on_unanswered
         self._observer = observer or FlowObserver()
         self._gate = gate
-        self._routes: dict[tuple[bytes, int], Route] = {}
+        self._routes: dict[RouteKey, Route] = {}
         self._flows: OrderedDict[bytes, TrackedFlow] = OrderedDict()
         self._opening_flows: deque[TrackedFlow] = deque()
         self._recent_by_caller: OrderedDict[bytes, deque[TrackedFlow]] = OrderedDict()
@@ -103,7 +104,7 @@
     def replace(self, table: RoutingTable) -> None:
         """Put a table in effect, whatever the revision of the former one."""
         self.table = table
-        self._routes = {(route.ip, route.port): route for route in table.routes}
+        self._routes = {route.key: route for route in table.routes}
 
     def route(self, packet: CallerPacket) -> Decision:
         """Return the decision about a packet."""
@@ -189,7 +190,7 @@
 
     def _failed_upstreams(
         self, packet: CallerPacket, now_s: float
-    ) -> frozenset[tuple[str, int]]:
+    ) -> frozenset[StartKey]:
         """Return the upstreams at which the caller recently failed to open a flow."""
         failed = set()
         for flow in self._recent_by_caller.get(packet.caller_ip, ()):
--- a/arbutuslift/coordination/routing/loadtracker.py
+++ b/arbutuslift/coordination/routing/loadtracker.py
@@ -4,7 +4,7 @@
 
 from ...clock import Clock
 from ...state.loadfigures import ServiceDemand, UpstreamLoad
-from ...state.starts import UpstreamStart
+from ...state.starts import StartKey, UpstreamStart
 from .flowobserver import FlowObserver
 
 # A caller ends an attempt after 1.4 s without an answer to its SYN.
@@ -103,11 +103,11 @@
         self._clock = clock
         self._data_centre = data_centre
         self._began_s = clock.monotonic_s()
-        self._starts: dict[tuple[str, int], _StartCounts] = {}
+        self._starts: dict[StartKey, _StartCounts] = {}
         self._services: dict[str, _ServiceCounts] = {}
         self._outstanding: dict[bytes, _Outstanding] = {}
 
-    def outstanding(self, key: tuple[str, int]) -> int:
+    def outstanding(self, key: StartKey) -> int:
         """Return the requests and opening flows at a start that wait for an answer."""
         counts = self._starts.get(key)
         return counts.now if counts else 0
@@ -233,7 +233,7 @@
 
     def _take_start(
         self,
-        key: tuple[str, int],
+        key: StartKey,
         counts: _StartCounts,
         now_s: float,
         interval_s: float,
--- a/arbutuslift/coordination/routing/loadview.py
+++ b/arbutuslift/coordination/routing/loadview.py
@@ -5,6 +5,7 @@
 from ...clock import Clock
 from ...protocol.loads import LoadSummary
 from ...state.loadfigures import ServiceLoad, UpstreamLoad
+from ...state.starts import StartKey
 
 # Reports are a second apart. This tolerates two lost answers; older figures mislead
 # more than none.
@@ -28,8 +29,8 @@
         self.summaries = 0
         self._clock = clock
         self._updated_s = float("-inf")
-        self._upstreams: dict[tuple[str, int], UpstreamLoad] = {}
-        self._own_outstanding: dict[tuple[str, int], float] = {}
+        self._upstreams: dict[StartKey, UpstreamLoad] = {}
+        self._own_outstanding: dict[StartKey, float] = {}
         self._services: dict[tuple[str, str], ServiceLoad] = {}
 
     @property
@@ -52,17 +53,13 @@
         self._updated_s = self._clock.monotonic_s()
         self.instances = summary.instances
         self.summaries += 1
-        self._upstreams = {
-            (load.upstream_id, load.born_ms): load for load in summary.upstreams
-        }
-        self._own_outstanding = {
-            (load.upstream_id, load.born_ms): load.outstanding for load in own
-        }
+        self._upstreams = {load.key: load for load in summary.upstreams}
+        self._own_outstanding = {load.key: load.outstanding for load in own}
         self._services = {
             (load.service, load.data_centre): load for load in summary.services
         }
 
-    def upstream(self, key: tuple[str, int]) -> UpstreamLoad | None:
+    def upstream(self, key: StartKey) -> UpstreamLoad | None:
         """Return the sums for a start, None if the newest summary has none.
 
         They are kept when the view isn't usable any more.
@@ -73,7 +70,7 @@
         """Return the sums for all starts in the newest summary."""
         return list(self._upstreams.values())
 
-    def outstanding_elsewhere(self, key: tuple[str, int]) -> float:
+    def outstanding_elsewhere(self, key: StartKey) -> float:
         """Return the mean outstanding requests at a start through other instances."""
         load = self._upstreams.get(key)
         if load is None:
--- a/arbutuslift/coordination/routing/poolsource.py
+++ b/arbutuslift/coordination/routing/poolsource.py
@@ -6,9 +6,10 @@
 
 from ...clock import Clock
 from ...state.loadfigures import ServiceLoad, UpstreamLoad
-from ...state.routingtable import Route, RoutingTable
+from ...state.routingtable import Route, RouteKey, RoutingTable
+from ...state.starts import StartKey
 from .demandshare import DemandShare
-from .servicepool import Key, PooledUpstream, ServicePool
+from .servicepool import PooledUpstream, ServicePool
 from .trackedstart import TrackedStart
 from .upstreamselector import COLD_SHARED_FRACTION, UpstreamSelector
 
@@ -22,7 +23,7 @@
 class OutstandingCounter(Protocol):
     """Counts what is outstanding through this instance."""
 
-    def outstanding(self, key: Key) -> int:
+    def outstanding(self, key: StartKey) -> int:
         """Return the requests without an answer at a start."""
 
     def outstanding_of_service(self, service: str) -> int:
@@ -38,7 +39,7 @@
     def is_usable(self) -> bool:
         """Return whether it is recent enough for decisions."""
 
-    def upstream(self, key: Key) -> UpstreamLoad | None:
+    def upstream(self, key: StartKey) -> UpstreamLoad | None:
         """Return the load of a start, None if it isn't known."""
 
     def service(self, service: str, data_centre: str) -> ServiceLoad | None:
@@ -93,7 +94,7 @@
         self._view = view
         self._queue_length = queue_length
         self._pools: dict[tuple[str, ...], _Pool] = {}
-        self._services: dict[tuple[bytes, int], tuple[Route, tuple[str, ...]]] = {}
+        self._services: dict[RouteKey, tuple[Route, tuple[str, ...]]] = {}
         self._demand: dict[str, DemandShare] = {}
 
     def record_arrival(self, route: Route) -> str:
@@ -231,11 +232,10 @@
         return [row for row in rows if row is not None]
 
     def _services_of(self, route: Route) -> tuple[str, ...]:
-        key = (route.ip, route.port)
-        known = self._services.get(key)
+        known = self._services.get(route.key)
         if known is None or known[0] is not route:
             names = (share.service for share in route.shares if share.weight > 0)
-            known = self._services[key] = (route, tuple(sorted(names)))
+            known = self._services[route.key] = (route, tuple(sorted(names)))
         return known[1]
 
     def _demand_of(self, name: str) -> DemandShare:
--- a/arbutuslift/coordination/routing/restoredstarts.py
+++ b/arbutuslift/coordination/routing/restoredstarts.py
@@ -7,19 +7,17 @@
 from collections.abc import Iterator
 
 from ...state.routingtable import ServiceLimits
-from ...state.starts import UpstreamStart
+from ...state.starts import StartKey, UpstreamStart
 from .trackedstart import TrackedStart
 
-Key = tuple[str, int]
-
 
 class RestoredStarts:
     """Restored starts, indexed by key, upstream and address."""
 
     def __init__(self) -> None:
-        self._tracked: dict[Key, TrackedStart] = {}
+        self._tracked: dict[StartKey, TrackedStart] = {}
         self._of_upstream: dict[str, TrackedStart] = {}
-        self._at_address: dict[Key, TrackedStart] = {}
+        self._at_address: dict[tuple[str, int], TrackedStart] = {}
 
     def __iter__(self) -> Iterator[TrackedStart]:
         return iter(list(self._tracked.values()))
@@ -44,7 +42,7 @@
         found.pop(start.key, None)
         return list(found.values())
 
-    def pop(self, key: Key) -> TrackedStart | None:
+    def pop(self, key: StartKey) -> TrackedStart | None:
         """Remove a start and return it, None if it isn't present."""
         tracked = self._tracked.pop(key, None)
         if tracked is None:
--- a/arbutuslift/coordination/routing/servicepool.py
+++ b/arbutuslift/coordination/routing/servicepool.py
@@ -4,10 +4,9 @@
 
 from attrs import frozen
 
+from ...state.starts import StartKey
 from .randomclusters import mean_below
 
-Key = tuple[str, int]
-
 # A caller has its answer in time if the request waits and runs for half of the aim.
 # The other half is for the network, further attempts and the spread of the work.
 AIM_FRACTION = 0.5
@@ -25,7 +24,7 @@
         outstanding: Requests of all instances without an answer, 0 without a view.
     """
 
-    key: Key
+    key: StartKey
     slots: int
     cold_new_flows_per_s: float = 0.0
     outstanding: float = 0.0
--- a/arbutuslift/coordination/routing/sharedloadchoice.py
+++ b/arbutuslift/coordination/routing/sharedloadchoice.py
@@ -5,6 +5,7 @@
 
 from attrs import field, frozen
 
+from ...state.starts import StartKey
 from .loadtracker import LoadTracker
 from .loadview import LoadView
 from .trackedstart import TrackedStart
@@ -16,8 +17,6 @@
 # that all followed them would send the next second's requests to the same upstreams.
 EXCESS_FACTOR = 3.0
 
-Key = tuple[str, int]
-
 
 @frozen
 class _Penalty:
@@ -42,7 +41,7 @@
     """
 
     limit_per_slot: float
-    penalties: dict[Key, _Penalty | None] = field(factory=dict)
+    penalties: dict[StartKey, _Penalty | None] = field(factory=dict)
 
 
 class SharedLoadChoice:
--- a/arbutuslift/coordination/routing/upstreamselector.py
+++ b/arbutuslift/coordination/routing/upstreamselector.py
@@ -6,7 +6,7 @@
 
 from ...clock import Clock
 from ...state.routingtable import Route, RoutingTable, ServiceLimits
-from ...state.starts import Phase
+from ...state.starts import Phase, StartKey
 from .outlierdetector import OutlierDetector
 from .restoredstarts import may_receive_new_flows
 from .trackedstart import TrackedStart
@@ -66,13 +66,13 @@
         self._outlier_detector = outlier_detector
         self._data_centre = data_centre
         self._rng = rng
-        self._last_cold_flow_s: dict[tuple[str, int], float] = {}
+        self._last_cold_flow_s: dict[StartKey, float] = {}
 
     def select(
         self,
         route: Route,
         table: RoutingTable,
-        excluded: frozenset[tuple[str, int]] = frozenset(),
+        excluded: frozenset[StartKey] = frozenset(),
     ) -> TrackedStart | None:
         """Return the upstream for a new flow, None if no upstream is eligible.
 
@@ -90,7 +90,7 @@
         return None
 
     def select_other(
-        self, route: Route, table: RoutingTable, key: tuple[str, int]
+        self, route: Route, table: RoutingTable, key: StartKey
     ) -> TrackedStart | None:
         """Return a healthy upstream other than one, None without another one."""
         selected = self.select(route, table, frozenset({key}))
@@ -126,7 +126,7 @@
         return [first, *(name for name in names if name != first)]
 
     def _select_from_service(
-        self, service: str, table: RoutingTable, excluded: frozenset[tuple[str, int]]
+        self, service: str, table: RoutingTable, excluded: frozenset[StartKey]
     ) -> TrackedStart | None:
         now_s = self._clock.monotonic_s()
         usable = self._usable(service, table)
--- a/arbutuslift/coordination/routing/upstreamweights.py
+++ b/arbutuslift/coordination/routing/upstreamweights.py
@@ -6,6 +6,7 @@
 from attrs import define
 
 from ...state.loadfigures import UpstreamLoad
+from ...state.starts import StartKey
 
 # An upstream counts as slow if its response time exceeds the median of its service by
 # this factor. Under high load, queues alone make some upstreams twice as slow as the
@@ -26,8 +27,6 @@
 
 _log = structlog.get_logger()
 
-Key = tuple[str, int]
-
 
 @define
 class _Upstream:
@@ -96,16 +95,16 @@
         service_of: Returns the service of a start, None if the start isn't known.
     """
 
-    def __init__(self, service_of: Callable[[Key], str | None]) -> None:
+    def __init__(self, service_of: Callable[[StartKey], str | None]) -> None:
         self._service_of = service_of
-        self._upstreams: dict[Key, _Upstream] = {}
+        self._upstreams: dict[StartKey, _Upstream] = {}
 
     @property
     def slow_count(self) -> int:
         """Return the number of upstreams whose weight is below 1."""
         return sum(item.weight < 1.0 for item in self._upstreams.values())
 
-    def weight(self, key: Key) -> float:
+    def weight(self, key: StartKey) -> float:
         """Return the weight of a start, from 1/8 to 1."""
         upstream = self._upstreams.get(key)
         return upstream.weight if upstream is not None else 1.0
@@ -116,7 +115,7 @@
         Args:
             loads: Sums of an interval through all instances, none if they aren't known.
         """
-        rows = {(load.upstream_id, load.born_ms): load for load in loads}
+        rows = {load.key: load for load in loads}
         for key in rows.keys() - self._upstreams.keys():
             service = self._service_of(key)
             if service is not None:
@@ -127,7 +126,7 @@
         for key, upstream in list(self._upstreams.items()):
             self._move(key, upstream, medians_ms.get(upstream.service, 0.0))
 
-    def _move(self, key: Key, upstream: _Upstream, median_ms: float) -> None:
+    def _move(self, key: StartKey, upstream: _Upstream, median_ms: float) -> None:
         previous = upstream.weight
         upstream.move(median_ms)
         if (previous < 1.0) != (upstream.weight < 1.0):
--- a/arbutuslift/coordination/routing/waitingflows.py
+++ b/arbutuslift/coordination/routing/waitingflows.py
@@ -6,8 +6,8 @@
 from attrs import frozen
 
 from ...clock import Clock
+from ...state.routingtable import RouteKey
 from ...transport.callerpackets import CallerPacket
-from .fairshares import RouteKey
 
 # A caller sends a copy of its SYN after 200 ms, which another instance may answer.
 # What has waited for so long is forgotten: a reset could end a flow that the copy
--- a/arbutuslift/state/loadfigures.py
+++ b/arbutuslift/state/loadfigures.py
@@ -2,6 +2,8 @@
 
 from attrs import frozen
 
+from .starts import StartKey
+
 
 @frozen(kw_only=True)
 class UpstreamLoad:
@@ -25,6 +27,11 @@
     response_sum_ms: int
     failures: int
 
+    @property
+    def key(self) -> StartKey:
+        """Return the key of the start."""
+        return (self.upstream_id, self.born_ms)
+
 
 @frozen(kw_only=True)
 class ServiceDemand:
--- a/arbutuslift/state/routingtable.py
+++ b/arbutuslift/state/routingtable.py
@@ -9,6 +9,9 @@
 
 _COMPRESSION_LEVEL = 1
 
+# Address and port of a route.
+RouteKey = tuple[bytes, int]
+
 
 @frozen(kw_only=True)
 class ServiceShare:
@@ -38,6 +41,11 @@
     aim_s: float = 0.0
     timeout_s: float = 0.0
 
+    @property
+    def key(self) -> RouteKey:
+        """Return the address and port, which identify the route in its table."""
+        return (self.ip, self.port)
+
     @property
     def first_service(self) -> str:
         """Return the first service that gets new flows, empty if none does."""
--- a/arbutuslift/state/starts.py
+++ b/arbutuslift/state/starts.py
@@ -10,6 +10,9 @@
 GONE_RETENTION_S = 120.0
 MAX_STARTS = 50_000
 
+# Identity of an upstream and when its process started, in ms of the Unix epoch.
+StartKey = tuple[str, int]
+
 
 class Phase(IntEnum):
     """Phase of an upstream's lifetime; the values are in order."""
@@ -51,7 +54,7 @@
     warm_up_left_ms: int = 0
 
     @property
-    def key(self) -> tuple[str, int]:
+    def key(self) -> StartKey:
         """Return the unique key of this start."""
         return (self.upstream_id, self.born_ms)
 
