Name the remaining numbers of the load features, and tell equal names apart

AIM_FRACTION, MAX_AGE_S, TICK_S and _displaced_shares each stood for several things in the routing modules, VIEW_MAX_AGE_S repeated the age of LoadView, and some numbers had no name. They have names of their own now, and constants and attributes without a reason or an explanation have one. AdmissionGate.waits was counted but never read, and is gone. Values and behaviour are unchanged.

--- a/arbutuslift/coordination/dissemination/feedclient.py
+++ b/arbutuslift/coordination/dissemination/feedclient.py
@@ -107,7 +107,7 @@
             await self._channel.send(name, report)
 
     async def request_route_times(self, name: str) -> RouteTimes | None:
-        """Return the times of the newest routes; None if ``name`` doesn't tell them."""
+        """Return the encoded times of the newest routes, None without an answer."""
         try:
             answer = await self._channel.request(
                 name, RouteTimesRequest(), ANSWER_TIMEOUT_S
--- a/arbutuslift/coordination/dissemination/loadclient.py
+++ b/arbutuslift/coordination/dissemination/loadclient.py
@@ -40,8 +40,8 @@
     """Time for which a control instance that didn't answer is skipped.
 
     Attributes:
-        duration_s: Length of the next time.
-        until_s: End of the present one.
+        duration_s: Duration of the next skip.
+        until_s: End of the current skip.
     """
 
     duration_s: float = INITIAL_SKIP_S
@@ -60,7 +60,7 @@
         controls: Names of the control instances that are known at first.
         make_report: Returns the report of the interval that ends now.
         on_summary: Called with each report and its answer.
-        rng: Draws the time of the first report.
+        rng: Draws the delay of the first report.
 
     Attributes:
         reporting_to: Name of the control instance that answered last, empty if the last
--- a/arbutuslift/coordination/dissemination/loadquery.py
+++ b/arbutuslift/coordination/dissemination/loadquery.py
@@ -12,6 +12,7 @@
 from ...state.loadfigures import ServiceLoad
 from ...state.upstreams import UpstreamView
 
+# Bounds the size of an answer.
 MAX_LOAD_ROWS = 5000
 
 
@@ -76,7 +77,14 @@
 
 @define
 class _Announced:
-    """Sums of the announcements of one service in one data centre."""
+    """Sums of the announcements of one service in one data centre.
+
+    Attributes:
+        upstreams: Upstreams that accept new flows.
+        slots: Slots of these.
+        busy_slots: Slots in use at all upstreams.
+        age_s: Age of the oldest announcement.
+    """
 
     upstreams: int = 0
     slots: int = 0
--- a/arbutuslift/coordination/dissemination/loadregistry.py
+++ b/arbutuslift/coordination/dissemination/loadregistry.py
@@ -31,6 +31,8 @@
 MAX_SUMMARY_UPSTREAMS = 32
 # Bound on the retained reports, several times the number of entry instances.
 MAX_INSTANCES = 5000
+# Characters of a reported name in an error.
+MAX_NAME_IN_ERROR = 64
 
 
 @frozen
@@ -57,7 +59,8 @@
         starts: Starts of upstreams, for their services, data centres and slots.
 
     Attributes:
-        outcomes: Number of reports and totals by what became of them.
+        outcomes: Numbers of accepted reports, and of refused reports and totals by
+            the reason.
     """
 
     def __init__(self, clock: Clock, starts: StartRegistry) -> None:
@@ -191,7 +194,8 @@
         self, peer: str, report: LoadReport, previous: LoadReport
     ) -> None:
         if report.data_centre != previous.data_centre:
-            reason = f"{report.data_centre[:64]} instead of {previous.data_centre}"
+            reported = report.data_centre[:MAX_NAME_IN_ERROR]
+            reason = f"{reported} instead of {previous.data_centre}"
             raise self._refusal("data_centre", reason, peer)
         if report.sequence <= previous.sequence:
             reason = f"sequence {report.sequence}, not over {previous.sequence}"
--- a/arbutuslift/coordination/routing/admissiongate.py
+++ b/arbutuslift/coordination/routing/admissiongate.py
@@ -19,9 +19,9 @@
 from .upstreamselector import UpstreamSelector
 from .waitingflows import WaitingFlow, WaitingFlows, max_wait_s
 
-# Time between two looks at what waits: a fraction of the shortest work, during which a
-# slot becomes free.
-TICK_S = 0.01
+# Interval between checks of the SYNs that wait: a fraction of the shortest work, after
+# which a slot becomes free.
+RELEASE_INTERVAL_S = 0.01
 # A caller sends copies of its SYN after these times, by the number of earlier copies.
 COPY_TIMES_S = (0.0, 0.2, 0.6)
 
@@ -38,9 +38,6 @@
         admission: Decides.
         waiting: Holds the SYNs that wait.
         pools: Pools of routes.
-
-    Attributes:
-        waits: New flows that had to wait so far.
     """
 
     def __init__(
@@ -50,7 +47,6 @@
         waiting: WaitingFlows,
         pools: PoolSource,
     ) -> None:
-        self.waits = 0
         self._clock = clock
         self._admission = admission
         self._waiting = waiting
@@ -163,7 +159,7 @@
         """Release what waits, also while no packet arrives, until cancelled."""
         while True:
             await self._has_waiting.wait()
-            await self._clock.sleep(TICK_S)
+            await self._clock.sleep(RELEASE_INTERVAL_S)
             for packet, decision in self.release(route_packet):
                 carry_out(packet, decision)
             if not self._waiting:
@@ -175,7 +171,6 @@
 
     def _add(self, packet: CallerPacket, request: AdmissionRequest) -> None:
         now_s = self._clock.boottime_s()
-        self.waits += 1
         displaced = self._waiting.add(
             WaitingFlow(
                 packet=packet,
--- a/arbutuslift/coordination/routing/flowtagrouter.py
+++ b/arbutuslift/coordination/routing/flowtagrouter.py
@@ -85,7 +85,7 @@
         self._recent_by_caller: OrderedDict[bytes, deque[TrackedFlow]] = OrderedDict()
 
     def use(self, observer: FlowObserver, gate: "AdmissionGate | None") -> None:
-        """Tell an observer of flows and ask a gate about new ones from now on."""
+        """Report flows to an observer and ask a gate about new ones from now on."""
         self._observer = observer
         self._gate = gate
 
@@ -174,6 +174,7 @@
         return Decision(verdict, upstream)
 
     def _hold(self, held: Decision, route: Route) -> Decision:
+        """Return the decision of the gate about a SYN; count it if it is rejected."""
         if held.verdict is Verdict.REJECTED_BUSY:
             self._observer.record_arrival(route.first_service, None)
         return held
--- a/arbutuslift/coordination/routing/loadtracker.py
+++ b/arbutuslift/coordination/routing/loadtracker.py
@@ -152,7 +152,7 @@
         counts.open_flows += 1
         if is_opening:
             now_s = self._clock.monotonic_s()
-            self._add(flow, counts, True, now_s, now_s + OPENING_TIMEOUT_S)
+            self._add(flow, counts, now_s, now_s + OPENING_TIMEOUT_S, is_opening=True)
 
     def close_flow(self, start: UpstreamStart) -> None:
         """Count a flow as no longer open."""
@@ -168,7 +168,7 @@
         if flow in self._outstanding:
             self._remove(flow, now_s)
         end_s = now_s + timeout_s if timeout_s > 0 else float("inf")
-        self._add(flow, self._start(start), False, now_s, end_s)
+        self._add(flow, self._start(start), now_s, end_s, is_opening=False)
 
     def record_progress(self, flow: bytes) -> None:
         """Count a flow as open if it was opening."""
@@ -200,9 +200,10 @@
         self,
         flow: bytes,
         counts: _StartCounts,
-        is_opening: bool,
         now_s: float,
         end_s: float,
+        *,
+        is_opening: bool,
     ) -> None:
         counts.now += 1
         counts.sum_s -= now_s
--- a/arbutuslift/coordination/routing/locality.py
+++ b/arbutuslift/coordination/routing/locality.py
@@ -10,12 +10,12 @@
 
 from ...clock import Clock
 from ...state.loadfigures import ServiceLoad
+from .loadview import MAX_AGE_S
 from .localityfractions import LocalityFractions
 from .localitytargets import MAX_ROW_AGE_S, LocalityTargets
 from .routedservices import RoutedService
 from .trackedstart import TrackedStart
 
-VIEW_MAX_AGE_S = 3.0
 SUMMARY_INTERVAL_S = 1.0
 # Summaries in a row without an eligible local upstream, after which the flows of the
 # service count as displaced. In a single one, only callers whose last attempt failed
@@ -115,7 +115,7 @@
             out_of_service: Data centres that get no new flows.
         """
         now_s = self._clock.monotonic_s()
-        self._next_decay_s = now_s + VIEW_MAX_AGE_S + SUMMARY_INTERVAL_S
+        self._next_decay_s = now_s + MAX_AGE_S + SUMMARY_INTERVAL_S
         rows: dict[str, dict[str, ServiceLoad]] = {}
         ages_s: dict[str, dict[str, float]] = {}
         for row in view.services():
@@ -165,7 +165,7 @@
         """Return the probability of each data centre in :meth:`choose`."""
         state = self._state(service)
         if self._data_centre not in candidates_by_data_centre:
-            return _displaced_shares(state.shares, candidates_by_data_centre)
+            return _shares_of_candidates(state.shares, candidates_by_data_centre)
         # What one data centre can't take now stays local. Another one would get more
         # than its room.
         remote = {
@@ -267,7 +267,7 @@
             )
 
 
-def _displaced_shares(
+def _shares_of_candidates(
     shares: Mapping[str, float],
     candidates_by_data_centre: Mapping[str, Sequence[TrackedStart]],
 ) -> dict[str, float]:
--- a/arbutuslift/coordination/routing/localityfractions.py
+++ b/arbutuslift/coordination/routing/localityfractions.py
@@ -14,6 +14,8 @@
 # A fraction that exceeds its target by this factor is lowered however small it is,
 # since it may be most of what a small data centre has room for.
 MAX_EXCESS_FACTOR = 1.1
+# A sum of steps differs from its target by rounding.
+ROUNDING = 1e-9
 
 
 @define
@@ -59,8 +61,9 @@
     def _set(self, name: str, change: float, target: float) -> None:
         """Change one fraction; it stays 0 or at least ``MIN_FRACTION``."""
         current = self.by_data_centre.get(name, 0.0)
-        # A sum of steps differs from the target by rounding.
-        fraction = target if abs(current + change - target) < 1e-9 else current + change
+        fraction = current + change
+        if abs(fraction - target) < ROUNDING:
+            fraction = target
         if 0 < fraction < MIN_FRACTION:
             fraction = min(current, MIN_FRACTION)
         self.by_data_centre[name] = fraction
--- a/arbutuslift/coordination/routing/poolload.py
+++ b/arbutuslift/coordination/routing/poolload.py
@@ -24,6 +24,11 @@
 # A shortage has ended when less than this part of the capacity is used on average,
 # although nothing waits.
 END_FRACTION = 0.8
+# Elapsed time beyond which the permitted change of the estimate no longer grows. Its
+# factor is over 600,000 by then; without a bound the power could overflow.
+MAX_CHANGE_TIME_S = 60.0
+# Stands for the capacity of a pool without any, as a divisor.
+MIN_CAPACITY = 1e-9
 
 
 @define
@@ -128,7 +133,7 @@
         """
         if pool.is_shared:
             whole = pool.capacity(self.work_s, aim_s)
-            return max(MIN_EXCESS, pool.shared_outstanding / max(whole, 1e-9))
+            return max(MIN_EXCESS, pool.shared_outstanding / max(whole, MIN_CAPACITY))
         ordinary = evident_limit(
             pool.capacity_here(self.work_s, aim_s), self._samples()
         )
@@ -156,7 +161,7 @@
         is_first = self.work_s <= 0.0 or pool.is_shared > self.is_shared
         self.is_shared = pool.is_shared
         if not is_first:
-            factor = MAX_CHANGE_PER_S ** min(elapsed_s, 60.0)
+            factor = MAX_CHANGE_PER_S ** min(elapsed_s, MAX_CHANGE_TIME_S)
             is_full = self.excess(pool, aim_s) > 1.0
             falling_s = self.work_s / factor if pool.is_shared else 0.0
             lowest_s = self.work_s if is_full else falling_s
--- a/arbutuslift/coordination/routing/poolsource.py
+++ b/arbutuslift/coordination/routing/poolsource.py
@@ -16,8 +16,8 @@
 # Greatest age of a pool. Building one takes longer than the rest of a decision, and its
 # figures change once a second; what is outstanding here is read for each flow. In a
 # shortage, upstreams that come and go count sooner.
-MAX_AGE_S = 0.5
-MAX_AGE_IN_SHORTAGE_S = 0.05
+MAX_POOL_AGE_S = 0.5
+MAX_POOL_AGE_IN_SHORTAGE_S = 0.05
 
 
 class OutstandingCounter(Protocol):
@@ -120,7 +120,7 @@
         """
         services = self._services_of(route)
         now_s = self._clock.monotonic_s()
-        max_age_s = MAX_AGE_IN_SHORTAGE_S if is_short else MAX_AGE_S
+        max_age_s = MAX_POOL_AGE_IN_SHORTAGE_S if is_short else MAX_POOL_AGE_S
         cached = self._pools.get(services)
         is_stale = cached is None or now_s - cached.built_s >= max_age_s
         if is_stale or cached.table is not table:
--- a/arbutuslift/coordination/routing/randomclusters.py
+++ b/arbutuslift/coordination/routing/randomclusters.py
@@ -19,11 +19,14 @@
 EVIDENCE_PROBABILITY = 1e-6
 # Above this mean, the normal distribution is close to the Poisson distribution.
 _MAX_EXACT_MEAN = 100.0
+# Quantiles of the normal distribution, in standard deviations.
 _DEVIATIONS = {
     WAIT_PROBABILITY: 2.58,
     FULL_PROBABILITY: 1.65,
     EVIDENCE_PROBABILITY: 4.76,
 }
+# Precision of a mean that is found by bisection.
+_MEAN_PRECISION = 0.01
 
 
 def ordinary_limit(capacity: float) -> float:
@@ -46,7 +49,7 @@
 def mean_below(number: int) -> float:
     """Return the highest mean at which a number is seldom exceeded."""
     low, high = 0.0, float(number)
-    while high - low > 0.01:
+    while high - low > _MEAN_PRECISION:
         mean = (low + high) / 2
         is_rare = _rare_number(round(mean, 3), FULL_PROBABILITY) <= number + 1
         low, high = (mean, high) if is_rare else (low, mean)
--- a/arbutuslift/coordination/routing/servicepool.py
+++ b/arbutuslift/coordination/routing/servicepool.py
@@ -9,7 +9,7 @@
 
 # A caller has its answer in time if the request waits and runs for half of the aim.
 # The other half is for the network, further attempts and the spread of the work.
-AIM_FRACTION = 0.5
+ANSWER_AIM_FRACTION = 0.5
 
 
 @frozen(kw_only=True)
@@ -138,7 +138,7 @@
             room = min(room, places) if work_s else places
         if upstream.cold_new_flows_per_s > 0:
             # The requests that the limited rate keeps outstanding.
-            stay_s = work_s or AIM_FRACTION * aim_s
+            stay_s = work_s or ANSWER_AIM_FRACTION * aim_s
             room = min(room, upstream.cold_new_flows_per_s * stay_s)
         return room
 
@@ -148,4 +148,4 @@
 
     It is 1 if the work isn't known.
     """
-    return max(1.0, AIM_FRACTION * aim_s / work_s) if work_s else 1.0
+    return max(1.0, ANSWER_AIM_FRACTION * aim_s / work_s) if work_s else 1.0
--- a/arbutuslift/coordination/routing/synhedging.py
+++ b/arbutuslift/coordination/routing/synhedging.py
@@ -11,7 +11,8 @@
 from ...state.routingtable import Route
 from ...state.slidingwindow import SlidingWindowLog
 from ...transport.callerpackets import CallerPacket
-from .flowtagrouter import Decision, FlowTagRouter
+from .flowtagrouter import FlowTagRouter
+from .packetdecision import Decision
 from .retransmissiontimeout import RetransmissionTimeout
 from .trackedflows import TrackedFlow
 from .upstreamselector import UpstreamSelector
--- a/arbutuslift/coordination/routing/waitingflows.py
+++ b/arbutuslift/coordination/routing/waitingflows.py
@@ -14,7 +14,9 @@
 # opened. The bound on the wait leaves 50 ms for a late timer and the network.
 STALE_S = 0.19
 MAX_WAIT_S = 0.15
-AIM_FRACTION = 0.25
+# Part of the aim that a SYN may wait; the rest is for the request itself.
+WAIT_AIM_FRACTION = 0.25
+# Bounds the memory of SYNs that wait.
 MAX_WAITING = 512
 
 Rank = TypeVar("Rank")
@@ -22,7 +24,7 @@
 
 def max_wait_s(aim_s: float) -> float:
     """Return how long a SYN may wait, by the aim of its route."""
-    return min(MAX_WAIT_S, AIM_FRACTION * aim_s)
+    return min(MAX_WAIT_S, WAIT_AIM_FRACTION * aim_s)
 
 
 @frozen(kw_only=True, eq=False)
--- a/arbutuslift/state/queuemodel.py
+++ b/arbutuslift/state/queuemodel.py
@@ -5,6 +5,7 @@
 from functools import lru_cache
 from math import sqrt
 
+# Utilisations at which the model is computed; between them it is interpolated.
 _POINTS = 200
 
 
--- a/tests/coordination/routing/admissionsim.py
+++ b/tests/coordination/routing/admissionsim.py
@@ -8,7 +8,10 @@
 from attrs import define, evolve, field
 
 from arbutuslift.clock import ManualClock
-from arbutuslift.coordination.routing.admissiongate import TICK_S, AdmissionGate
+from arbutuslift.coordination.routing.admissiongate import (
+    RELEASE_INTERVAL_S,
+    AdmissionGate,
+)
 from arbutuslift.coordination.routing.flowadmission import FlowAdmission
 from arbutuslift.coordination.routing.packetdecision import Decision, Verdict
 from arbutuslift.coordination.routing.servicepool import PooledUpstream, ServicePool
@@ -139,7 +142,7 @@
             action(*arguments)
 
     def _tick(self):
-        self.at(self.now_s + TICK_S, self._tick)
+        self.at(self.now_s + RELEASE_INTERVAL_S, self._tick)
         for instance in self.instances:
             for packet, decision in instance.gate.release(self._router(instance)):
                 self._carry_out(instance, packet, decision)
