Split the long decisions of admission into their steps

AdmissionGate.check, FlowAdmission.reconsider and PoolSource._build each did several steps. The admission without a pool, the choice between a new and a waiting flow, the decision in a shortage and the pool by the shared view are functions now. The order of calls and the decisions are unchanged.

--- a/arbutuslift/coordination/routing/admissiongate.py
+++ b/arbutuslift/coordination/routing/admissiongate.py
@@ -78,26 +78,12 @@
         item = self._waiting.get(packet.flow)
         if item is not None and item.packet is not packet:
             return Decision(Verdict.SYN_WAITS)
-        if item is None:
-            name = self._pools.record_arrival(route)
-            is_admitted = not self._waiting.count(name) and self._admission.try_admit(
-                name,
-                self._pools.outstanding(route),
-                route.key,
-                route.priority,
-                route.aim_s,
-            )
-            if is_admitted:
-                return None
+        if item is None and self._try_admit(route):
+            return None
         is_short = len(self._waiting) > 0 or self._admission.count_shortages() > 0
         pool = self._pools.pool_of(route, table, is_short=is_short)
         request = _request(packet, route, pool, has_failed)
-        count = self._waiting.count(pool.name)
-        if item is None:
-            decision = self._admission.decide(request, count)
-        else:
-            is_due = item.due_s <= self._clock.boottime_s()
-            decision = self._admission.reconsider(request, count, is_due=is_due)
+        decision = self._decide(request, item)
         if decision.outcome is Outcome.ADMIT:
             return None
         if decision.outcome is Outcome.REJECT:
@@ -169,6 +155,30 @@
         """End shortages that nothing shows any more; called about every second."""
         self._admission.expire()
 
+    def _try_admit(self, route: Route) -> bool:
+        """Count a new flow and admit it if nothing waits or shows a shortage.
+
+        This decides about most flows without the cost of building a pool.
+        """
+        pool = self._pools.record_arrival(route)
+        return not self._waiting.count(pool) and self._admission.try_admit(
+            pool,
+            self._pools.outstanding(route),
+            route.key,
+            route.priority,
+            route.aim_s,
+        )
+
+    def _decide(
+        self, request: AdmissionRequest, item: WaitingFlow | None
+    ) -> AdmissionDecision:
+        """Return the decision about a flow, which may already wait as ``item``."""
+        count = self._waiting.count(request.pool.name)
+        if item is None:
+            return self._admission.decide(request, count)
+        is_due = item.due_s <= self._clock.boottime_s()
+        return self._admission.reconsider(request, count, is_due=is_due)
+
     def _add(self, packet: CallerPacket, request: AdmissionRequest) -> None:
         now_s = self._clock.boottime_s()
         displaced = self._waiting.add(
--- a/arbutuslift/coordination/routing/flowadmission.py
+++ b/arbutuslift/coordination/routing/flowadmission.py
@@ -181,12 +181,17 @@
         if request.aim_s <= 0.0 and request.timeout_s <= 0.0:
             return _NO_AIM
         figures = self._measure(request, waiting)
-        if not figures.is_short:
-            if figures.outstanding < figures.limit:
-                return _decision(Outcome.ADMIT, Reason.BELOW_CAPACITY, figures)
-            if is_due:
-                return _decision(Outcome.ADMIT, Reason.NO_SHORTAGE, figures)
-            return _decision(Outcome.WAIT, Reason.AT_CAPACITY, figures)
+        if figures.is_short:
+            return self._decide_in_shortage(request, figures, is_due=is_due)
+        if figures.outstanding < figures.limit:
+            return _decision(Outcome.ADMIT, Reason.BELOW_CAPACITY, figures)
+        if is_due:
+            return _decision(Outcome.ADMIT, Reason.NO_SHORTAGE, figures)
+        return _decision(Outcome.WAIT, Reason.AT_CAPACITY, figures)
+
+    def _decide_in_shortage(
+        self, request: AdmissionRequest, figures: AdmissionFigures, *, is_due: bool
+    ) -> AdmissionDecision:
         if self._is_too_late(request, figures):
             return _decision(Outcome.REJECT, Reason.TIME_OUT_TOO_NEAR, figures)
         reason = self._reason_to_admit(request, figures)
--- a/arbutuslift/coordination/routing/poolsource.py
+++ b/arbutuslift/coordination/routing/poolsource.py
@@ -147,18 +147,32 @@
             for service in services
             for tracked in self._selector.eligible(service, table)
         ]
+        if self._view is not None and self._view.is_usable:
+            return self._build_by_view(services, eligible, table, now_s)
+        share = 1.0 / self._selector.entry_count
+        return self._pool(_name(services), eligible, table, share, now_s)
+
+    def _build_by_view(
+        self,
+        services: tuple[str, ...],
+        eligible: list[TrackedStart],
+        table: RoutingTable,
+        now_s: float,
+    ) -> ServicePool:
+        """Return the pool of the own data centre's upstreams.
+
+        If there are none, it holds those of all data centres, and the share is that of
+        the whole demand.
+        """
         name = _name(services)
-        view = self._view
-        if view is None or not view.is_usable:
-            share = 1.0 / self._selector.entry_count
-            return self._pool(name, eligible, table, share, now_s)
+        instances = self._view.instances
         centres = {tracked.start.data_centre for tracked in eligible}
         rows = self._rows(services, centres | {self._data_centre})
         here = [row for row in rows if row.data_centre == self._data_centre]
         own_per_s = sum(row.arrivals_per_s for row in here)
         demand = self._demand_of(name)
-        demand.observe_total(own_per_s, view.instances, now_s)
-        share = demand.share(view.instances, now_s)
+        demand.observe_total(own_per_s, instances, now_s)
+        share = demand.share(instances, now_s)
         all_per_s = sum(row.arrivals_per_s for row in rows)
         share_of_all = (share * own_per_s / all_per_s if all_per_s else 0.0) or share
         local = [k for k in eligible if k.start.data_centre == self._data_centre]
