Rank waiting flows whose pool was removed for newer pools

FlowAdmission keeps the shares of at most 1024 pools and removes the oldest. If SYNs still waited for that pool, rank raised KeyError, which ended the task that releases them. It now ranks them as flows of a route without credit.

--- a/arbutuslift/coordination/routing/flowadmission.py
+++ b/arbutuslift/coordination/routing/flowadmission.py
@@ -221,7 +221,8 @@
 
     def rank(self, pool: str, route: RouteKey, is_retry: bool) -> tuple:
         """Return the position of flows among those that wait; the least is next."""
-        return self._shares[pool].rank(route, is_retry)
+        # The shares of a pool may have been removed while SYNs wait for it.
+        return self._shares_of(pool).rank(route, is_retry)
 
     def expire(self) -> None:
         """End shortages of pools without any new flow for some time."""
--- a/tests/coordination/routing/test_flowadmission.py
+++ b/tests/coordination/routing/test_flowadmission.py
@@ -8,6 +8,7 @@
 
 from arbutuslift.clock import ManualClock
 from arbutuslift.coordination.routing.flowadmission import (
+    MAX_POOLS,
     AdmissionRequest,
     FlowAdmission,
     Outcome,
@@ -175,3 +176,14 @@
         clock.jump(0.01)
         admitted += load.has_room(part, 0.5, clock.monotonic_s())
     assert admitted == pytest.approx(10 * 0.5 / 0.1, rel=0.1)
+
+
+def test_flows_are_ranked_after_their_pool_was_removed_for_newer_ones():
+    """Guards against an error that ends the task which releases what waits."""
+    admission = FlowAdmission(ManualClock())
+    for number in range(MAX_POOLS + 1):
+        admission.decide(request(pool(name=f"p-{number}")))
+    first_attempt, retry = (
+        admission.rank("p-0", (b"", 1), is_retry) for is_retry in (False, True)
+    )
+    assert retry < first_attempt
