Keep the hold-down of shares after a start or suspension in one place

ServiceLimiter repeated how AdmissionControl detects a suspension, a first plan and the time in which shares stay unused. Both use HoldDown now; the durations and conditions are the same.

test_admission.py, test_shares.py, test_servicelimits.py, test_slotrouter.py, test_limits.py, test_instance.py and test_flow_survival.py: 85 passed; ruff check passes.

--- a/arbutuslift/coordination/routing/servicelimits.py
+++ b/arbutuslift/coordination/routing/servicelimits.py
@@ -8,24 +8,13 @@
 
 from ... import logs
 from ...clock import Clock
-from ...state.admission import (
-    COLD_WINDOW_S,
-    FREEZE_GAP_S,
-    HISTORY_RETENTION_S,
-    TICK_S,
-)
+from ...state.admission import HISTORY_RETENTION_S, TICK_S
 from ...state.flowkey import FlowKey
 from ...state.hashing import rendezvous_order
-from ...state.shares import (
-    MAX_PROPAGATION_S,
-    LimitPlan,
-    LoadLimits,
-    ShareCalculator,
-)
+from ...state.holddown import RATE_WINDOW_S, HoldDown
+from ...state.shares import LimitPlan, LoadLimits, ShareCalculator
 from ...state.slidingwindow import SlidingWindowLog
 
-RATE_WINDOW_S = COLD_WINDOW_S
-
 # Stands for a limit of 0 where the smallest of several plans counts.
 _UNLIMITED = 2**40
 
@@ -115,12 +104,9 @@
         self._limits: dict[str, LoadLimits] = {}
         self._started = defaultdict(self._new_log)
         self._all_started = self._new_log()
-        self._has_plan = False
+        self._hold_down = HoldDown(clock)
         self._has_min_shares = False
         self._at_limit: set[str] = set()
-        self._last_active_s = clock.monotonic_s()
-        # Flows that the previous process of this instance started may still count.
-        self._full_until_s = clock.monotonic_s() + RATE_WINDOW_S
 
     def apply_plan(self, plan: LimitPlan, is_settled: bool = False) -> None:
         """Put the instances and limits of a revision in effect.
@@ -131,9 +117,7 @@
                 If not, a process that has just started uses no share for the
                 propagation time, since it doesn't know which shares others use.
         """
-        if not self._has_plan and not is_settled:
-            self._fill_windows(MAX_PROPAGATION_S)
-        self._has_plan = True
+        self._hold_down.record_plan(is_settled=is_settled)
         self._shares.apply_plan(plan)
         self._limits = {
             named.service: named.limits
@@ -152,13 +136,8 @@
             await self._clock.sleep(TICK_S)
 
     def tick(self) -> None:
-        """Detect that the process was suspended, as AdmissionControl does."""
-        now_s = self._clock.monotonic_s()
-        gap_s, self._last_active_s = now_s - self._last_active_s, now_s
-        if gap_s > MAX_PROPAGATION_S:
-            self._fill_windows(MAX_PROPAGATION_S)
-        elif gap_s > FREEZE_GAP_S:
-            self._fill_windows(RATE_WINDOW_S)
+        """Detect that the process was suspended."""
+        self._hold_down.tick()
 
     def decide(self, service: str) -> LimitDecision:
         """Decide whether a new flow of a service may start now."""
@@ -231,7 +210,7 @@
 
     def _compare(self, reason: str, share: int, used: int) -> LimitDecision:
         outcome = LimitOutcome.ADMIT
-        if share <= 0 or self._clock.monotonic_s() < self._full_until_s:
+        if share <= 0 or self._hold_down.is_active:
             outcome = LimitOutcome.RELAY
         elif used >= share:
             outcome = LimitOutcome.REJECT
@@ -243,10 +222,6 @@
     def _share(self, service: str, total_of: Callable[[LoadLimits], int]) -> int:
         return self._shares.share(service, _share_key(service), total_of)
 
-    def _fill_windows(self, duration_s: float) -> None:
-        full_until_s = self._clock.monotonic_s() + duration_s
-        self._full_until_s = max(self._full_until_s, full_until_s)
-
     def _new_log(self) -> SlidingWindowLog:
         return SlidingWindowLog(self._clock, HISTORY_RETENTION_S)
 
--- a/arbutuslift/state/admission.py
+++ b/arbutuslift/state/admission.py
@@ -10,18 +10,18 @@
 from .coldstarts import ColdStarts
 from .flowkey import FlowKey
 from .hashing import rendezvous_order
+from .holddown import RATE_WINDOW_S, HoldDown
 from .priorities import (
     MAX_SPACING_WINDOWS,
     URGENT,
     limit_of_priority,
     spacing_windows,
 )
-from .shares import MAX_PROPAGATION_S, LimitPlan, ShareCalculator, UpstreamLimits
+from .shares import LimitPlan, ShareCalculator, UpstreamLimits
 from .slidingwindow import SlidingWindowLog
 from .upstreams import UpstreamRecord, UpstreamView
 
-COLD_WINDOW_S = 1.0
-FREEZE_GAP_S = 1.0
+COLD_WINDOW_S = RATE_WINDOW_S
 TICK_S = 0.25
 
 # An upstream's report may not yet count flows admitted within this time before it.
@@ -149,12 +149,7 @@
         self._shares = ShareCalculator(clock, instance)
         self._cold = ColdStarts(clock, view)
         self._histories: OrderedDict[str, AdmissionHistory] = OrderedDict()
-        self._last_active_s = clock.monotonic_s()
-        # Admissions by the previous process of this instance, or by this process
-        # before it was suspended, may still count against the window.
-        self._full_until_s = 0.0
-        self._fill_windows(COLD_WINDOW_S)
-        self._has_plan = False
+        self._hold_down = HoldDown(clock)
 
     def apply_plan(self, plan: LimitPlan, is_settled: bool = False) -> None:
         """Put the instances and limits of a revision in effect.
@@ -166,9 +161,7 @@
                 cold upstreams for the propagation time, since it doesn't know which
                 shares the others use until then.
         """
-        if not self._has_plan and not is_settled:
-            self._fill_windows(MAX_PROPAGATION_S)
-        self._has_plan = True
+        self._hold_down.record_plan(is_settled=is_settled)
         self._shares.apply_plan(plan)
 
     async def run(self) -> None:
@@ -179,15 +172,7 @@
 
     def tick(self) -> None:
         """Detect that the process was suspended and remove expired histories."""
-        now_s = self._clock.monotonic_s()
-        gap_s = now_s - self._last_active_s
-        if gap_s > MAX_PROPAGATION_S:
-            # The other instances may have completed a transition to a revision that
-            # this instance hasn't received yet.
-            self._fill_windows(MAX_PROPAGATION_S)
-        elif gap_s > FREEZE_GAP_S:
-            self._fill_windows(COLD_WINDOW_S)
-        self._last_active_s = now_s
+        self._hold_down.tick()
         while self._histories:
             address, history = next(iter(self._histories.items()))
             if not history.is_idle:
@@ -253,10 +238,6 @@
         order = rendezvous_order(flow.to_bytes(), candidates)
         return order[0] if order else None
 
-    def _fill_windows(self, duration_s: float) -> None:
-        full_until_s = self._clock.monotonic_s() + duration_s
-        self._full_until_s = max(self._full_until_s, full_until_s)
-
     def _share(
         self, record: UpstreamRecord, total_of: Callable[[UpstreamLimits], int]
     ) -> int:
@@ -265,7 +246,7 @@
     def _cold_budget(
         self, record: UpstreamRecord, priority: str, is_busy: bool
     ) -> Budget:
-        if self._clock.monotonic_s() < self._full_until_s:
+        if self._hold_down.is_active:
             return NO_BUDGET
         share = self._share(record, _cold_limit)
         units = limit_of_priority(share, priority, is_busy)
