Find the instance that a SYN is relayed to in one place

ServiceLimiter and AdmissionControl each chose the first alive instance with a share; ShareCalculator.first_sharing does so for both. The parameter address of the divisions, which also gets the key of a service, is called key.

--- a/arbutuslift/coordination/routing/servicelimits.py
+++ b/arbutuslift/coordination/routing/servicelimits.py
@@ -10,7 +10,6 @@
 from ...clock import Clock
 from ...state.admission import HISTORY_RETENTION_S, TICK_S
 from ...state.flowkey import FlowKey
-from ...state.hashing import rendezvous_order
 from ...state.holddown import RATE_WINDOW_S, HoldDown
 from ...state.shares import LimitPlan, LoadLimits, ShareCalculator
 from ...state.slidingwindow import SlidingWindowLog
@@ -97,7 +96,6 @@
     ) -> None:
         self.is_limited = False
         self._clock = clock
-        self._instance = instance
         self._usage = usage
         self._alive_instances = alive_instances
         self._shares = ShareCalculator(clock, instance)
@@ -182,12 +180,9 @@
         if limits is None or self.decide(service).outcome != LimitOutcome.RELAY:
             return None
         total = min(_rate_limit(limits), self._free_requests(service, limits))
-        sharing = self._shares.plan.instances_with_share(_share_key(service), total)
-        alive = set(self._alive_instances()) - {self._instance}
-        order = rendezvous_order(
-            flow.to_bytes(), [name for name in sharing if name in alive]
+        return self._shares.first_sharing(
+            _share_key(service), total, flow, self._alive_instances()
         )
-        return order[0] if order else None
 
     def _decide_rate(self, service: str, limits: LoadLimits) -> LimitDecision:
         if not limits.max_new_flows_per_s:
--- a/arbutuslift/state/admission.py
+++ b/arbutuslift/state/admission.py
@@ -9,7 +9,6 @@
 from ..clock import Clock
 from .coldstarts import ColdStarts
 from .flowkey import FlowKey
-from .hashing import rendezvous_order
 from .holddown import RATE_WINDOW_S, HoldDown
 from .priorities import (
     MAX_SPACING_WINDOWS,
@@ -144,7 +143,6 @@
     ) -> None:
         self._clock = clock
         self._view = view
-        self._instance = instance
         self._alive_instances = alive_instances
         self._shares = ShareCalculator(clock, instance)
         self._cold = ColdStarts(clock, view)
@@ -230,13 +228,10 @@
         """
         if not self.is_cold(record) or self._share(record, _cold_limit) > 0:
             return None
-        plan = self._shares.plan
-        total = _cold_limit(plan.limits_of(record.service))
-        alive = set(self._alive_instances()) - {self._instance}
-        sharing_instances = plan.instances_with_share(record.address, total)
-        candidates = [name for name in sharing_instances if name in alive]
-        order = rendezvous_order(flow.to_bytes(), candidates)
-        return order[0] if order else None
+        total = _cold_limit(self._shares.limits_of(record.service))
+        return self._shares.first_sharing(
+            record.address, total, flow, self._alive_instances()
+        )
 
     def _share(
         self, record: UpstreamRecord, total_of: Callable[[UpstreamLimits], int]
--- a/arbutuslift/state/shares.py
+++ b/arbutuslift/state/shares.py
@@ -5,14 +5,15 @@
 limit of the address in the same way as those that have.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from functools import lru_cache
 
 import numpy as np
 from attrs import field, frozen
 
 from ..clock import Clock
-from .hashing import hash_64
+from .flowkey import FlowKey
+from .hashing import hash_64, rendezvous_order
 
 # Every instance puts a new revision in effect within this time.
 MAX_PROPAGATION_S = 5.0
@@ -97,23 +98,29 @@
         """Return the position of an instance, or None if it isn't listed."""
         return self._ordinals.get(instance)
 
-    def share(self, instance: str, address: str, total: int) -> int:
-        """Return an instance's share of ``total`` units of an upstream's limit."""
+    def share(self, instance: str, key: str, total: int) -> int:
+        """Return an instance's share of ``total`` units.
+
+        Args:
+            instance: Name of the instance.
+            key: What the limit is for: the address of an upstream, or a service.
+            total: Units of the limit.
+        """
         ordinal = self.ordinal_of(instance)
         if ordinal is None or total <= 0:
             return 0
-        return share_of_ordinal(address, len(self.instances), ordinal, total)
+        return share_of_ordinal(key, len(self.instances), ordinal, total)
 
-    def instances_with_share(self, address: str, total: int) -> list[str]:
+    def instances_with_share(self, key: str, total: int) -> list[str]:
         """Return the instances whose share of ``total`` units isn't 0."""
         count = len(self.instances)
         if total >= count:
             return list(self.instances)
-        order = ordinal_order(address, count)
+        order = ordinal_order(key, count)
         return [self.instances[ordinal] for ordinal in order[: max(0, total)]]
 
 
-def share_of_ordinal(address: str, count: int, ordinal: int, total: int) -> int:
+def share_of_ordinal(key: str, count: int, ordinal: int, total: int) -> int:
     """Return the share of ``total`` that one of ``count`` ordinals gets.
 
     The shares of all ordinals add up to ``total``.
@@ -121,24 +128,24 @@
     base, remainder = divmod(total, count)
     if remainder == 0:
         return base
-    return base + (ordinal_rank(address, count, ordinal) < remainder)
+    return base + (ordinal_rank(key, count, ordinal) < remainder)
 
 
-def ordinal_order(address: str, count: int) -> list[int]:
-    """Return all ordinals in the rendezvous order of an address."""
-    return np.argsort(~_scores(address, count), kind="stable").tolist()
+def ordinal_order(key: str, count: int) -> list[int]:
+    """Return all ordinals in the rendezvous order of a key."""
+    return np.argsort(~_scores(key, count), kind="stable").tolist()
 
 
 @lru_cache(maxsize=65_536)
-def ordinal_rank(address: str, count: int, ordinal: int) -> int:
-    """Return the position of an ordinal in the rendezvous order of an address."""
-    scores = _scores(address, count)
+def ordinal_rank(key: str, count: int, ordinal: int) -> int:
+    """Return the position of an ordinal in the rendezvous order of a key."""
+    scores = _scores(key, count)
     return int(np.count_nonzero(scores > scores[ordinal]))
 
 
-def _scores(address: str, count: int) -> np.ndarray:
+def _scores(key: str, count: int) -> np.ndarray:
     """Return a distinct 64-bit score per ordinal, by the splitmix64 finalizer."""
-    seed = np.uint64(hash_64(b"share", address.encode()))
+    seed = np.uint64(hash_64(b"share", key.encode()))
     ordinals = np.arange(1, count + 1, dtype=np.uint64)
     value = seed + ordinals * np.uint64(0x9E3779B97F4A7C15)
     value = (value ^ (value >> np.uint64(30))) * np.uint64(0xBF58476D1CE4E5B9)
@@ -197,27 +204,47 @@
     def share(
         self,
         service: str,
-        address: str,
+        key: str,
         total_of: Callable[[Limits], int],
     ) -> int:
-        """Return this instance's share of an upstream's limit.
+        """Return this instance's share of a limit.
 
         Args:
-            service: Name of the upstream's service.
-            address: Address of the upstream.
+            service: Service with the limit.
+            key: What the limit is for; see :meth:`LimitPlan.share`.
             total_of: Selects the limit to divide.
         """
         limits = self.plan.limits_of(service)
         if limits is None or self._clock.monotonic_s() < self._overflow_until_s:
             return 0
-        share = self.plan.share(self._instance, address, total_of(limits))
+        share = self.plan.share(self._instance, key, total_of(limits))
         for previous in self._unexpired_previous_plans():
             limits = previous.plan.limits_of(service)
             if limits is not None:
                 total = total_of(limits)
-                share = min(share, previous.plan.share(self._instance, address, total))
+                share = min(share, previous.plan.share(self._instance, key, total))
         return share
 
+    def first_sharing(
+        self, key: str, total: int, flow: FlowKey, alive: Iterable[str]
+    ) -> str | None:
+        """Return another alive instance with a share, None if there is none.
+
+        It is the first one in the rendezvous order of the flow key, so that every copy
+        of a SYN goes to the same instance.
+
+        Args:
+            key: What the limit is for; see :meth:`LimitPlan.share`.
+            total: Units of the limit.
+            flow: Key of the flow.
+            alive: Names of the instances that are alive.
+        """
+        others = set(alive) - {self._instance}
+        sharing = self.plan.instances_with_share(key, total)
+        candidates = [name for name in sharing if name in others]
+        order = rendezvous_order(flow.to_bytes(), candidates)
+        return order[0] if order else None
+
     def _unexpired_previous_plans(self) -> list[PreviousPlan]:
         if self._previous_plans:
             now_s = self._clock.monotonic_s()
