--- a/arbutuslift/coordination/dissemination/announcedload.py
+++ b/arbutuslift/coordination/dissemination/announcedload.py
@@ -13,7 +13,14 @@
 
 @define
 class _Announced:
-    """Sums of the announcements of one service in one data centre."""
+    """Sums of the announcements of one service in one data centre.
+
+    Attributes:
+        upstreams: Upstreams that accept new flows.
+        slots: Slots of these.
+        busy_slots: Slots in use at all upstreams.
+        age_s: Age of the oldest announcement.
+    """
 
     upstreams: int = 0
     slots: int = 0
--- a/arbutuslift/coordination/dissemination/loadquery.py
+++ b/arbutuslift/coordination/dissemination/loadquery.py
@@ -9,6 +9,7 @@
 from ...protocol.operators import OperatorPing, OperatorPong
 from ...state.loadfigures import ServiceLoad
 
+# Bounds the size of an answer.
 MAX_LOAD_ROWS = 5000
 
 
--- a/arbutuslift/coordination/dissemination/loadregistry.py
+++ b/arbutuslift/coordination/dissemination/loadregistry.py
@@ -15,7 +15,7 @@
     check_totals,
 )
 from ...state.loadfigures import ServiceLoad
-from ...state.starts import UpstreamStart
+from ...state.starts import StartKey, UpstreamStart
 from .loadsums import UpstreamSums
 from .serviceloads import LocatedLoad, merge_rows, rows_of_reports
 from .startregistry import StartRegistry
@@ -31,6 +31,8 @@
 MAX_SUMMARY_UPSTREAMS = 32
 # Bound on the retained reports, several times the number of entry instances.
 MAX_INSTANCES = 5000
+# Characters of a reported name in an error.
+MAX_NAME_IN_ERROR = 64
 
 
 @frozen
@@ -57,7 +59,8 @@
         starts: Starts of upstreams, for their services, data centres and slots.
 
     Attributes:
-        outcomes: Number of reports and totals by what became of them.
+        outcomes: Numbers of accepted reports, and of refused reports and totals by
+            the reason.
     """
 
     def __init__(self, clock: Clock, starts: StartRegistry) -> None:
@@ -191,7 +194,8 @@
         self, peer: str, report: LoadReport, previous: LoadReport
     ) -> None:
         if report.data_centre != previous.data_centre:
-            reason = f"{report.data_centre[:64]} instead of {previous.data_centre}"
+            reported = report.data_centre[:MAX_NAME_IN_ERROR]
+            reason = f"{reported} instead of {previous.data_centre}"
             raise self._refusal("data_centre", reason, peer)
         if report.sequence <= previous.sequence:
             reason = f"sequence {report.sequence}, not over {previous.sequence}"
@@ -202,7 +206,7 @@
         return MessageError(reason, step="receive load", peer=peer)
 
     def _summary(self, report: LoadReport) -> LoadSummary:
-        reported = {(load.upstream_id, load.born_ms) for load in report.upstreams}
+        reported = {load.key for load in report.upstreams}
         others = [
             key for key in self._keys_in(report.data_centre) if key not in reported
         ]
@@ -215,7 +219,7 @@
             services=self.services(),
         )
 
-    def _keys_in(self, data_centre: str) -> list[tuple[str, int]]:
+    def _keys_in(self, data_centre: str) -> list[StartKey]:
         """Return the keys of the starts in a data centre that have a sum."""
         located = ((self._start_of(key), key) for key in self._sums)
         return [
@@ -233,7 +237,7 @@
             if start is not None
         ]
 
-    def _start_of(self, key: tuple[str, int]) -> UpstreamStart | None:
+    def _start_of(self, key: StartKey) -> UpstreamStart | None:
         """Return the start with a key, None if it isn't known or was replaced."""
         start = self._starts.find(key[0])
         return start if start is not None and start.key == key else None
--- a/arbutuslift/coordination/routing/admissiongate.py
+++ b/arbutuslift/coordination/routing/admissiongate.py
@@ -4,9 +4,8 @@
 from collections.abc import Callable, Iterator
 
 from ...clock import Clock
-from ...state.routingtable import Route, RoutingTable
+from ...state.routingtable import Route, RouteKey, RoutingTable
 from ...transport.callerpackets import CallerPacket
-from .fairshares import RouteKey
 from .flowadmission import (
     AdmissionDecision,
     AdmissionRequest,
@@ -20,9 +19,9 @@
 from .upstreamselector import UpstreamSelector
 from .waitingflows import WaitingFlow, WaitingFlows, max_wait_s
 
-# Time between two looks at what waits: a fraction of the shortest work, during which a
-# slot becomes free.
-TICK_S = 0.01
+# Interval between checks of the SYNs that wait: a fraction of the shortest work, after
+# which a slot becomes free.
+RELEASE_INTERVAL_S = 0.01
 # A caller sends copies of its SYN after these times, by the number of earlier copies.
 COPY_TIMES_S = (0.0, 0.2, 0.6)
 
@@ -39,9 +38,6 @@
         admission: Decides.
         waiting: Holds the SYNs that wait.
         pools: Pools of routes.
-
-    Attributes:
-        waits: New flows that had to wait so far.
     """
 
     def __init__(
@@ -51,7 +47,6 @@
         waiting: WaitingFlows,
         pools: PoolSource,
     ) -> None:
-        self.waits = 0
         self._clock = clock
         self._admission = admission
         self._waiting = waiting
@@ -83,26 +78,12 @@
         item = self._waiting.get(packet.flow)
         if item is not None and item.packet is not packet:
             return Decision(Verdict.SYN_WAITS)
-        if item is None:
-            name = self._pools.record_arrival(route)
-            is_admitted = not self._waiting.count(name) and self._admission.try_admit(
-                name,
-                self._pools.outstanding(route),
-                (route.ip, route.port),
-                route.priority,
-                route.aim_s,
-            )
-            if is_admitted:
-                return None
+        if item is None and self._try_admit(route):
+            return None
         is_short = len(self._waiting) > 0 or self._admission.count_shortages() > 0
         pool = self._pools.pool_of(route, table, is_short=is_short)
         request = _request(packet, route, pool, has_failed)
-        count = self._waiting.count(pool.name)
-        if item is None:
-            decision = self._admission.decide(request, count)
-        else:
-            is_due = item.due_s <= self._clock.boottime_s()
-            decision = self._admission.reconsider(request, count, is_due=is_due)
+        decision = self._decide(request, item)
         if decision.outcome is Outcome.ADMIT:
             return None
         if decision.outcome is Outcome.REJECT:
@@ -164,7 +145,7 @@
         """Release what waits, also while no packet arrives, until cancelled."""
         while True:
             await self._has_waiting.wait()
-            await self._clock.sleep(TICK_S)
+            await self._clock.sleep(RELEASE_INTERVAL_S)
             for packet, decision in self.release(route_packet):
                 carry_out(packet, decision)
             if not self._waiting:
@@ -174,9 +155,32 @@
         """End shortages that nothing shows any more; called about every second."""
         self._admission.expire()
 
+    def _try_admit(self, route: Route) -> bool:
+        """Count a new flow and admit it if nothing waits or shows a shortage.
+
+        This decides about most flows without the cost of building a pool.
+        """
+        pool = self._pools.record_arrival(route)
+        return not self._waiting.count(pool) and self._admission.try_admit(
+            pool,
+            self._pools.outstanding(route),
+            route.key,
+            route.priority,
+            route.aim_s,
+        )
+
+    def _decide(
+        self, request: AdmissionRequest, item: WaitingFlow | None
+    ) -> AdmissionDecision:
+        """Return the decision about a flow, which may already wait as ``item``."""
+        count = self._waiting.count(request.pool.name)
+        if item is None:
+            return self._admission.decide(request, count)
+        is_due = item.due_s <= self._clock.boottime_s()
+        return self._admission.reconsider(request, count, is_due=is_due)
+
     def _add(self, packet: CallerPacket, request: AdmissionRequest) -> None:
         now_s = self._clock.boottime_s()
-        self.waits += 1
         displaced = self._waiting.add(
             WaitingFlow(
                 packet=packet,
@@ -213,7 +217,7 @@
 ) -> AdmissionRequest:
     copies = min(packet.ack, len(COPY_TIMES_S) - 1)
     return AdmissionRequest(
-        route=(route.ip, route.port),
+        route=route.key,
         pool=pool,
         priority=route.priority,
         aim_s=route.aim_s,
--- a/arbutuslift/coordination/routing/loadtracker.py
+++ b/arbutuslift/coordination/routing/loadtracker.py
@@ -4,7 +4,7 @@
 
 from ...clock import Clock
 from ...state.loadfigures import ServiceDemand, UpstreamLoad
-from ...state.starts import UpstreamStart
+from ...state.starts import StartKey, UpstreamStart
 from .flowobserver import FlowObserver
 
 # A caller ends an attempt after 1.4 s without an answer to its SYN.
@@ -103,11 +103,11 @@
         self._clock = clock
         self._data_centre = data_centre
         self._began_s = clock.monotonic_s()
-        self._starts: dict[tuple[str, int], _StartCounts] = {}
+        self._starts: dict[StartKey, _StartCounts] = {}
         self._services: dict[str, _ServiceCounts] = {}
         self._outstanding: dict[bytes, _Outstanding] = {}
 
-    def outstanding(self, key: tuple[str, int]) -> int:
+    def outstanding(self, key: StartKey) -> int:
         """Return the requests and opening flows at a start that wait for an answer."""
         counts = self._starts.get(key)
         return counts.now if counts else 0
@@ -152,7 +152,7 @@
         counts.open_flows += 1
         if is_opening:
             now_s = self._clock.monotonic_s()
-            self._add(flow, counts, True, now_s, now_s + OPENING_TIMEOUT_S)
+            self._add(flow, counts, now_s, now_s + OPENING_TIMEOUT_S, is_opening=True)
 
     def close_flow(self, start: UpstreamStart) -> None:
         """Count a flow as no longer open."""
@@ -168,7 +168,7 @@
         if flow in self._outstanding:
             self._remove(flow, now_s)
         end_s = now_s + timeout_s if timeout_s > 0 else float("inf")
-        self._add(flow, self._start(start), False, now_s, end_s)
+        self._add(flow, self._start(start), now_s, end_s, is_opening=False)
 
     def record_progress(self, flow: bytes) -> None:
         """Count a flow as open if it was opening."""
@@ -200,9 +200,10 @@
         self,
         flow: bytes,
         counts: _StartCounts,
-        is_opening: bool,
         now_s: float,
         end_s: float,
+        *,
+        is_opening: bool,
     ) -> None:
         counts.now += 1
         counts.sum_s -= now_s
@@ -233,7 +234,7 @@
 
     def _take_start(
         self,
-        key: tuple[str, int],
+        key: StartKey,
         counts: _StartCounts,
         now_s: float,
         interval_s: float,
--- a/arbutuslift/coordination/routing/poolsource.py
+++ b/arbutuslift/coordination/routing/poolsource.py
@@ -6,23 +6,24 @@
 
 from ...clock import Clock
 from ...state.loadfigures import ServiceLoad, UpstreamLoad
-from ...state.routingtable import Route, RoutingTable
+from ...state.routingtable import Route, RouteKey, RoutingTable
+from ...state.starts import StartKey
 from .demandshare import DemandShare
-from .servicepool import Key, PooledUpstream, ServicePool
+from .servicepool import PooledUpstream, ServicePool
 from .trackedstart import TrackedStart
 from .upstreamselector import COLD_SHARED_FRACTION, UpstreamSelector
 
 # Greatest age of a pool. Building one takes longer than the rest of a decision, and its
 # figures change once a second; what is outstanding here is read for each flow. In a
 # shortage, upstreams that come and go count sooner.
-MAX_AGE_S = 0.5
-MAX_AGE_IN_SHORTAGE_S = 0.05
+MAX_POOL_AGE_S = 0.5
+MAX_POOL_AGE_IN_SHORTAGE_S = 0.05
 
 
 class OutstandingCounter(Protocol):
     """Counts what is outstanding through this instance."""
 
-    def outstanding(self, key: Key) -> int:
+    def outstanding(self, key: StartKey) -> int:
         """Return the requests without an answer at a start."""
 
     def outstanding_of_service(self, service: str) -> int:
@@ -38,7 +39,7 @@
     def is_usable(self) -> bool:
         """Return whether it is recent enough for decisions."""
 
-    def upstream(self, key: Key) -> UpstreamLoad | None:
+    def upstream(self, key: StartKey) -> UpstreamLoad | None:
         """Return the load of a start, None if it isn't known."""
 
     def service(self, service: str, data_centre: str) -> ServiceLoad | None:
@@ -93,7 +94,7 @@
         self._view = view
         self._queue_length = queue_length
         self._pools: dict[tuple[str, ...], _Pool] = {}
-        self._services: dict[tuple[bytes, int], tuple[Route, tuple[str, ...]]] = {}
+        self._services: dict[RouteKey, tuple[Route, tuple[str, ...]]] = {}
         self._demand: dict[str, DemandShare] = {}
 
     def record_arrival(self, route: Route) -> str:
@@ -119,7 +120,7 @@
         """
         services = self._services_of(route)
         now_s = self._clock.monotonic_s()
-        max_age_s = MAX_AGE_IN_SHORTAGE_S if is_short else MAX_AGE_S
+        max_age_s = MAX_POOL_AGE_IN_SHORTAGE_S if is_short else MAX_POOL_AGE_S
         cached = self._pools.get(services)
         is_stale = cached is None or now_s - cached.built_s >= max_age_s
         if is_stale or cached.table is not table:
@@ -146,18 +147,32 @@
             for service in services
             for tracked in self._selector.eligible(service, table)
         ]
+        if self._view is not None and self._view.is_usable:
+            return self._build_by_view(services, eligible, table, now_s)
+        share = 1.0 / self._selector.entry_count
+        return self._pool(_name(services), eligible, table, share, now_s)
+
+    def _build_by_view(
+        self,
+        services: tuple[str, ...],
+        eligible: list[TrackedStart],
+        table: RoutingTable,
+        now_s: float,
+    ) -> ServicePool:
+        """Return the pool of the own data centre's upstreams.
+
+        If there are none, it holds those of all data centres, and the share is that of
+        the whole demand.
+        """
         name = _name(services)
-        view = self._view
-        if view is None or not view.is_usable:
-            share = 1.0 / self._selector.entry_count
-            return self._pool(name, eligible, table, share, now_s)
+        instances = self._view.instances
         centres = {tracked.start.data_centre for tracked in eligible}
         rows = self._rows(services, centres | {self._data_centre})
         here = [row for row in rows if row.data_centre == self._data_centre]
         own_per_s = sum(row.arrivals_per_s for row in here)
         demand = self._demand_of(name)
-        demand.observe_total(own_per_s, view.instances, now_s)
-        share = demand.share(view.instances, now_s)
+        demand.observe_total(own_per_s, instances, now_s)
+        share = demand.share(instances, now_s)
         all_per_s = sum(row.arrivals_per_s for row in rows)
         share_of_all = (share * own_per_s / all_per_s if all_per_s else 0.0) or share
         local = [k for k in eligible if k.start.data_centre == self._data_centre]
@@ -231,11 +246,10 @@
         return [row for row in rows if row is not None]
 
     def _services_of(self, route: Route) -> tuple[str, ...]:
-        key = (route.ip, route.port)
-        known = self._services.get(key)
+        known = self._services.get(route.key)
         if known is None or known[0] is not route:
             names = (share.service for share in route.shares if share.weight > 0)
-            known = self._services[key] = (route, tuple(sorted(names)))
+            known = self._services[route.key] = (route, tuple(sorted(names)))
         return known[1]
 
     def _demand_of(self, name: str) -> DemandShare:
--- a/arbutuslift/coordination/routing/servicelimits.py
+++ b/arbutuslift/coordination/routing/servicelimits.py
@@ -8,24 +8,12 @@
 
 from ... import logs
 from ...clock import Clock
-from ...state.admission import (
-    COLD_WINDOW_S,
-    FREEZE_GAP_S,
-    HISTORY_RETENTION_S,
-    TICK_S,
-)
+from ...state.admission import HISTORY_RETENTION_S, TICK_S
 from ...state.flowkey import FlowKey
-from ...state.hashing import rendezvous_order
-from ...state.shares import (
-    MAX_PROPAGATION_S,
-    LimitPlan,
-    LoadLimits,
-    ShareCalculator,
-)
+from ...state.holddown import RATE_WINDOW_S, HoldDown
+from ...state.shares import LimitPlan, LoadLimits, ShareCalculator
 from ...state.slidingwindow import SlidingWindowLog
 
-RATE_WINDOW_S = COLD_WINDOW_S
-
 # Stands for a limit of 0 where the smallest of several plans counts.
 _UNLIMITED = 2**40
 
@@ -108,19 +96,15 @@
     ) -> None:
         self.is_limited = False
         self._clock = clock
-        self._instance = instance
         self._usage = usage
         self._alive_instances = alive_instances
         self._shares = ShareCalculator(clock, instance)
         self._limits: dict[str, LoadLimits] = {}
         self._started = defaultdict(self._new_log)
         self._all_started = self._new_log()
-        self._has_plan = False
+        self._hold_down = HoldDown(clock)
         self._has_min_shares = False
         self._at_limit: set[str] = set()
-        self._last_active_s = clock.monotonic_s()
-        # Flows that the previous process of this instance started may still count.
-        self._full_until_s = clock.monotonic_s() + RATE_WINDOW_S
 
     def apply_plan(self, plan: LimitPlan, is_settled: bool = False) -> None:
         """Put the instances and limits of a revision in effect.
@@ -131,9 +115,7 @@
                 If not, a process that has just started uses no share for the
                 propagation time, since it doesn't know which shares others use.
         """
-        if not self._has_plan and not is_settled:
-            self._fill_windows(MAX_PROPAGATION_S)
-        self._has_plan = True
+        self._hold_down.record_plan(is_settled=is_settled)
         self._shares.apply_plan(plan)
         self._limits = {
             named.service: named.limits
@@ -152,13 +134,8 @@
             await self._clock.sleep(TICK_S)
 
     def tick(self) -> None:
-        """Detect that the process was suspended, as AdmissionControl does."""
-        now_s = self._clock.monotonic_s()
-        gap_s, self._last_active_s = now_s - self._last_active_s, now_s
-        if gap_s > MAX_PROPAGATION_S:
-            self._fill_windows(MAX_PROPAGATION_S)
-        elif gap_s > FREEZE_GAP_S:
-            self._fill_windows(RATE_WINDOW_S)
+        """Detect that the process was suspended."""
+        self._hold_down.tick()
 
     def decide(self, service: str) -> LimitDecision:
         """Decide whether a new flow of a service may start now."""
@@ -203,12 +180,9 @@
         if limits is None or self.decide(service).outcome != LimitOutcome.RELAY:
             return None
         total = min(_rate_limit(limits), self._free_requests(service, limits))
-        sharing = self._shares.plan.instances_with_share(_share_key(service), total)
-        alive = set(self._alive_instances()) - {self._instance}
-        order = rendezvous_order(
-            flow.to_bytes(), [name for name in sharing if name in alive]
+        return self._shares.first_sharing(
+            _share_key(service), total, flow, self._alive_instances()
         )
-        return order[0] if order else None
 
     def _decide_rate(self, service: str, limits: LoadLimits) -> LimitDecision:
         if not limits.max_new_flows_per_s:
@@ -231,7 +205,7 @@
 
     def _compare(self, reason: str, share: int, used: int) -> LimitDecision:
         outcome = LimitOutcome.ADMIT
-        if share <= 0 or self._clock.monotonic_s() < self._full_until_s:
+        if share <= 0 or self._hold_down.is_active:
             outcome = LimitOutcome.RELAY
         elif used >= share:
             outcome = LimitOutcome.REJECT
@@ -243,10 +217,6 @@
     def _share(self, service: str, total_of: Callable[[LoadLimits], int]) -> int:
         return self._shares.share(service, _share_key(service), total_of)
 
-    def _fill_windows(self, duration_s: float) -> None:
-        full_until_s = self._clock.monotonic_s() + duration_s
-        self._full_until_s = max(self._full_until_s, full_until_s)
-
     def _new_log(self) -> SlidingWindowLog:
         return SlidingWindowLog(self._clock, HISTORY_RETENTION_S)
 
--- a/tests/coordination/routing/admissionload.py
+++ b/tests/coordination/routing/admissionload.py
@@ -13,7 +13,10 @@
 from attrs import define, field
 
 from arbutuslift.clock import ManualClock
-from arbutuslift.coordination.routing.admissiongate import TICK_S, AdmissionGate
+from arbutuslift.coordination.routing.admissiongate import (
+    RELEASE_INTERVAL_S,
+    AdmissionGate,
+)
 from arbutuslift.coordination.routing.flowadmission import FlowAdmission
 from arbutuslift.coordination.routing.packetdecision import Decision, Verdict
 from arbutuslift.coordination.routing.servicepool import PooledUpstream, ServicePool
@@ -159,7 +162,7 @@
         return [upstream for upstream in self.upstreams if upstream.is_alive]
 
     def _tick(self):
-        self.at(self._now_s() + TICK_S, self._tick)
+        self.at(self._now_s() + RELEASE_INTERVAL_S, self._tick)
         for instance in self.instances:
             for packet, decision in instance.gate.release(instance.decide):
                 self._carry_out(packet, decision)
