--- a/arbutuslift/control.py
+++ b/arbutuslift/control.py
@@ -1,9 +1,9 @@
 """A control instance: a member of the agreement, and the feed for entry instances."""
 
+import asyncio
 import random
-import secrets
 from collections.abc import Callable
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
 from typing import TYPE_CHECKING
 
 import structlog
@@ -17,10 +17,8 @@
 from .coordination.agreement.orderprocessor import OrderProcessor
 from .coordination.concurrency import TaskSet
 from .coordination.dissemination.feedserver import FeedServer
-from .coordination.dissemination.loadserver import LoadServer
 from .coordination.dissemination.startpersistence import StartPersistence
 from .errors import AnnouncementError, ArbutusliftError, StorageError
-from .loadmetrics import control_load_families
 from .protocol.channel import Channel
 from .roleinstance import RoleInstance
 from .rolesettings import ControlSettings
@@ -37,7 +35,7 @@
 TIMING = AgreementTiming(
     heartbeat_interval_s=0.2,
     election_timeout_s=0.8,
-    first_election_timeout_s=0.08,
+    first_election_timeout_s=0.03,
     request_timeout_s=0.6,
     submit_timeout_s=3.5,
     catch_up_timeout_s=10.0,
@@ -48,10 +46,16 @@
 LEADERSHIP_TRANSFER_TIMEOUT_S = 0.5
 REOPEN_DELAY_S = 0.5
 FAULT_CHECK_INTERVAL_S = 0.2
+# Longest wait for the first table before announcements are processed. An election
+# among members that start together takes half of it.
+FIRST_TABLE_WAIT_S = 0.3
+# Time in which the event loop sends the first table to all subscribers.
+FEED_PUSH_S = 0.05
 _EPOCH_BITS = 62
 
 
 if TYPE_CHECKING:
+    from .coordination.dissemination.loadserver import LoadServer
     from .metricfamilies import MetricFamily
 
 TableReader = Callable[[int, AgreedState], RoutingTable]
@@ -87,7 +91,7 @@
 
     Attributes:
         feed: Feed to which entry instances subscribe.
-        load: Load that entry instances report.
+        load: Load that entry instances report; None before ``start_load_server``.
         metrics: Metrics of this instance.
     """
 
@@ -113,6 +117,7 @@
         self._member: Member | None = None
         self._table: RoutingTable | None = None
         self._unpublished: StoredRevision | None = None
+        self._has_published = asyncio.Event()
 
     @property
     def table(self) -> RoutingTable | None:
@@ -120,7 +125,7 @@
         return self._table
 
     async def open(self) -> None:
-        """Open the bus and start all tasks.
+        """Open the bus, and start what the first table needs.
 
         Raises:
             TransportError: A port can't be bound.
@@ -132,16 +137,10 @@
         self.feed = FeedServer(
             self._channel,
             self._clock,
-            secrets.randbits(_EPOCH_BITS) or 1,
+            random.SystemRandom().getrandbits(_EPOCH_BITS) or 1,
             settings.announcement_interval_s,
             self._get_other_control_names,
         )
-        self.load = LoadServer(
-            self._channel,
-            self._clock,
-            self.feed.registry,
-            self._get_other_control_names,
-        )
         store = DiskStartStore(settings.data_folder)
         persistence = StartPersistence(self.feed.registry, store, self._clock)
         persistence.restore()
@@ -149,9 +148,34 @@
         self._tasks.spawn(persistence.run())
         self._tasks.spawn(self._supervise_member())
         self._tasks.spawn(self.feed.run())
-        self._tasks.spawn(self.load.run())
         _log.info("started", name=settings.name, seeds=",".join(settings.seeds))
 
+    async def wait_for_first_table(self) -> None:
+        """Wait until the first table is published, for a bounded time.
+
+        What is started after it would delay it. Without a quorum there is no table,
+        and announcements have to be processed all the same.
+        """
+        with suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_TABLE_WAIT_S):
+                await self._has_published.wait()
+                await self._clock.sleep(FEED_PUSH_S)
+
+    def start_load_server(self) -> None:
+        """Answer load reports, unless the modules for it can't be loaded."""
+        try:
+            from .coordination.dissemination.loadserver import LoadServer
+        except (ImportError, SyntaxError) as error:
+            _log.error("part_unavailable", part="load reports", reason=repr(error))
+            return
+        self.load = LoadServer(
+            self._channel,
+            self._clock,
+            self.feed.registry,
+            self._get_other_control_names,
+        )
+        self._tasks.spawn(self.load.run())
+
     async def stop(self) -> None:
         """Transfer leadership, so that orders don't wait for an election."""
         if self._member is not None:
@@ -202,10 +226,13 @@
 
     def families(self) -> "list[MetricFamily]":
         """Return all metric families with their current values."""
-        return [
-            *self.metrics.families(self.feed, self._table),
-            *control_load_families(self.load.registry),
-        ]
+        families = self.metrics.families(self.feed, self._table)
+        if self.load is not None:
+            # Imported on the first request, as by entry instances.
+            from .loadmetrics import control_load_families
+
+            families += control_load_families(self.load.registry)
+        return families
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Use the seeds of changed settings."""
@@ -284,6 +311,7 @@
             return
         self._table = table
         self.feed.publish(table)
+        self._has_published.set()
         _log.info(
             "configuration_in_effect",
             revision=table.revision,
--- a/arbutuslift/coordination/agreement/election.py
+++ b/arbutuslift/coordination/agreement/election.py
@@ -192,18 +192,24 @@
             granted = request.term > state.term and not self._has_recent_leader()
             granted = granted and self._is_up_to_date(request)
         else:
-            state.observe_term(request.term)
             granted = self._grant_vote(request)
         return VoteAnswer(voter=state.identity, term=state.term, granted=granted)
 
     def _grant_vote(self, request: VoteRequest) -> bool:
+        """Observe the term of a request and return whether it gets the vote.
+
+        A newer term and the vote in it are stored together, since each write waits for
+        the disk, and after a loss of power everywhere callers wait for the election.
+        """
         state = self._state
-        if request.term != state.term or not self._is_up_to_date(request):
+        is_newer = request.term > state.term
+        if request.term < state.term or not self._is_up_to_date(request):
+            state.observe_term(request.term)
             return False
-        if state.voted_for not in (b"", request.candidate):
+        if not is_newer and state.voted_for not in (b"", request.candidate):
             return False
-        if not state.voted_for:
-            state.record_vote(request.candidate)
+        if is_newer or not state.voted_for:
+            state.record_vote(request.term, request.candidate)
         self._last_voted_s = self._clock.monotonic_s()
         return True
 
--- a/arbutuslift/coordination/agreement/memberstate.py
+++ b/arbutuslift/coordination/agreement/memberstate.py
@@ -208,9 +208,12 @@
             self.changed.notify()
         self.leader_last_contact_s = self.clock.monotonic_s()
 
-    def record_vote(self, identity: bytes) -> None:
-        """Store the vote of the current term."""
-        self._save(evolve(self._record, voted_for=identity))
+    def record_vote(self, term: int, identity: bytes) -> None:
+        """Store the vote in a term, and become a follower in it if it is newer."""
+        is_newer = term > self.term
+        self._save(evolve(self._record, term=term, voted_for=identity))
+        if is_newer:
+            self.step_down()
 
     def become_candidate(self, term: int) -> None:
         """Become a candidate in a new term and store the vote for itself."""
--- a/arbutuslift/coordination/agreement/orderprocessor.py
+++ b/arbutuslift/coordination/agreement/orderprocessor.py
@@ -1,8 +1,8 @@
 """Processing of operators' orders: pending ones are merged into one revision."""
 
 import asyncio
+import os
 import random
-import secrets
 
 import structlog
 from attrs import frozen
@@ -16,6 +16,7 @@
 # Upper bound of the random back-off after a conflict with another instance.
 MAX_BACKOFF_S = 0.02
 MAX_ATTEMPTS = 20
+REQUEST_ID_BYTES = 8
 AUTHOR = "order"
 
 _log = structlog.get_logger()
@@ -113,7 +114,7 @@
         submission = Submission(
             document=state.encode(),
             expected_revision=stored.revision if stored else 0,
-            request_id=secrets.token_hex(8),
+            request_id=os.urandom(REQUEST_ID_BYTES).hex(),
             author=AUTHOR,
             submitted_at_s=self._clock.wall_s(),
         )
--- /dev/null
+++ b/arbutuslift/startup/__init__.py
@@ -0,0 +1,1 @@
+"""Start of processes: what is loaded, when, and from where."""
--- a/arbutuslift/startup/lightimports.py
+++ b/arbutuslift/startup/lightimports.py
@@ -4,7 +4,7 @@
 import sys
 from collections.abc import Iterator
 from contextlib import contextmanager
-from importlib.machinery import ModuleSpec, PathFinder
+from importlib.machinery import ModuleSpec
 
 # Modules that libraries import for functions of which an entry process uses none, or
 # none before it serves. Each is loaded when one of its attributes is first used.
@@ -18,6 +18,7 @@
     "attrs.filters",
     "attrs.validators",
     "fnmatch",
+    "hashlib",
     "ipaddress",
     "locale",
     "structlog.stdlib",
@@ -33,6 +34,13 @@
 CONSOLE_MODULES = ("better_exceptions", "rich")
 
 
+@contextmanager
+def light_imports() -> Iterator[None]:
+    """Import inside the context only what a process needs at its start."""
+    with hidden("ssl", *CONSOLE_MODULES), deferred(*UNUSED_AT_START):
+        yield
+
+
 @contextmanager
 def hidden(*names: str) -> Iterator[None]:
     """Make imports of the named modules fail inside the context.
@@ -79,7 +87,19 @@
         """Return the spec of a named module, None for others."""
         if fullname not in self._names:
             return None
-        spec = PathFinder.find_spec(fullname, path, target)
+        spec = self._find_elsewhere(fullname, path, target)
         if spec is not None and spec.loader is not None:
             spec.loader = importlib.util.LazyLoader(spec.loader)
         return spec
+
+    def _find_elsewhere(
+        self, fullname: str, path: object, target: object
+    ) -> ModuleSpec | None:
+        """Return the spec that the first of the other finders returns."""
+        for finder in sys.meta_path:
+            if finder is self:
+                continue
+            spec = finder.find_spec(fullname, path, target)
+            if spec is not None:
+                return spec
+        return None
--- a/arbutuslift/state/identity.py
+++ b/arbutuslift/state/identity.py
@@ -2,7 +2,6 @@
 
 import fcntl
 import os
-import secrets
 from pathlib import Path
 
 from ..errors import StorageError
@@ -13,7 +12,7 @@
 
 def new_identity() -> bytes:
     """Return 128 random bits."""
-    return secrets.token_bytes(IDENTITY_BYTES)
+    return os.urandom(IDENTITY_BYTES)
 
 
 class FolderLock:
--- a/arbutuslift/transport/httpserver.py
+++ b/arbutuslift/transport/httpserver.py
@@ -1,12 +1,15 @@
 """Small HTTP/1.1 server on h11, for processes that must start quickly."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 
 import h11
 import structlog
 from attrs import frozen
 
+from .opensockets import LISTEN_BACKLOG
+
 MAX_HEADER_BYTES = 16 * 1024
 READ_BYTES = 64 * 1024
 # Clients that keep a connection open send a request once a second or less often.
@@ -78,6 +81,12 @@
         """
         self._server = await asyncio.start_server(self._accept, ip, port)
 
+    async def serve(self, listener: socket.socket) -> None:
+        """Serve the connections of a listening socket, which is closed at the end."""
+        self._server = await asyncio.start_server(
+            self._accept, sock=listener, backlog=LISTEN_BACKLOG
+        )
+
     async def close(self) -> None:
         """Stop listening and end all connections."""
         if self._server is None:
--- a/measure/entrylogs.py
+++ b/measure/entrylogs.py
@@ -15,7 +15,7 @@
 from arbutuslift.protocol.feed import FeedAnswer, StartNews
 from arbutuslift.state.flowtags import tag_of
 from arbutuslift.state.routingtable import encode_table
-from arbutuslift.transport.packetsocket import open_packet_socket
+from arbutuslift.transport.opensockets import open_packet_socket
 from standins.soak.wire import ACK, FIN, SYN, Packet
 from tests import builders
 
--- a/standins/soak/faulty.py
+++ b/standins/soak/faulty.py
@@ -14,6 +14,7 @@
 sys.path[:0] = [str(ROOT), str(ROOT / "platform")]
 
 from adapter import processes  # noqa: E402
+from adapter.earlysignals import EarlySignals  # noqa: E402
 from adapter.settings import read_settings, settings_path  # noqa: E402
 from attrs import evolve  # noqa: E402
 
@@ -25,13 +26,15 @@
     """Replace the functions that the faults affect and run the role."""
     role, fault_file = sys.argv[1], Path(sys.argv[2])
     _install_faults(fault_file)
+    signals = EarlySignals()
     path = settings_path()
     settings = read_settings(path)
     if role == "control":
         listen_ip = os.environ["SOAK_BUS_LISTEN_IP"]
-        processes.run_control(path, evolve(settings, bus_listen_ip=listen_ip))
+        settings = evolve(settings, bus_listen_ip=listen_ip)
+        processes.run_control(path, settings, signals)
     else:
-        processes.run_entry(path, settings)
+        processes.run_entry(path, settings, signals)
     return 0
 
 
--- a/tests/coordination/agreement/test_member.py
+++ b/tests/coordination/agreement/test_member.py
@@ -487,3 +487,24 @@
     await cluster.members[leader]._channel.send(other, offer)
     await cluster.run(0.3)
     assert cluster.leaders() == [leader]
+
+
+async def test_a_newer_term_and_the_vote_in_it_are_stored_together(cluster):
+    """Guards against an election that waits for a slow disk twice at each voter."""
+    killed, *left = await roles(cluster)
+    saved = {name: [] for name in left}
+    for name in left:
+        terms = cluster.storages[name].terms
+        save = terms.save
+
+        def record(value, name=name, save=save):
+            saved[name].append(value)
+            save(value)
+
+        terms.save = record
+    await kill(cluster, killed)
+    leader = await cluster.leader()
+    voter = next(name for name in left if name != leader)
+    assert [record.voted_for for record in saved[voter]] == [
+        cluster.members[leader].identity
+    ]
--- a/tests/startup/test_lightimports.py
+++ b/tests/startup/test_lightimports.py
@@ -5,7 +5,7 @@
 import sysconfig
 from pathlib import Path
 
-ROOT = Path(__file__).resolve().parents[1]
+ROOT = Path(__file__).resolve().parents[2]
 
 
 def run_code(code):
@@ -24,7 +24,7 @@
 def test_a_deferred_module_is_loaded_at_its_first_use():
     run_code(
         "import sys, types\n"
-        "from arbutuslift.lightimports import deferred\n"
+        "from arbutuslift.startup.lightimports import deferred\n"
         "with deferred('colorsys'):\n"
         "    import colorsys\n"
         "assert type(colorsys) is not types.ModuleType\n"
@@ -37,7 +37,7 @@
     """Guards against a library that begins to use one of them when imported."""
     run_code(
         "import sys, types\n"
-        "from arbutuslift.lightimports import *\n"
+        "from arbutuslift.startup.lightimports import *\n"
         "hidden_names = ('ssl', *CONSOLE_MODULES)\n"
         "with hidden(*hidden_names), deferred(*UNUSED_AT_START):\n"
         "    import arbutuslift.entry, arbutuslift.transport.readiness\n"
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -24,7 +24,7 @@
 from arbutuslift.protocol.feed import FeedAnswer, StartNews
 from arbutuslift.rolesettings import LoadSettings
 from arbutuslift.state.routingtable import encode_table
-from arbutuslift.transport.packetsocket import open_packet_socket
+from arbutuslift.transport.opensockets import open_packet_socket
 
 from .builders import caller_packet, entry_settings, route, routing_table, start
 
@@ -278,7 +278,7 @@
     """Guards against an entry process that imports TLS, which it doesn't use."""
     code = (
         "import sys\n"
-        "from arbutuslift.lightimports import hidden\n"
+        "from arbutuslift.startup.lightimports import hidden\n"
         "with hidden('ssl'):\n"
         "    import asyncio\n"
         "assert 'ssl' not in sys.modules\n"
--- a/tests/test_sharedload.py
+++ b/tests/test_sharedload.py
@@ -23,7 +23,7 @@
 from arbutuslift.rolesettings import LoadSettings
 from arbutuslift.state.routingtable import encode_table
 from arbutuslift.transport.bus import MemoryNetwork
-from arbutuslift.transport.packetsocket import open_packet_socket
+from arbutuslift.transport.opensockets import open_packet_socket
 
 from .builders import (
     entry_settings,
--- a/tests/transport/test_httpserver.py
+++ b/tests/transport/test_httpserver.py
@@ -6,6 +6,7 @@
 
 from arbutuslift.transport import httpserver
 from arbutuslift.transport.httpserver import HttpRequest, HttpResponse, HttpServer
+from arbutuslift.transport.opensockets import open_listener
 
 MAX_BODY_BYTES = 100
 
@@ -61,6 +62,21 @@
 CLOSE_HEADER = "Connection: close"
 
 
+async def test_a_request_sent_before_the_server_runs_is_answered_once_it_does():
+    """Guards against orders and announcements that are lost during a start."""
+    listener = open_listener("127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection(*listener.getsockname())
+    writer.write(b"GET /early HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+    site = Site()
+    await site.server.serve(listener)
+    try:
+        answer = await asyncio.wait_for(reader.read(), 5.0)
+        assert answer.endswith(b"/early")
+    finally:
+        writer.close()
+        await site.server.close()
+
+
 async def test_requests_on_one_connection_are_answered_in_order(site):
     answer = await site.exchange(post("/a", b"1"), post("/b", b"2", CLOSE_HEADER))
     assert answer.count(b"HTTP/1.1 200") == 2
