Withdraw an instance that can reach no upstream, and give lost ones nothing

Its instances chose among lost upstreams for want of healthy ones, so that callers waited for their time-outs; each upstream behind the cut was found separately; readiness stayed 200. Ruled out: rejecting alone, since a caller's next attempt goes to another instance of the same data centre, as blind as the first. Change: lost upstreams aren't a last resort; four losses of a data centre without an answer from it, with three others probed at each, mean that it can't be reached; without any usable start in reach readiness says 503, and routers use other data centres; a start of the own data centre is a second reference for silence; checks there are repeated every 0.5 s.

--- a/arbutuslift/coordination/routing/flowtagrouter.py
+++ b/arbutuslift/coordination/routing/flowtagrouter.py
@@ -51,6 +51,7 @@
         selector: Selects upstreams of new flows.
         on_suspicion: Called with the upstream of each flow without an answer.
         on_unanswered: Called with each request that ended without an answer.
+        on_answer: Called with the upstream of each answer.
         observer: Counts flows, requests and answers.
         gate: Lets new flows wait or rejects them when capacity is short; None if
             all are let through.
@@ -67,6 +68,7 @@
         selector: UpstreamSelector,
         on_suspicion: Callable[[TrackedStart], None] = lambda tracked: None,
         on_unanswered: Callable[[UnansweredRequest], None] = lambda request: None,
+        on_answer: Callable[[TrackedStart], None] = lambda tracked: None,
         observer: FlowObserver | None = None,
         gate: "AdmissionGate | None" = None,
     ) -> None:
@@ -77,6 +79,7 @@
         self._selector = selector
         self._on_suspicion = on_suspicion
         self._on_unanswered = on_unanswered
+        self._on_answer = on_answer
         self._observer = observer or FlowObserver()
         self._gate = gate
         self._routes: dict[RouteKey, Route] = {}
@@ -269,6 +272,7 @@
             flow.ack = packet.ack
             flow.is_failure_recorded = False
             self._outlier_detector.record_success(upstream.start.key)
+            self._on_answer(upstream)
             if upstream.is_remembered:
                 self._directory.confirm(upstream)
         elif self._is_late_repeat(packet, flow, now_s):
--- a/arbutuslift/coordination/routing/healthchecker.py
+++ b/arbutuslift/coordination/routing/healthchecker.py
@@ -51,6 +51,10 @@
     INCONCLUSIVE = "inconclusive"
 
 
+# Results that show that packets get through, in both directions.
+_HEARD = frozenset({ConnectResult.ACCEPTED, ConnectResult.REFUSED})
+
+
 class Connector(ABC):
     """Attempts connections."""
 
@@ -114,7 +118,9 @@
         connector: Attempts connections.
         spawn: Runs a coroutine as a task.
         on_lost: Called with each upstream that becomes lost.
-        reference: Returns another upstream that answered lately, None without one.
+        references: Returns other upstreams that should answer.
+        on_answer: Called with each upstream that accepts a connection.
+        is_urgent: Whether a lost upstream is checked again without a longer delay.
     """
 
     def __init__(
@@ -124,14 +130,18 @@
         connector: Connector,
         spawn: Callable[..., object],
         on_lost: Callable[[TrackedStart], None] = lambda tracked: None,
-        reference: Callable[[TrackedStart], TrackedStart | None] = lambda tracked: None,
+        references: Callable[[TrackedStart], list[TrackedStart]] = lambda tracked: [],
+        on_answer: Callable[[TrackedStart], None] = lambda tracked: None,
+        is_urgent: Callable[[TrackedStart], bool] = lambda tracked: False,
     ) -> None:
         self._clock = clock
         self._outlier_detector = outlier_detector
         self._connector = connector
         self._spawn = spawn
         self._on_lost = on_lost
-        self._reference = reference
+        self._references = references
+        self._on_answer = on_answer
+        self._is_urgent = is_urgent
         self._timeout = RetransmissionTimeout()
         self._running: set[tuple[str, int]] = set()
         self._reached_s: dict[tuple[str, int], float] = {}
@@ -158,7 +168,8 @@
                 if result is not ConnectResult.INCONCLUSIVE:
                     self._set_lost(tracked, True)
                 await self._clock.sleep(retry_s)
-                retry_s = min(2 * retry_s, MAX_RETRY_S)
+                longest_s = INITIAL_RETRY_S if self._is_urgent(tracked) else MAX_RETRY_S
+                retry_s = min(2 * retry_s, longest_s)
         finally:
             self._running.discard(tracked.start.key)
         if tracked.is_gone:
@@ -173,7 +184,7 @@
     async def _judge(self, tracked: TrackedStart) -> ConnectResult:
         """Return the result of as many attempts as are needed to believe it.
 
-        The last attempt is made beside one to a reference. If that one isn't answered
+        The last attempt is made beside ones to references. If none of them is answered
         either, the silence is that of this instance and the result is inconclusive.
         """
         if tracked.is_lost:
@@ -182,18 +193,16 @@
             result = await self._attempt(tracked)
             if result is not ConnectResult.SILENT:
                 return result
-        reference = self._reference(tracked)
-        if reference is None:
-            return await self._attempt(tracked)
-        result, reference_result = await asyncio.gather(
-            self._attempt(tracked), self._attempt(reference)
+        references = self._references(tracked)
+        result, *others = await asyncio.gather(
+            self._attempt(tracked), *map(self._attempt, references)
         )
-        is_heard = reference_result in (ConnectResult.ACCEPTED, ConnectResult.REFUSED)
+        is_heard = not others or not _HEARD.isdisjoint(others)
         if result is ConnectResult.SILENT and not is_heard:
             _log.info(
                 "own_path_silent",
                 upstream=tracked.start.upstream_id,
-                reference=reference.start.upstream_id,
+                reference=references[0].start.upstream_id,
             )
             return ConnectResult.INCONCLUSIVE
         return result
@@ -204,6 +213,7 @@
         result = await self._connector.connect(address, self._timeout.timeout_s)
         if result is ConnectResult.ACCEPTED:
             self._timeout.observe(self._clock.monotonic_s() - began_s)
+            self._on_answer(tracked)
         return result
 
     def _set_lost(self, tracked: TrackedStart, is_lost: bool) -> None:
--- a/arbutuslift/coordination/routing/trackedstart.py
+++ b/arbutuslift/coordination/routing/trackedstart.py
@@ -2,6 +2,7 @@
 
 from attrs import define
 
+from ...state.routingtable import RoutingTable
 from ...state.starts import Phase, UpstreamStart
 
 # Weight of a new response time in the moving average, which spans about ten values.
@@ -54,6 +55,11 @@
         is_recent = now_s - self.response_measured_s < RESPONSE_MAX_AGE_S
         return self.response_s if is_recent else 0.0
 
+    def may_get_new_flows(self, table: RoutingTable) -> bool:
+        """Return whether it is ready and its data centre is in service."""
+        is_ready = self.start.phase is Phase.READY
+        return is_ready and self.start.data_centre not in table.out_of_service
+
     @property
     def is_gone(self) -> bool:
         """Return whether the start is gone and its flows have ended with it."""
--- a/arbutuslift/coordination/routing/upstreamdirectory.py
+++ b/arbutuslift/coordination/routing/upstreamdirectory.py
@@ -81,8 +81,23 @@
         """Return the start with a key."""
         return self._tracked.get(key)
 
-    def last_to_answer(self, other: TrackedStart) -> TrackedStart | None:
-        """Return the start that answered last, not the given one; None without one."""
+    def of_data_centre(self, data_centre: str) -> list[TrackedStart]:
+        """Return the starts of a data centre that aren't gone, of all services."""
+        return [
+            tracked
+            for tracked in self._tracked.values()
+            if tracked.start.data_centre == data_centre and not tracked.is_gone
+        ]
+
+    def last_to_answer(
+        self, other: TrackedStart, data_centre: str | None = None
+    ) -> TrackedStart | None:
+        """Return the start that answered last, not the given one; None without one.
+
+        Args:
+            other: Another start.
+            data_centre: Data centre of the start; None for any.
+        """
         answered = (
             tracked
             for tracked in self._tracked.values()
@@ -90,6 +105,7 @@
             and not tracked.is_gone
             and not tracked.is_lost
             and tracked is not other
+            and data_centre in (None, tracked.start.data_centre)
         )
         return max(answered, key=lambda k: k.response_measured_s, default=None)
 
--- a/arbutuslift/coordination/routing/upstreamselector.py
+++ b/arbutuslift/coordination/routing/upstreamselector.py
@@ -1,12 +1,12 @@
 """Selection of the upstream of a new flow."""
 
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING
 
 from ...clock import Clock
 from ...state.routingtable import Route, RoutingTable, ServiceLimits
-from ...state.starts import Phase, StartKey
+from ...state.starts import StartKey
 from .outlierdetector import OutlierDetector
 from .restoredstarts import may_receive_new_flows
 from .trackedstart import TrackedStart
@@ -44,6 +44,8 @@
         shared_choice: Chooses among upstreams while the load of all instances is known;
             without it the flows of this instance decide.
         entry_count: Entry instances that share the limit of a cold upstream.
+        can_reach: Whether an upstream may answer at all. One that can't isn't even a
+            last resort: the caller would wait until its time-out for nothing.
         locality: Decides the data centre of a new flow by the load of all of them;
             without it the response times at this instance decide.
     """
@@ -58,6 +60,7 @@
         shared_choice: "SharedLoadChoice | None" = None,
     ) -> None:
         self.entry_count = 1
+        self.can_reach: Callable[[TrackedStart], bool] = lambda tracked: True
         self.shared_choice = shared_choice
         self.locality: LocalityWeights | None = None
         self._clock = clock
@@ -107,8 +110,8 @@
         return [
             tracked
             for tracked in self._directory.of_service(service)
-            if tracked.start.phase is Phase.READY
-            and tracked.start.data_centre not in table.out_of_service
+            if tracked.may_get_new_flows(table)
+            and self.can_reach(tracked)
             and (not tracked.is_remembered or may_receive_new_flows(tracked, limits))
         ]
 
--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -20,6 +20,7 @@
 )
 from .coordination.routing.healthchecker import HealthChecker, TcpConnector
 from .coordination.routing.outlierdetector import OutlierDetector
+from .coordination.routing.reachability import Reachability
 from .coordination.routing.trackedstart import TrackedStart
 from .coordination.routing.upstreamdirectory import UpstreamDirectory
 from .coordination.routing.upstreamselector import UpstreamSelector
@@ -124,13 +125,19 @@
             settings.data_centre,
             random.Random(),
         )
+        self._reachability = Reachability(
+            self._directory, settings.data_centre, self._probe
+        )
+        self._selector.can_reach = self._reachability.can_reach
         self._health_checker = HealthChecker(
             clock,
             self._outlier_detector,
             TcpConnector(),
             self._tasks.spawn,
             self._on_lost,
-            self._directory.last_to_answer,
+            self._reachability.references,
+            self._reachability.record_answer,
+            lambda tracked: tracked.start.data_centre in self._reachability.unreachable,
         )
         self._router = FlowTagRouter(
             clock,
@@ -139,6 +146,7 @@
             self._selector,
             self._health_checker.check,
             self._decisions.log_unanswered_request,
+            on_answer=self._reachability.record_answer,
         )
         self.metrics = EntryMetrics(self._router, self._directory, self._sender.queue)
         self._sender.dropped = self.metrics.packets
@@ -148,8 +156,11 @@
     @property
     def is_ready(self) -> bool:
         """Return whether routers may send packets here."""
-        has_state = self._router.table is not None and self._has_upstreams
-        return has_state and not self._is_stopping
+        table = self._router.table
+        if table is None or not self._has_upstreams or self._is_stopping:
+            return False
+        # Routers then send packets to other data centres, which may reach upstreams.
+        return self._reachability.can_serve(table)
 
     def add_load_features(self) -> None:
         """Decide by the load features of the settings from now on.
@@ -359,7 +370,11 @@
         if tracked is not None:
             self._health_checker.check(tracked)
 
+    def _probe(self, tracked: TrackedStart) -> None:
+        self._health_checker.check(tracked)
+
     def _on_lost(self, tracked: TrackedStart) -> None:
+        self._reachability.record_loss(tracked)
         start = tracked.start
         self._tasks.spawn(self._feed.report_loss(start.upstream_id, start.born_ms))
 
--- a/tests/coordination/routing/test_healthchecker.py
+++ b/tests/coordination/routing/test_healthchecker.py
@@ -61,7 +61,7 @@
             self.connector,
             self.run,
             self.lost.append,
-            lambda tracked: self.reference,
+            lambda tracked: [self.reference] if self.reference else [],
         )
         self.tracked = TrackedStart(start=start(1), tag=1, cold_until_s=0.0)
 
@@ -208,6 +208,18 @@
     assert harness.lost == [harness.tracked]
 
 
+async def test_one_reference_that_answers_is_enough(harness):
+    """Guards against an instance that takes a cut of all others for its own silence."""
+    harness.reference = None
+    answering = TrackedStart(start=REFERENCE, tag=2)
+    silent = TrackedStart(start=start(3), tag=3)
+    harness.checker._references = lambda tracked: [silent, answering]
+    harness.connector.reachable = False
+    harness.check_after_failures()
+    await harness.clock.advance(0.1)
+    assert harness.lost == [harness.tracked]
+
+
 async def test_without_another_upstream_silence_counts(harness):
     harness.reference = None
     harness.connector.reachable = False
