Keep a control process alive on a full disk, and its member out until it can write

Reported by operators of like systems: disks of counted machines full in turn, changes refused long after. Cause: the processing of orders caught only errors of agreement, so that a storage error of its own member reached the handler that ends the process. Change: the member with all that belongs to it moves to membersupervisor.py; a storage error ends the member, never the process; it is opened again once a probe writes; a failed write leaves no temporary file, and those of a crash are removed.

--- a/arbutuslift/control.py
+++ b/arbutuslift/control.py
@@ -10,15 +10,10 @@
 
 from .clock import Clock
 from .controlmetrics import ControlMetrics
-from .coordination.agreement.enrolment import Enrolment
-from .coordination.agreement.member import Member
-from .coordination.agreement.membershipmanager import MembershipPolicy
-from .coordination.agreement.memberstate import AgreementTiming
-from .coordination.agreement.orderprocessor import OrderProcessor
-from .coordination.concurrency import TaskSet
 from .coordination.dissemination.feedserver import FeedServer
 from .coordination.dissemination.startpersistence import StartPersistence
-from .errors import AnnouncementError, ArbutusliftError, StorageError
+from .errors import AnnouncementError, ArbutusliftError
+from .membersupervisor import MemberSupervisor
 from .protocol.channel import Channel
 from .roleinstance import RoleInstance
 from .rolesettings import ControlSettings
@@ -27,25 +22,11 @@
 from .state.routingtable import RoutingTable
 from .state.starts import UpstreamStart
 from .state.startstore import DiskStartStore
-from .state.storage import MemberStorage
 from .transport.zmqbus import endpoint_of_address
 
-# Round trips between control instances take a few ms. A change must take effect within
-# seconds of the loss of a leader.
-TIMING = AgreementTiming(
-    heartbeat_interval_s=0.2,
-    election_timeout_s=0.8,
-    first_election_timeout_s=0.03,
-    request_timeout_s=0.6,
-    submit_timeout_s=3.5,
-    catch_up_timeout_s=10.0,
-    retry_interval_s=0.05,
-)
 # An election takes a few round trips. A process has seconds between the signal to stop
 # and the one that kills it.
 LEADERSHIP_TRANSFER_TIMEOUT_S = 0.5
-REOPEN_DELAY_S = 0.5
-FAULT_CHECK_INTERVAL_S = 0.2
 # Longest wait for the first table before announcements are processed. An election
 # among members that start together takes half of it.
 FIRST_TABLE_WAIT_S = 0.3
@@ -110,11 +91,7 @@
         self._settings = settings
         self._read_table = read_table
         self._channel: Channel | None = None
-        self._seeds = settings.seeds
-        self._other_control_names: tuple[str, ...] = settings.seeds
-        self._enrolment: Enrolment | None = None
-        self._order_processor: OrderProcessor | None = None
-        self._member: Member | None = None
+        self._supervisor: MemberSupervisor | None = None
         self._table: RoutingTable | None = None
         self._unpublished: StoredRevision | None = None
         self._has_published = asyncio.Event()
@@ -134,6 +111,9 @@
         bus = self._make_bus(settings.name)
         self._channel = Channel(bus)
         self._stack.push_async_callback(self._tasks.close)
+        self._supervisor = MemberSupervisor(
+            settings, self._channel, self._clock, self._on_commit, self._fail
+        )
         self.feed = FeedServer(
             self._channel,
             self._clock,
@@ -146,7 +126,7 @@
         persistence.restore()
         await bus.open(endpoint_of_address(settings.listen))
         self._tasks.spawn(persistence.run())
-        self._tasks.spawn(self._supervise_member())
+        self._tasks.spawn(self._supervisor.run())
         self._tasks.spawn(self.feed.run())
         _log.info("started", name=settings.name, seeds=",".join(settings.seeds))
 
@@ -178,8 +158,9 @@
 
     async def stop(self) -> None:
         """Transfer leadership, so that orders don't wait for an election."""
-        if self._member is not None:
-            await self._member.transfer_leadership(LEADERSHIP_TRANSFER_TIMEOUT_S)
+        member = self._supervisor.member
+        if member is not None:
+            await member.transfer_leadership(LEADERSHIP_TRANSFER_TIMEOUT_S)
 
     async def submit(self, order: Order) -> int:
         """Submit an order; see ``OrderProcessor.submit``.
@@ -189,7 +170,7 @@
         """
         started_s = self._clock.monotonic_s()
         try:
-            revision = await self._require_order_processor().submit(order)
+            revision = await self._supervisor.order_processor.submit(order)
         except ArbutusliftError as error:
             self.metrics.orders[type(error).__name__] += 1
             raise
@@ -203,7 +184,7 @@
         Raises:
             StorageError: The disk is unusable at the moment.
         """
-        return await self._require_order_processor().current()
+        return await self._supervisor.order_processor.current()
 
     def announce(self, start: UpstreamStart) -> None:
         """Process the announcement of an upstream.
@@ -236,62 +217,10 @@
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Use the seeds of changed settings."""
-        self._seeds = seeds
-        if self._enrolment is not None:
-            self._enrolment.set_seeds(seeds)
-
-    def _require_order_processor(self) -> OrderProcessor:
-        if self._order_processor is None:
-            raise StorageError("the data folder is closed", step="reach agreement")
-        return self._order_processor
+        self._supervisor.set_seeds(seeds)
 
     def _get_other_control_names(self) -> tuple[str, ...]:
-        if self._enrolment is not None:
-            self._other_control_names = self._enrolment.other_control_names
-        return self._other_control_names
-
-    async def _supervise_member(self) -> None:
-        """Run a member; after a storage error, open a new one from the disk."""
-        while True:
-            try:
-                async with AsyncExitStack() as stack:
-                    member = await self._open_member(stack)
-                    while member.fault is None:
-                        await self._clock.sleep(FAULT_CHECK_INTERVAL_S)
-                    _log.error("member_reopens", reason=member.fault)
-            except StorageError as error:
-                _log.error("data_folder_unusable", reason=str(error))
-            self._order_processor = self._member = None
-            await self._clock.sleep(REOPEN_DELAY_S)
-
-    async def _open_member(self, stack: AsyncExitStack) -> Member:
-        settings = self._settings
-        storage = MemberStorage.open(settings.data_folder)
-        stack.callback(storage.close)
-        initial = tuple(sorted(settings.seeds)) if settings.is_bootstrap else ()
-        member = Member(
-            name=settings.name,
-            storage=storage,
-            channel=self._channel,
-            clock=self._clock,
-            rng=random.Random(),
-            initial_member_names=initial if settings.name in initial else (),
-            timing=TIMING,
-            membership_policy=MembershipPolicy(voter_count=settings.voter_count),
-        )
-        stack.push_async_callback(member.close)
-        member.on_commit(self._on_commit)
-        member.start()
-        self._member = member
-        self._enrolment = Enrolment(
-            member, self._channel, self._clock, settings.data_centre, self._seeds
-        )
-        self._order_processor = OrderProcessor(member, self._clock)
-        tasks = TaskSet(self._fail)
-        stack.push_async_callback(tasks.close)
-        tasks.spawn(self._enrolment.run())
-        tasks.spawn(self._order_processor.run())
-        return member
+        return self._supervisor.other_control_names
 
     def _on_commit(self, stored: StoredRevision) -> None:
         """Publish only the newest of the revisions that are committed together.
--- a/arbutuslift/coordination/agreement/orderprocessor.py
+++ b/arbutuslift/coordination/agreement/orderprocessor.py
@@ -8,7 +8,12 @@
 from attrs import frozen
 
 from ...clock import Clock
-from ...errors import ConfigurationConflict, NoQuorum, OutcomeUnknown
+from ...errors import (
+    ArbutusliftError,
+    ConfigurationConflict,
+    NoQuorum,
+    OutcomeUnknown,
+)
 from ...state.agreedstate import AgreedState, Order, apply_order
 from ...state.configuration import StoredRevision, Submission
 from .store import ConfigurationStore
@@ -53,6 +58,7 @@
         Raises:
             NoQuorum: The outcome is unknown; repeating the order returns it.
             OutcomeUnknown: Every attempt conflicted with another instance.
+            StorageError: This member can't write; the outcome is unknown.
         """
         revision_future = asyncio.get_running_loop().create_future()
         self._pending.append(
@@ -85,7 +91,8 @@
     async def _process(self, batch: list[_PendingOrder]) -> None:
         try:
             revision = await self._merge_and_submit([item.order for item in batch])
-        except (NoQuorum, OutcomeUnknown) as error:
+        except ArbutusliftError as error:
+            # Such as a full disk of this member: another one takes the order.
             _log.warning("orders_failed", count=len(batch), reason=str(error))
             _complete(batch, error)
         else:
--- a/arbutuslift/state/files.py
+++ b/arbutuslift/state/files.py
@@ -17,6 +17,9 @@
 _HEADER = struct.Struct(">4sII")
 _MAGIC = b"\xa7ALr"
 HEADER_BYTES = _HEADER.size
+TEMPORARY_SUFFIX = ".tmp"
+# Room for a term, a few entries and their segment.
+PROBE_BYTES = 64 * 1024
 
 
 @contextmanager
@@ -83,13 +86,47 @@
 
 def replace_file(path: Path, content: bytes) -> None:
     """Replace a file atomically: a crash leaves either the old or the new content."""
-    temporary = path.with_name(path.name + ".tmp")
+    temporary = path.with_name(path.name + TEMPORARY_SUFFIX)
+    try:
+        _write_new(temporary, content)
+        os.replace(temporary, path)
+    except OSError:
+        # On a full disk the part that was written would take the room of other files.
+        temporary.unlink(missing_ok=True)
+        raise
+    sync_folder(path.parent)
+
+
+def remove_temporary_files(folder: Path) -> None:
+    """Remove what writes that a crash interrupted have left.
+
+    Raises:
+        StorageError: A file can't be removed.
+    """
+    with storage_errors("remove temporary files", folder):
+        for path in folder.glob(f"*{TEMPORARY_SUFFIX}"):
+            path.unlink(missing_ok=True)
+
+
+def check_writable(folder: Path) -> None:
+    """Write and sync a file in a folder, and remove it.
+
+    Raises:
+        StorageError: The disk doesn't take it, such as a full one.
+    """
+    path = folder / f"probe{TEMPORARY_SUFFIX}"
+    with storage_errors("probe disk", folder):
+        try:
+            _write_new(path, bytes(PROBE_BYTES))
+        finally:
+            path.unlink(missing_ok=True)
+
+
+def _write_new(path: Path, content: bytes) -> None:
     flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC
-    descriptor = os.open(temporary, flags, 0o600)
+    descriptor = os.open(path, flags, 0o600)
     try:
         write_all(descriptor, content)
         sync(descriptor)
     finally:
         os.close(descriptor)
-    os.replace(temporary, path)
-    sync_folder(path.parent)
--- a/arbutuslift/state/storage.py
+++ b/arbutuslift/state/storage.py
@@ -7,6 +7,7 @@
 
 from ..errors import StorageError
 from .disklog import DiskLogStore
+from .files import remove_temporary_files
 from .identity import FolderLock, load_identity, new_identity
 from .logstore import LogStore, MemoryLogStore
 from .snapshots import (
@@ -56,6 +57,7 @@
         """
         with ExitStack() as stack:
             stack.callback(FolderLock(folder).close)
+            remove_temporary_files(folder)
             identity = load_identity(folder)
             snapshots = DiskSnapshotStore(folder)
             newest = snapshots.newest()
