Measure starts from the archive, and free the code of modules once they are executed

Cause: measure start started from the sources; loaders kept the code of modules (1.4 MB in an entry process).

--- a/arbutuslift/startup/codearchive.py
+++ b/arbutuslift/startup/codearchive.py
@@ -114,10 +114,10 @@
 
 
 class _Loader:
-    """Executes the code of one module."""
+    """Executes the code of one module, once, and frees it."""
 
     def __init__(self, code: CodeType) -> None:
-        self._code = code
+        self._code: CodeType | None = code
 
     def create_module(self, spec: ModuleSpec) -> None:
         """Return None, so that the import system creates the module."""
@@ -125,12 +125,8 @@
 
     def exec_module(self, module: ModuleType) -> None:
         """Execute the module in its namespace."""
-        exec(self._code, module.__dict__)
-
-    def get_code(self, fullname: str) -> CodeType:
-        """Return the code, as ``importlib.util.LazyLoader`` and tracebacks ask."""
-        del fullname
-        return self._code
+        code, self._code = self._code, None
+        exec(code, module.__dict__)
 
 
 def encode_archive(
--- a/measure/start.py
+++ b/measure/start.py
@@ -19,6 +19,7 @@
     PACKET_PORT,
     READY_PORT,
     Program,
+    write_archive,
 )
 from standins.soak.targets import Target
 
@@ -91,6 +92,7 @@
 
 async def _measure(folder: Path) -> tuple[list[Start], list[Start]]:
     async with AsyncExitStack() as stack:
+        write_archive(folder / "start")
         seeds = tuple(f"127.92.0.{number + 1}" for number in range(3))
         controls = [f"{ip}:{CONTROL_PORT}" for ip in seeds]
         programs = [
@@ -135,6 +137,7 @@
         folder / f"{role}-{number}",
         seeds,
         has_faults=False,
+        archive=folder / "start",
     )
 
 
--- a/standins/soak/programs.py
+++ b/standins/soak/programs.py
@@ -20,10 +20,18 @@
 CONTROL_PORT = 8166
 PORTS = (7720, 7735)
 BUS_PORT = PORTS[0] + 1
+# With -S, Python finds the libraries only through this variable.
+LIBRARIES = {"PYTHONPATH": sysconfig.get_path("purelib")}
 GRACE_S = 6.0
 DATA_CENTRES = ("dc-a", "dc-b", "dc-c")
 
 
+def write_archive(path: Path) -> None:
+    """Write the archive of compiled modules, as the build of a deployment does."""
+    command = [sys.executable, "-S", str(PLATFORM), "archive", str(path)]
+    subprocess.run(command, env=os.environ | LIBRARIES, check=True)
+
+
 @define(eq=False)
 class Program:
     """One program.
@@ -41,6 +49,7 @@
         is_bootstrap: Whether the next process may form a cluster.
         has_faults: Whether faults of disk and clock can be injected; otherwise the
             command is the deployed one.
+        archive: Archive of compiled modules from which the process starts, if any.
     """
 
     role: str
@@ -53,6 +62,7 @@
     process: subprocess.Popen | None = None
     is_bootstrap: bool = True
     has_faults: bool = True
+    archive: Path | None = None
     _fault_file: Path = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -73,8 +83,7 @@
         environment = os.environ | {
             "ARBUTUSLIFT_CONFIG": str(path),
             "SOAK_BUS_LISTEN_IP": self.listen_ip,
-            # With -S, Python finds the libraries only through this variable.
-            "PYTHONPATH": sysconfig.get_path("purelib"),
+            **LIBRARIES,
         }
         with (self.folder / "output").open("ab") as output:
             self.process = subprocess.Popen(
@@ -119,7 +128,8 @@
     def _command(self) -> list[str]:
         if self.has_faults:
             return [sys.executable, str(FAULTY), self.role, str(self._fault_file)]
-        return [sys.executable, "-S", str(PLATFORM), self.role]
+        archive = [str(self.archive)] if self.archive else []
+        return [sys.executable, "-S", str(PLATFORM), self.role, *archive]
 
     def _settings(self) -> dict[str, object]:
         entry = {
