--- a/arbutuslift/coordination/agreement/election.py
+++ b/arbutuslift/coordination/agreement/election.py
@@ -13,6 +13,9 @@
 from .memberstate import AgreementTiming, MemberState, Role
 from .replication import Replicator
 
+# Longest election time-out as a multiple of the shortest.
+ELECTION_SPREAD = 2.0
+
 _log = structlog.get_logger()
 
 
@@ -107,10 +110,11 @@
         Returns:
             Whether it expired; false if this member became leader.
         """
-        base_s = self._timing.election_timeout_s
+        base_s, spread = self._timing.election_timeout_s, ELECTION_SPREAD
         if self._state.leader_last_contact_s == float("-inf"):
             base_s = self._timing.first_election_timeout_s
-        timeout_s = self._rng.uniform(base_s, 2 * base_s)
+            spread = self._timing.first_election_spread
+        timeout_s = self._rng.uniform(base_s, spread * base_s)
         started_s = self._clock.monotonic_s()
         while self._state.role is not Role.LEADER:
             last_activity_s = max(
--- a/arbutuslift/coordination/agreement/memberstate.py
+++ b/arbutuslift/coordination/agreement/memberstate.py
@@ -50,6 +50,9 @@
             from a leader since it started. It can be shorter, since after a power
             failure all members start at the same time, and a running leader sends a
             request within a heartbeat interval.
+        first_election_spread: Longest of these first timeouts as a multiple of the
+            shortest. If they are about as short as an election, a small one would let
+            several members that start together ask for votes at once.
         request_timeout_s: Timeout of one request between members.
         submit_timeout_s: Timeout of a submission or read, over all attempts.
         catch_up_timeout_s: Timeout of the transfer of the log to a new member.
@@ -59,6 +62,7 @@
     heartbeat_interval_s: float = 1.0
     election_timeout_s: float = 3.0
     first_election_timeout_s: float = 3.0
+    first_election_spread: float = 2.0
     request_timeout_s: float = 1.0
     submit_timeout_s: float = 10.0
     catch_up_timeout_s: float = 60.0
--- a/arbutuslift/membersupervisor.py
+++ b/arbutuslift/membersupervisor.py
@@ -31,6 +31,7 @@
     heartbeat_interval_s=0.2,
     election_timeout_s=0.8,
     first_election_timeout_s=0.03,
+    first_election_spread=4.0,
     request_timeout_s=0.6,
     submit_timeout_s=3.5,
     catch_up_timeout_s=10.0,
