--- a/arbutuslift/coordination/routing/reachability.py
+++ b/arbutuslift/coordination/routing/reachability.py
@@ -51,9 +51,11 @@
 
     def can_reach(self, tracked: TrackedStart) -> bool:
         """Return whether a new flow may get an answer from a start."""
-        return not tracked.is_lost and (
-            tracked.start.data_centre not in self.unreachable
-        )
+        return not tracked.is_lost and not self.is_beyond_reach(tracked)
+
+    def is_beyond_reach(self, tracked: TrackedStart) -> bool:
+        """Return whether the data centre of a start can't be reached."""
+        return tracked.start.data_centre in self.unreachable
 
     def record_answer(self, tracked: TrackedStart) -> None:
         """Record an answer, to a request or to a health check."""
@@ -72,8 +74,8 @@
             for other in self._directory.of_data_centre(data_centre)
             if not other.is_lost
         ]
-        is_beyond_reach = len(lost) >= LOST_UNTIL_UNREACHABLE or not others
-        if is_beyond_reach and data_centre not in self.unreachable:
+        are_enough = len(lost) >= LOST_UNTIL_UNREACHABLE or not others
+        if are_enough and data_centre not in self.unreachable:
             self.unreachable.add(data_centre)
             _log.warning(
                 "data_centre_unreachable", data_centre=data_centre, lost=len(lost)
--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -18,27 +18,22 @@
     FlowTagRouter,
     Verdict,
 )
-from .coordination.routing.healthchecker import HealthChecker, TcpConnector
-from .coordination.routing.outlierdetector import OutlierDetector
-from .coordination.routing.reachability import Reachability
 from .coordination.routing.trackedstart import TrackedStart
 from .coordination.routing.upstreamdirectory import UpstreamDirectory
+from .coordination.routing.upstreamhealth import UpstreamHealth
 from .coordination.routing.upstreamselector import UpstreamSelector
 from .decisionlog import DecisionLog, log_changed_starts
 from .entrymetrics import EntryMetrics
-from .errors import PacketError, StorageError
-from .loadfeatures import (
-    LoadFeatures,
-    check_load_settings,
-    make_gate,
-    make_load_features,
-)
+from .errors import PacketError
+from .loadfactory import check_load_settings, make_gate, make_load_features
+from .loadfeatures import LoadFeatures
 from .packetsender import PacketSender
 from .protocol.channel import Channel
-from .protocol.feed import FeedAnswer, RouteTimes
+from .protocol.feed import FeedAnswer
 from .roleinstance import RoleInstance
 from .rolesettings import EntrySettings
-from .state.routingtable import decode_table, with_route_times
+from .routetimesloader import RouteTimesLoader
+from .state.routingtable import decode_table
 from .transport.callerpackets import CallerPacket, PacketCodec
 
 if TYPE_CHECKING:
@@ -61,9 +56,6 @@
 FIRST_PACKETS_WAIT_S = 0.1
 # Part of the stop time-out that is reserved for closing sockets.
 CLOSE_RESERVE_S = 0.7
-# Interval of requests for route times. A control instance of an earlier version doesn't
-# answer them, but does once it is upgraded.
-ROUTE_TIMES_RETRY_S = 5.0
 # Ticks are half a second apart. A longer gap means that the process was suspended and
 # that queued datagrams are stale.
 MAX_TICK_GAP_S = 1.5
@@ -113,7 +105,13 @@
         self._directory = UpstreamDirectory(
             clock, may_use_restored_starts=settings.load.may_use_restored_starts
         )
-        self._outlier_detector = OutlierDetector(clock)
+        self._health = UpstreamHealth(
+            clock,
+            self._directory,
+            settings.data_centre,
+            self._tasks.spawn,
+            self._on_lost,
+        )
         check_load_settings(settings.load)
         self._load = LoadFeatures()
         self._gate: AdmissionGate | None = None
@@ -121,32 +119,19 @@
         self._selector = UpstreamSelector(
             clock,
             self._directory,
-            self._outlier_detector,
+            self._health.outliers,
             settings.data_centre,
             random.Random(),
         )
-        self._reachability = Reachability(
-            self._directory, settings.data_centre, self._probe
-        )
-        self._selector.can_reach = self._reachability.can_reach
-        self._health_checker = HealthChecker(
-            clock,
-            self._outlier_detector,
-            TcpConnector(),
-            self._tasks.spawn,
-            self._on_lost,
-            self._reachability.references,
-            self._reachability.record_answer,
-            lambda tracked: tracked.start.data_centre in self._reachability.unreachable,
-        )
+        self._selector.can_reach = self._health.reachability.can_reach
         self._router = FlowTagRouter(
             clock,
             self._directory,
-            self._outlier_detector,
+            self._health.outliers,
             self._selector,
-            self._health_checker.check,
+            self._health.check,
             self._decisions.log_unanswered_request,
-            on_answer=self._reachability.record_answer,
+            on_answer=self._health.reachability.record_answer,
         )
         self.metrics = EntryMetrics(self._router, self._directory, self._sender.queue)
         self._sender.dropped = self.metrics.packets
@@ -160,7 +145,7 @@
         if table is None or not self._has_upstreams or self._is_stopping:
             return False
         # Routers then send packets to other data centres, which may reach upstreams.
-        return self._reachability.can_serve(table)
+        return self._health.reachability.can_serve(table)
 
     def add_load_features(self) -> None:
         """Decide by the load features of the settings from now on.
@@ -368,13 +353,9 @@
     def _check_suspected(self, key: tuple[str, int]) -> None:
         tracked = self._directory.find_by_key(key)
         if tracked is not None:
-            self._health_checker.check(tracked)
-
-    def _probe(self, tracked: TrackedStart) -> None:
-        self._health_checker.check(tracked)
+            self._health.check(tracked)
 
     def _on_lost(self, tracked: TrackedStart) -> None:
-        self._reachability.record_loss(tracked)
         start = tracked.start
         self._tasks.spawn(self._feed.report_loss(start.upstream_id, start.born_ms))
 
@@ -395,31 +376,10 @@
             )
             load = self._settings.load
             if load.is_admission_limited or load.is_locality_weighted:
-                self._tasks.spawn(self._add_route_times(source, table.revision))
-
-    async def _add_route_times(self, source: str, revision: int) -> None:
-        """Add the times of the routes, until another table is in effect."""
-        name, others = source, []
-        while self._router.table.revision == revision:
-            answer = await self._feed.request_route_times(name)
-            if answer is not None and self._use_route_times(name, answer):
-                return
-            await self._clock.sleep(ROUTE_TIMES_RETRY_S)
-            others = others or self._feed.subscribed_names
-            name = others.pop(0) if others else source
-
-    def _use_route_times(self, source: str, answer: RouteTimes) -> bool:
-        """Put the times in an answer in effect; return whether they fit the table."""
-        if answer.revision != self._router.table.revision:
-            return False
-        try:
-            table = with_route_times(self._router.table, answer.times)
-        except StorageError as error:
-            _log.warning("route_times_refused", peer=source, reason=str(error))
-            return False
-        self._router.replace(table)
-        self._load.apply(table)
-        return True
+                loader = RouteTimesLoader(
+                    self._clock, self._feed, self._router, self._load.apply
+                )
+                self._tasks.spawn(loader.load(source, table.revision))
 
     async def _expire(self) -> None:
         while True:
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -18,11 +18,11 @@
 from arbutuslift.entry import (
     BATCH_DATAGRAMS,
     DRAIN_S,
-    ROUTE_TIMES_RETRY_S,
     EntryInstance,
 )
 from arbutuslift.protocol.feed import FeedAnswer, StartNews
 from arbutuslift.rolesettings import LoadSettings
+from arbutuslift.routetimesloader import ROUTE_TIMES_RETRY_S, RouteTimesLoader
 from arbutuslift.state.routingtable import encode_table
 from arbutuslift.transport.opensockets import open_packet_socket
 
@@ -139,9 +139,10 @@
     clock = ManualClock()
     async with AsyncExitStack() as stack:
         instance = make_instance(stack, clock)
-        feed = instance._feed = FeedWithoutRouteTimes(["a", "b", "c"])
+        feed = FeedWithoutRouteTimes(["a", "b", "c"])
         instance._router.apply(routing_table())
-        task = asyncio.ensure_future(instance._add_route_times("a", revision=1))
+        loader = RouteTimesLoader(clock, feed, instance._router, lambda table: None)
+        task = asyncio.ensure_future(loader.load("a", revision=1))
         await clock.advance(40 * ROUTE_TIMES_RETRY_S)
         assert set(feed.asked[-3:]) == {"a", "b", "c"}
         feed.names = ["new"]
--- a/tests/test_sharedload.py
+++ b/tests/test_sharedload.py
@@ -15,7 +15,8 @@
 from arbutuslift.coordination.routing.upstreamdirectory import UpstreamDirectory
 from arbutuslift.entry import EntryInstance
 from arbutuslift.errors import SettingsError
-from arbutuslift.loadfeatures import LoadFeatures, make_load_features
+from arbutuslift.loadfactory import make_load_features
+from arbutuslift.loadfeatures import LoadFeatures
 from arbutuslift.loadmetrics import control_load_families
 from arbutuslift.metricspage import render_metrics
 from arbutuslift.protocol.channel import Channel
