--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -16,6 +16,11 @@
     parser.add_argument("--seconds", type=float, default=60.0)
     parser.add_argument("--processes", type=int, default=7)
     parser.add_argument("--block", type=int, default=76, help="loopback network")
+    parser.add_argument(
+        "--kills_in_series",
+        action="store_true",
+        help="kill all programs one after another, time and again",
+    )
     parser.add_argument(
         "--folder",
         type=Path,
@@ -26,6 +31,7 @@
         processes=options.processes,
         duration_s=options.seconds,
         block=options.block,
+        kills_in_series=options.kills_in_series,
     )
     with tempfile.TemporaryDirectory() as temporary:
         folder = options.folder or Path(temporary)
--- a/standins/soak/ledger.py
+++ b/standins/soak/ledger.py
@@ -64,6 +64,10 @@
         """Record a broken promise."""
         self.breaches.append(f"{promise}: {detail}")
 
+    def record_own_end(self, program: str) -> None:
+        """Record that a program ended without being stopped or killed."""
+        self.record_breach("own end", f"{program} ended by itself")
+
     def record_run(self, request: str, is_idempotent: bool) -> None:
         """Record that a target ran a request."""
         self.run_counts[request] += 1
--- a/standins/soak/programs.py
+++ b/standins/soak/programs.py
@@ -49,6 +49,7 @@
         is_bootstrap: Whether the next process may form a cluster.
         has_faults: Whether faults of disk and clock can be injected; otherwise the
             command is the deployed one.
+        is_down: Whether it was stopped or killed, or not started yet.
         archive: Archive of compiled modules from which the process starts, if any.
     """
 
@@ -63,6 +64,7 @@
     is_bootstrap: bool = True
     has_faults: bool = True
     archive: Path | None = None
+    is_down: bool = True
     _fault_file: Path = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -93,6 +95,12 @@
                 stderr=subprocess.STDOUT,
             )
         self.is_bootstrap = False
+        self.is_down = False
+
+    @property
+    def has_ended_by_itself(self) -> bool:
+        """Return whether the process ended without being stopped or killed."""
+        return not self.is_down and self.process.poll() is not None
 
     def signal(self, number: int) -> None:
         """Send a signal to the process if it runs."""
@@ -105,6 +113,7 @@
 
     async def stop(self) -> None:
         """Stop the process gracefully and kill it after the grace time."""
+        self.is_down = True
         self.signal(signal.SIGTERM)
         for _ in range(int(GRACE_S / 0.05)):
             if self.process.poll() is not None:
@@ -114,6 +123,7 @@
 
     def kill(self) -> None:
         """Kill the process and wait for its end."""
+        self.is_down = True
         self.signal(signal.SIGKILL)
         if self.process is not None:
             self.process.wait()
--- a/standins/soak/soak.py
+++ b/standins/soak/soak.py
@@ -29,6 +29,7 @@
 CALLER_PORT = PACKET_PORT
 START_TIMEOUT_S = 60.0
 RECOVERY_TIME_S = 12.0
+END_CHECK_INTERVAL_S = 0.5
 RECOVERY_FLOWS = 20
 # Time between the end of a target and the start of the next one on its address.
 ADDRESS_REUSE_DELAY_S = 0.5
@@ -43,11 +44,13 @@
         duration_s: Duration of fault injection.
         block: Second byte of the first of four loopback networks. Runs with different
             blocks can run at the same time.
+        kills_in_series: Whether half of the faults are kills of all programs.
     """
 
     processes: int = 7
     duration_s: float = 60.0
     block: int = 76
+    kills_in_series: bool = False
 
     def address(self, network: int, group: int, number: int) -> str:
         """Return a loopback address."""
@@ -66,6 +69,8 @@
     def __init__(self, seed: int, size: SoakSize, folder: Path) -> None:
         self.ledger = Ledger()
         self._rng = random.Random(seed)
+        # Separate, so that the other draws of a seed stay as they were.
+        self._series_rng = random.Random(seed)
         self._size = size
         self._folder = folder
         seeds = tuple(size.address(0, 0, number) for number in range(CONTROLS))
@@ -93,6 +98,7 @@
                 self._replace_targets,
                 self._run_operator,
                 self._poll_configuration,
+                self._watch_ends,
             ]
             tasks = [asyncio.create_task(step()) for step in work]
             tasks += [
@@ -103,6 +109,10 @@
             await self._check_recovery()
         return self.ledger
 
+    @property
+    def _programs(self) -> tuple[Program, ...]:
+        return (*self._controls, *self._entries)
+
     def _program(self, role: str, n: int, seeds: tuple[str, ...]) -> Program:
         group = 0 if role == "control" else 1
         return Program(
@@ -115,7 +125,7 @@
         )
 
     async def _open(self) -> None:
-        for program in (*self._controls, *self._entries):
+        for program in self._programs:
             self._stack.push_async_callback(program.close)
             await program.open()
         for number in range(TARGETS):
@@ -183,6 +193,9 @@
         """Inject one fault after the other, with fault-free times in between."""
         while True:
             await asyncio.sleep(self._rng.uniform(1.0, CONTACT_S + 3.0))
+            if self._size.kills_in_series and self._series_rng.random() < 0.5:
+                await asyncio.shield(self._kill_in_series())
+                continue
             is_control = self._rng.random() < 0.6
             programs = self._controls if is_control else self._entries
             action = self._rng.choice(CONTROL_ACTIONS if is_control else ENTRY_ACTIONS)
@@ -230,8 +243,25 @@
             await asyncio.sleep(0.3)
             await self._operator.read()
 
+    async def _watch_ends(self) -> None:
+        """Check that no program ends by itself, whatever its disk does."""
+        while True:
+            await asyncio.sleep(END_CHECK_INTERVAL_S)
+            for program in self._programs:
+                if program.has_ended_by_itself:
+                    self.ledger.record_own_end(program.folder.name)
+                    program.start()
+
+    async def _kill_in_series(self) -> None:
+        """Kill all programs one after another, while the first ones start again."""
+        with self.ledger.fault("kill in series"):
+            for program in self._programs:
+                program.kill()
+                await asyncio.sleep(self._series_rng.uniform(0.0, 0.1))
+                program.start()
+
     async def _check_recovery(self) -> None:
-        for program in (*self._controls, *self._entries):
+        for program in self._programs:
             program.set_fault("")
             program.signal(18)
             if program.process.poll() is not None:
--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_ledger.py
@@ -124,6 +124,12 @@
     assert broken_promises(ledger) == ["in force"]
 
 
+def test_a_program_that_ends_by_itself_is_reported():
+    ledger = Ledger()
+    ledger.record_own_end("control-1")
+    assert broken_promises(ledger) == ["own end"]
+
+
 def test_incomplete_recovery_is_reported():
     ledger = Ledger()
     ledger.record_recovery(8, 10)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from standins.soak.programs import Program
 from standins.soak.proxy import Mode, Proxy
 from standins.soak.soak import Soak, SoakSize
 from standins.soak.wire import ACK, Packet, decode
@@ -21,6 +22,20 @@
     assert ledger.counts["answered"] > 0
 
 
+def test_a_program_that_ends_by_itself_breaks_a_promise(tmp_path):
+    program = Program(
+        "control", "127.95.0.1", "127.95.0.1", "dc-a", tmp_path, (), has_faults=False
+    )
+    assert not program.has_ended_by_itself
+    program.start()
+    assert not program.has_ended_by_itself
+    program.process.kill()
+    program.process.wait()
+    assert program.has_ended_by_itself
+    program.kill()
+    assert not program.has_ended_by_itself
+
+
 def test_packet_decodes_to_itself_and_truncation_is_refused():
     packet = Packet(
         source=(b"abcd", 1), destination=(b"efgh", 2), flags=ACK, seq=3, data=b"xyz"
