Scan and probe nothing more in a data centre that can't be reached

Each loss there went through all known starts; at the size to design for a cut would have cost milliseconds for each of thousands.

--- a/arbutuslift/coordination/routing/reachability.py
+++ b/arbutuslift/coordination/routing/reachability.py
@@ -69,13 +69,14 @@
         data_centre = tracked.start.data_centre
         lost = self._lost.setdefault(data_centre, set())
         lost.add(tracked.start.key)
+        if data_centre in self.unreachable:
+            return
         others = [
             other
             for other in self._directory.of_data_centre(data_centre)
             if not other.is_lost
         ]
-        are_enough = len(lost) >= LOST_UNTIL_UNREACHABLE or not others
-        if are_enough and data_centre not in self.unreachable:
+        if len(lost) >= LOST_UNTIL_UNREACHABLE or not others:
             self.unreachable.add(data_centre)
             _log.warning(
                 "data_centre_unreachable", data_centre=data_centre, lost=len(lost)
