Withdraw only behind a cut, not where all upstreams have ended

Cause, found on reading the diff: a start that refuses connections counted like a silent one, so that after a crash of all upstreams every instance of every data centre would have withdrawn, and callers would have waited instead of being rejected at once. Change: a refusal counts as an answer of the data centre; an instance withdraws only if some usable start is in a data centre that can't be reached. Test: all upstreams end, callers are rejected at once, readiness stays.

--- a/arbutuslift/coordination/routing/healthchecker.py
+++ b/arbutuslift/coordination/routing/healthchecker.py
@@ -119,7 +119,8 @@
         spawn: Runs a coroutine as a task.
         on_lost: Called with each upstream that becomes lost.
         references: Returns other upstreams that should answer.
-        on_answer: Called with each upstream that accepts a connection.
+        on_answer: Called with each upstream that accepts or refuses a connection.
+        on_silence: Called with each upstream that becomes lost by silence.
         is_urgent: Whether a lost upstream is checked again without a longer delay.
     """
 
@@ -132,6 +133,7 @@
         on_lost: Callable[[TrackedStart], None] = lambda tracked: None,
         references: Callable[[TrackedStart], list[TrackedStart]] = lambda tracked: [],
         on_answer: Callable[[TrackedStart], None] = lambda tracked: None,
+        on_silence: Callable[[TrackedStart], None] = lambda tracked: None,
         is_urgent: Callable[[TrackedStart], bool] = lambda tracked: False,
     ) -> None:
         self._clock = clock
@@ -141,6 +143,7 @@
         self._on_lost = on_lost
         self._references = references
         self._on_answer = on_answer
+        self._on_silence = on_silence
         self._is_urgent = is_urgent
         self._timeout = RetransmissionTimeout()
         self._running: set[tuple[str, int]] = set()
@@ -165,7 +168,10 @@
                 result = await self._judge(tracked)
                 if result is ConnectResult.ACCEPTED:
                     break
-                if result is not ConnectResult.INCONCLUSIVE:
+                if result is ConnectResult.SILENT and not tracked.is_lost:
+                    self._set_lost(tracked, True)
+                    self._on_silence(tracked)
+                if result is ConnectResult.REFUSED:
                     self._set_lost(tracked, True)
                 await self._clock.sleep(retry_s)
                 longest_s = INITIAL_RETRY_S if self._is_urgent(tracked) else MAX_RETRY_S
@@ -213,6 +219,7 @@
         result = await self._connector.connect(address, self._timeout.timeout_s)
         if result is ConnectResult.ACCEPTED:
             self._timeout.observe(self._clock.monotonic_s() - began_s)
+        if result in _HEARD:
             self._on_answer(tracked)
         return result
 
--- a/arbutuslift/coordination/routing/reachability.py
+++ b/arbutuslift/coordination/routing/reachability.py
@@ -64,8 +64,11 @@
             self.unreachable.discard(data_centre)
             _log.info("data_centre_reached_again", data_centre=data_centre)
 
-    def record_loss(self, tracked: TrackedStart) -> None:
-        """Record that no connection to a start can be made."""
+    def record_silence(self, tracked: TrackedStart) -> None:
+        """Record that a start became lost by silence.
+
+        One that refuses connections has ended, but its machine can be reached.
+        """
         data_centre = tracked.start.data_centre
         lost = self._lost.setdefault(data_centre, set())
         lost.add(tracked.start.key)
@@ -98,13 +101,15 @@
         return list(found.values())
 
     def can_serve(self, table: RoutingTable) -> bool:
-        """Return whether a new flow of any service may get an answer through here.
+        """Return whether callers are served here as well as anywhere.
 
-        Without any usable start nothing can be served from elsewhere either, so that
-        the answer is then True.
+        They aren't if no usable start can be reached from here while there are some
+        behind a cut. Where all have ended, instances elsewhere can't serve either, and
+        here callers are at least rejected at once.
         """
         usable = list(self._usable(table))
-        can_serve = not usable or any(map(self.can_reach, usable))
+        is_any_hidden = any(map(self.is_beyond_reach, usable))
+        can_serve = not is_any_hidden or any(map(self.can_reach, usable))
         if can_serve != self._can_serve:
             self._can_serve = can_serve
             event = "instance_returns" if can_serve else "instance_withdraws"
--- a/arbutuslift/coordination/routing/upstreamhealth.py
+++ b/arbutuslift/coordination/routing/upstreamhealth.py
@@ -35,22 +35,18 @@
     ) -> None:
         self.outliers = OutlierDetector(clock)
         self.reachability = Reachability(directory, data_centre, self.check)
-        self._on_lost = on_lost
         self._checker = HealthChecker(
             clock,
             self.outliers,
             TcpConnector(),
             spawn,
-            self._record_loss,
+            on_lost,
             self.reachability.references,
             self.reachability.record_answer,
+            self.reachability.record_silence,
             self.reachability.is_beyond_reach,
         )
 
     def check(self, tracked: TrackedStart) -> None:
         """Check an upstream until it is reached or gone."""
         self._checker.check(tracked)
-
-    def _record_loss(self, tracked: TrackedStart) -> None:
-        self.reachability.record_loss(tracked)
-        self._on_lost(tracked)
--- a/tests/coordination/routing/test_reachability.py
+++ b/tests/coordination/routing/test_reachability.py
@@ -33,10 +33,11 @@
 
 
 class Network(Connector):
-    """Answers from all addresses but those of ``silent``."""
+    """Answers from all addresses but those of ``silent``; ``ended`` ones refuse."""
 
     def __init__(self, clock):
         self.silent = set()
+        self.ended = set()
         self.attempts = 0
         self._clock = clock
 
@@ -46,7 +47,8 @@
             await self._clock.sleep(timeout_s)
             return ConnectResult.SILENT
         await self._clock.sleep(ROUND_TRIP_S)
-        return ConnectResult.ACCEPTED
+        is_ended = address in self.ended
+        return ConnectResult.REFUSED if is_ended else ConnectResult.ACCEPTED
 
 
 class Instance:
@@ -70,10 +72,11 @@
             outliers,
             self.network,
             asyncio.ensure_future,
-            self.reachability.record_loss,
+            lambda tracked: None,
             self.reachability.references,
             self.reachability.record_answer,
-            lambda k: k.start.data_centre in self.reachability.unreachable,
+            self.reachability.record_silence,
+            self.reachability.is_beyond_reach,
         )
         selector = UpstreamSelector(
             self.clock, self.directory, outliers, data_centre, random.Random(1)
@@ -110,8 +113,9 @@
             verdicts.append(decision.verdict)
             upstream = decision.upstream
             await self.clock.advance(SYN_INTERVAL_S)
-            is_reached = upstream is not None and (
-                upstream.start.address not in self.network.silent
+            unanswering = self.network.silent | self.network.ended
+            is_reached = (
+                upstream is not None and upstream.start.address not in unanswering
             )
             if is_reached:
                 self._answer(upstream)
@@ -186,6 +190,17 @@
     assert instance.reachability.unreachable == {"dc-3"}
 
 
+async def test_where_all_upstreams_have_ended_callers_are_rejected_at_once():
+    """Guards against instances that all withdraw, so that callers wait for nothing."""
+    instance = Instance("dc-1")
+    instance.network.ended = {item.address for item in instance.starts}
+    await instance.load(CALLER_WAIT_S)
+    verdicts = await instance.load(3.0)
+    assert set(verdicts) == {Verdict.REFUSED_NO_UPSTREAM}
+    assert instance.can_serve
+    assert instance.reachability.unreachable == set()
+
+
 async def test_a_data_centre_with_one_upstream_can_be_unreachable():
     instance = Instance("dc-1", per_centre=1, out_of_service=["dc-1"])
     instance.cut_off("dc-2", "dc-3")
