--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,7 +10,7 @@
 from reviewkit.target import Target
 from reviewkit.wire import Packet
 
-HOST, PORT = "198.18.0.1", 8443
+HOST, PORT = "127.198.0.1", 8443
 SERVICE = "avisos"
 ZONE = ZONES[1]
 FREEZE_S = 4.0
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -9,7 +9,7 @@
 from reviewkit.link import Link
 from reviewkit.operator import config, route, service
 
-HOST, PORT = "198.18.0.1", 8443
+HOST, PORT = "127.198.0.1", 8443
 SERVICE = "avisos"
 ZONE = ZONES[0]
 FLOWS = 12
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -8,7 +8,7 @@
 from reviewkit.deployment import HEARTBEAT_S, ZONES
 from reviewkit.operator import config, route, service
 
-HOST, PORT = "198.18.0.1", 8443
+HOST, PORT = "127.198.0.1", 8443
 SERVICE = "avisos"
 # The platform starts a process again after a short delay.
 RESTART_S = 0.5
