Check the ranges of reports and configurations where they are read

A status report of another writer with a number of 65 bits was answered with 200 and ended the control process that took it; a configuration with such a number was agreed and ended every control process, at each start again.

Cause: the decoders checked types, not ranges.

The same cause: slots, cold_left_ms, born, texts with unpaired surrogates, digits of other scripts, all numbers of configurations, nesting that ends the JSON parser with RecursionError.

--- a/arbutuslift/errors.py
+++ b/arbutuslift/errors.py
@@ -44,6 +44,21 @@
         return f"{self.step}: {self.message}{where}"
 
 
+class FieldError(ArbutusliftError):
+    """A field of input from outside that is missing, malformed or out of range.
+
+    Args:
+        path: Position of the field in the input, empty for the whole input.
+        reason: What is wrong with it.
+    """
+
+    def __init__(self, path: str, reason: str) -> None:
+        message = f"{path}: {reason}" if path else reason
+        super().__init__(message, step="read field")
+        self.path = path
+        self.reason = reason
+
+
 class PacketError(ArbutusliftError):
     """A datagram that isn't a valid packet."""
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -324,3 +324,19 @@
         "upstream_slots": 2,
     }
     return CentreLoad(**(fields | changes))
+
+
+# Values of JSON of any kind, with numbers and texts that no codec takes.
+json_values = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**70), 2**70)
+    | st.floats()
+    | st.text(st.characters(), max_size=20)
+    | st.sampled_from(["\ud800", "1.2.3.4:5", "198.18.0.1", "/443/", "ready"]),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
--- a/tests/platform/test_configurations.py
+++ b/tests/platform/test_configurations.py
@@ -9,6 +9,14 @@
 
 from arbutuslift.errors import DocumentError
 from arbutuslift.state.agreedstate import AgreedState
+from arbutuslift.state.routingtable import (
+    decode_table,
+    encode_route_times,
+    encode_table,
+    with_route_times,
+)
+
+from ..builders import json_values
 
 ROUTE = {
     "name": "r-1",
@@ -85,6 +93,10 @@
         (("routes", 0, "traffic_split", 0, "weight"), -1),
         (("routes", 0, "traffic_split", 0, "weight"), None),
         (("limits",), None),
+        (("routes", 0, "path_prefix"), "/0/"),
+        (("routes", 0, "path_prefix"), "/٨٠/"),
+        (("routes", 0, "aim_ms"), "soon"),
+        (("services", 0, "cold_per_s"), "4"),
     ],
 )
 def test_invalid_configurations_are_refused(path, value):
@@ -92,6 +104,63 @@
         decode_configuration(changed(path, value))
 
 
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        (("version",), 2**64),
+        (("routes", 0, "priority"), 10**20),
+        (("routes", 0, "timeout_ms"), 10**20),
+        (("routes", 0, "aim_ms"), 10**400),
+        (("routes", 0, "traffic_split", 0, "weight"), 10**20),
+        (("services", 0, "max_conns"), 10**20),
+        (("services", 0, "cold_per_s"), float("inf")),
+        (("services", 0, "cold_start_s"), float("nan")),
+        (("services", 0, "name"), "\ud800"),
+        (("limits", "idle_timeout_ms"), 10**20),
+    ],
+)
+def test_values_that_no_codec_takes_are_refused(path, value):
+    """Guards against an agreed order that ends every process that reads it."""
+    with pytest.raises(DocumentError):
+        decode_configuration(changed(path, value))
+
+
+@given(
+    st.sampled_from(
+        [
+            ("version",),
+            ("routes", 0, "priority"),
+            ("routes", 0, "timeout_ms"),
+            ("routes", 0, "aim_ms"),
+            ("routes", 0, "host"),
+            ("routes", 0, "traffic_split"),
+            ("services", 0, "max_conns"),
+            ("services", 0, "cold_per_s"),
+            ("services", 0, "cold_start_s"),
+            ("limits", "idle_timeout_ms"),
+        ]
+    ),
+    json_values,
+)
+def test_what_is_accepted_passes_every_codec(path, value):
+    """Guards against an agreed order that can't be put in effect."""
+    body = changed(path, value)
+    try:
+        decoded = decode_configuration(body)
+    except DocumentError:
+        return
+    state = AgreedState(version=decoded.version, source=body)
+    assert AgreedState.decode(state.encode()) == state
+    table = routing_table(1, state)
+    sent = decode_table(encode_table(table))
+    assert with_route_times(sent, encode_route_times(table)) == table
+
+
+def test_a_deeply_nested_configuration_is_refused():
+    with pytest.raises(DocumentError, match="nested"):
+        decode_configuration(b"[" * 5000 + b"]" * 5000)
+
+
 def test_a_split_without_weight_is_refused_but_not_a_weight_of_zero():
     none = changed(("routes", 0, "traffic_split", 0, "weight"), 0)
     assert decode_configuration(none).routes[0].shares[0].weight == 0
