Carry out an unfenced order only while its sender waits

Callers got 38 or 39 new flows in 4 s at a data centre whose taking out had been acknowledged: a control process that had been frozen for 4 s carried out the order to take it back, which its sender had given up and replaced long since.

Cause: SetInService carries no number, so whichever is applied last holds, and neither the HTTP server nor OrderProcessor asked whether the sender still waits.

An order without a fence is dropped, after each confirmed read, if its connection has ended or it may be older than 0.9 s; after a freeze or a suspended machine its age counts from the beginning of that. It waits 0.1 s before the first read, since the end of a connection that a partition held up arrives a round trip later. FreezeDetector measures CLOCK_BOOTTIME, which counts a suspended machine too.

--- a/arbutuslift/control.py
+++ b/arbutuslift/control.py
@@ -10,8 +10,10 @@
 
 from .clock import Clock
 from .controlmetrics import ControlMetrics
+from .coordination.agreement.orderprocessor import OrderSender
 from .coordination.dissemination.feedserver import FeedServer
 from .coordination.dissemination.startpersistence import StartPersistence
+from .coordination.freezedetector import FreezeDetector
 from .errors import AnnouncementError, ArbutusliftError
 from .membersupervisor import MemberSupervisor
 from .protocol.channel import Channel
@@ -33,6 +35,8 @@
 # Time in which the event loop sends the first table to all subscribers.
 FEED_PUSH_S = 0.05
 _EPOCH_BITS = 62
+# An order that has waited for longer may have been given up by its sender.
+ORDER_FREEZE_S = 0.5
 
 
 if TYPE_CHECKING:
@@ -95,6 +99,7 @@
         self._table: RoutingTable | None = None
         self._unpublished: StoredRevision | None = None
         self._has_published = asyncio.Event()
+        self._freeze_detector = FreezeDetector(clock, ORDER_FREEZE_S)
 
     @property
     def table(self) -> RoutingTable | None:
@@ -128,6 +133,7 @@
         self._tasks.spawn(persistence.run())
         self._tasks.spawn(self._supervisor.run())
         self._tasks.spawn(self.feed.run())
+        self._tasks.spawn(self._freeze_detector.run())
         _log.info("started", name=settings.name, seeds=",".join(settings.seeds))
 
     async def wait_for_first_table(self) -> None:
@@ -162,15 +168,25 @@
         if member is not None:
             await member.transfer_leadership(LEADERSHIP_TRANSFER_TIMEOUT_S)
 
-    async def submit(self, order: Order) -> int:
-        """Submit an order; see ``OrderProcessor.submit``.
+    async def submit(
+        self, order: Order, is_connected: Callable[[], bool] = lambda: True
+    ) -> int:
+        """Submit an order that was just read; see ``OrderProcessor.submit``.
+
+        Args:
+            order: The order.
+            is_connected: Returns whether its sender hasn't closed the connection.
 
         Raises:
             StorageError: The disk is unusable at the moment.
         """
         started_s = self._clock.monotonic_s()
+        sender = OrderSender(
+            arrived_s=self._freeze_detector.earliest_arrival_s(),
+            is_connected=is_connected,
+        )
         try:
-            revision = await self._supervisor.order_processor.submit(order)
+            revision = await self._supervisor.order_processor.submit(order, sender)
         except ArbutusliftError as error:
             self.metrics.orders[type(error).__name__] += 1
             raise
--- a/arbutuslift/coordination/agreement/orderprocessor.py
+++ b/arbutuslift/coordination/agreement/orderprocessor.py
@@ -1,8 +1,14 @@
-"""Processing of operators' orders: pending ones are merged into one revision."""
+"""Processing of operators' orders: pending ones are merged into one revision.
+
+An order that no number fences is carried out only while its sender waits for the
+answer. Otherwise a process that was frozen, cut off or without a quorum would carry it
+out after newer orders, which others have acknowledged since.
+"""
 
 import asyncio
 import os
 import random
+from collections.abc import Callable
 
 import structlog
 from attrs import frozen
@@ -12,9 +18,10 @@
     ArbutusliftError,
     ConfigurationConflict,
     NoQuorum,
+    OrderAbandoned,
     OutcomeUnknown,
 )
-from ...state.agreedstate import AgreedState, Order, apply_order
+from ...state.agreedstate import AgreedState, Order, apply_order, is_fenced
 from ...state.configuration import StoredRevision, Submission
 from .store import ConfigurationStore
 
@@ -23,15 +30,44 @@
 MAX_ATTEMPTS = 20
 REQUEST_ID_BYTES = 8
 AUTHOR = "order"
+# Operators' clients ask another instance after a second without an answer.
+SENDER_PATIENCE_S = 0.9
+# The end of a connection that a partition held up arrives a round trip after the order.
+SETTLING_S = 0.1
 
 _log = structlog.get_logger()
 
 
+@frozen(kw_only=True)
+class OrderSender:
+    """The client that sent an order.
+
+    Attributes:
+        arrived_s: Earliest time at which the order can have arrived here, on the clock
+            that includes time in suspend.
+        is_connected: Returns whether the client hasn't closed its connection.
+    """
+
+    arrived_s: float
+    is_connected: Callable[[], bool]
+
+    def is_waiting(self, now_s: float) -> bool:
+        """Return whether the client still waits for the answer."""
+        return now_s - self.arrived_s < SENDER_PATIENCE_S and self.is_connected()
+
+
 @frozen(kw_only=True)
 class _PendingOrder:
     order: Order
+    sender: OrderSender | None
     revision_future: "asyncio.Future[int]"
 
+    def is_obsolete(self, now_s: float) -> bool:
+        """Return whether newer orders may have been acknowledged since."""
+        if self.sender is None or is_fenced(self.order):
+            return False
+        return not self.sender.is_waiting(now_s)
+
 
 class OrderProcessor:
     """Applies orders to the agreed state and acknowledges them once accepted.
@@ -52,17 +88,25 @@
         self._pending: list[_PendingOrder] = []
         self._has_pending = asyncio.Event()
 
-    async def submit(self, order: Order) -> int:
+    async def submit(self, order: Order, sender: OrderSender | None = None) -> int:
         """Return the revision that holds the order.
 
+        Args:
+            order: The order.
+            sender: The client that waits for the answer; None for one that does until
+                the end.
+
         Raises:
+            OrderAbandoned: No number fences the order, and its sender has given up.
             NoQuorum: The outcome is unknown; repeating the order returns it.
             OutcomeUnknown: Every attempt conflicted with another instance.
             StorageError: This member can't write; the outcome is unknown.
         """
+        if sender is not None and not is_fenced(order):
+            await self._clock.sleep(SETTLING_S)
         revision_future = asyncio.get_running_loop().create_future()
         self._pending.append(
-            _PendingOrder(order=order, revision_future=revision_future)
+            _PendingOrder(order=order, sender=sender, revision_future=revision_future)
         )
         self._has_pending.set()
         return await revision_future
@@ -90,7 +134,7 @@
 
     async def _process(self, batch: list[_PendingOrder]) -> None:
         try:
-            revision = await self._merge_and_submit([item.order for item in batch])
+            revision = await self._merge_and_submit(batch)
         except ArbutusliftError as error:
             # Such as a full disk of this member: another one takes the order.
             _log.warning("orders_failed", count=len(batch), reason=str(error))
@@ -98,13 +142,17 @@
         else:
             _complete(batch, revision)
 
-    async def _merge_and_submit(self, orders: list[Order]) -> int:
+    async def _merge_and_submit(self, batch: list[_PendingOrder]) -> int:
         for _ in range(MAX_ATTEMPTS):
             stored = await self._store.current()
+            # Checked after the read: what was acknowledged before it is in the state,
+            # and a sender that still waits has sent nothing since.
+            self._abandon_obsolete(batch)
             before = _state_of(stored)
             after = before
-            for order in orders:
-                after = apply_order(order, after)
+            for item in batch:
+                if not item.revision_future.done():
+                    after = apply_order(item.order, after)
             if after == before:
                 return stored.revision if stored else 0
             try:
@@ -115,6 +163,18 @@
             "every attempt conflicted with another instance", step="agree"
         )
 
+    def _abandon_obsolete(self, batch: list[_PendingOrder]) -> None:
+        now_s = self._clock.boottime_s()
+        for item in batch:
+            if item.revision_future.done() or not item.is_obsolete(now_s):
+                continue
+            age_s = now_s - item.sender.arrived_s
+            _log.warning(
+                "order_abandoned", order=repr(item.order), age_s=round(age_s, 3)
+            )
+            error = OrderAbandoned("its sender no longer waits", step="agree")
+            item.revision_future.set_exception(error)
+
     async def _submit_state(
         self, state: AgreedState, stored: StoredRevision | None
     ) -> int:
--- a/arbutuslift/errors.py
+++ b/arbutuslift/errors.py
@@ -140,6 +140,10 @@
     """A change was refused; it certainly wasn't made and won't be."""
 
 
+class OrderAbandoned(ChangeNotAccepted):
+    """An order that its sender no longer waits for, and that wasn't carried out."""
+
+
 class OutcomeUnknown(ArbutusliftError):
     """It is unknown whether a change was made, since no answer says so."""
 
--- a/arbutuslift/state/agreedstate.py
+++ b/arbutuslift/state/agreedstate.py
@@ -60,6 +60,28 @@
 Order = PutConfiguration | SetInService
 
 
+@singledispatch
+def is_fenced(order: object) -> bool:
+    """Return whether an order carries a number by which a newer one supersedes it.
+
+    An order without one takes effect whenever it is applied, even long after its
+    sender has given it up and sent others.
+    """
+    raise TypeError(f"{type(order).__name__} is not an order")
+
+
+@is_fenced.register
+def _is_put_fenced(order: PutConfiguration) -> bool:
+    del order
+    return True
+
+
+@is_fenced.register
+def _is_set_in_service_fenced(order: SetInService) -> bool:
+    del order
+    return False
+
+
 @singledispatch
 def apply_order(order: object, state: AgreedState) -> AgreedState:
     """Return the state after an order, which is idempotent."""
--- a/arbutuslift/transport/httpserver.py
+++ b/arbutuslift/transport/httpserver.py
@@ -6,7 +6,7 @@
 
 import h11
 import structlog
-from attrs import frozen
+from attrs import field, frozen
 
 from .opensockets import LISTEN_BACKLOG
 
@@ -29,11 +29,14 @@
         method: Method, such as ``GET``.
         path: Path without the query, unquoted.
         body: Body, empty if there is none.
+        is_connected: Returns whether the client hasn't closed its connection. A client
+            that closes only its sending side counts as having closed it.
     """
 
     method: str
     path: str
     body: bytes = b""
+    is_connected: Callable[[], bool] = field(default=lambda: True, eq=False)
 
 
 @frozen(kw_only=True)
@@ -150,11 +153,20 @@
             if body is None:
                 await self._send(HttpResponse(status=413), is_last=True)
                 return
-            await self._send(await _answer(handler, _request_of(head, body)))
+            request = HttpRequest(
+                method=head.method.decode("ascii"),
+                path=_path_of(head.target.decode("ascii", "replace")),
+                body=body,
+                is_connected=self._is_connected,
+            )
+            await self._send(await _answer(handler, request))
             if self._protocol.our_state is not h11.DONE:
                 return
             self._protocol.start_next_cycle()
 
+    def _is_connected(self) -> bool:
+        return not self._reader.at_eof() and not self._writer.is_closing()
+
     async def _read_head(self) -> h11.Request | None:
         async with asyncio.timeout(IDLE_TIMEOUT_S):
             event = await self._next_event()
@@ -211,13 +223,6 @@
         return HttpResponse(status=500)
 
 
-def _request_of(head: h11.Request, body: bytes) -> HttpRequest:
-    target = head.target.decode("ascii", "replace")
-    return HttpRequest(
-        method=head.method.decode("ascii"), path=_path_of(target), body=body
-    )
-
-
 def _path_of(target: str) -> str:
     """Return the unquoted path of a request target, without the query."""
     is_plain = target.startswith("/") and not target.startswith("//")
--- a/tests/platform/test_httpapi.py
+++ b/tests/platform/test_httpapi.py
@@ -31,7 +31,7 @@
     def leave(self, identity):
         self.deregistered.append(identity)
 
-    async def submit(self, order):
+    async def submit(self, order, is_connected):
         if self.refusal is not None:
             raise self.refusal
         self.orders.append(order)
--- a/tests/transport/test_httpserver.py
+++ b/tests/transport/test_httpserver.py
@@ -182,3 +182,17 @@
     await asyncio.wait_for(site.server.close(), 1.0)
     assert await reader.read() == b""
     writer.close()
+
+
+async def test_a_request_knows_when_its_client_has_gone(site):
+    site.gate.clear()
+    _, writer = await site.connect()
+    writer.write(post("/order", b""))
+    await writer.drain()
+    while not site.requests:
+        await asyncio.sleep(0.01)
+    assert site.requests[0].is_connected()
+    writer.close()
+    await writer.wait_closed()
+    await asyncio.sleep(0.05)
+    assert not site.requests[0].is_connected()
