Fence reports of leaving by the birth of the start that leaves

Callers got resets of all their open flows at a living upstream (12 of 12), which got no new ones from then on: a report of leaving that a partition had held up arrived after its upstream had started again under the same identity.

Cause: the API discarded the body of the report, with the birth of the process that left, and StartRegistry.leave ended whatever start had the identity.

The report is decoded into a Departure. One of an earlier start changes nothing. Restored starts end too: such a report was acknowledged and lost after a restart.

Without the comparison test_a_late_report_of_leaving_does_not_end_the_next_start and the test of a start that never announced itself fail.

--- a/arbutuslift/control.py
+++ b/arbutuslift/control.py
@@ -22,7 +22,7 @@
 from .state.agreedstate import AgreedState, Order
 from .state.configuration import StoredRevision
 from .state.routingtable import RoutingTable
-from .state.starts import UpstreamStart
+from .state.starts import Departure, UpstreamStart
 from .state.startstore import DiskStartStore
 from .transport.zmqbus import endpoint_of_address
 
@@ -35,6 +35,8 @@
 # Time in which the event loop sends the first table to all subscribers.
 FEED_PUSH_S = 0.05
 _EPOCH_BITS = 62
+# Clocks of machines differ by seconds, those of misconfigured ones by hours.
+MAX_BORN_AHEAD_S = 24 * 3600
 # An order that has waited for longer may have been given up by its sender.
 ORDER_FREEZE_S = 0.5
 
@@ -64,6 +66,27 @@
         )
 
 
+def check_birth(upstream_id: str, born_ms: int, now_s: float) -> None:
+    """Refuse a report of a start in the future.
+
+    Args:
+        upstream_id: Identity of the upstream.
+        born_ms: When its process started, in ms of the Unix epoch.
+        now_s: Time in seconds of the Unix epoch.
+
+    Raises:
+        AnnouncementError: The start is too far ahead of this machine's clock. It would
+            hold its address against every process that starts after it.
+    """
+    ahead_s = born_ms / 1000 - now_s
+    if ahead_s > MAX_BORN_AHEAD_S:
+        raise AnnouncementError(
+            f"born {ahead_s:.0f} s ahead of this clock",
+            step="take announcement",
+            peer=upstream_id,
+        )
+
+
 class ControlInstance(RoleInstance):
     """Accepts orders and announcements and publishes them to entry instances.
 
@@ -206,20 +229,30 @@
         """Process the announcement of an upstream.
 
         Raises:
-            AnnouncementError: The configuration in effect has no such service. A record
-                of the announcement could displace the upstream that uses its address.
+            AnnouncementError: The configuration in effect has no such service, or the
+                start is in the future. A record of the announcement could displace the
+                upstream that uses its address.
         """
         try:
             check_service(start, self._table)
+            check_birth(start.upstream_id, start.born_ms, self._clock.wall_s())
         except AnnouncementError:
             self.metrics.announcements["refused"] += 1
             raise
         self.metrics.announcements["accepted"] += 1
         self.feed.registry.announce(start)
 
-    def leave(self, upstream_id: str) -> None:
-        """Process the deregistration of an upstream."""
-        self.feed.registry.leave(upstream_id)
+    def leave(self, departure: Departure) -> bool:
+        """Process the deregistration of an upstream; see ``StartRegistry.leave``.
+
+        Raises:
+            AnnouncementError: It speaks of a start in the future.
+        """
+        now_s = self._clock.wall_s()
+        check_birth(departure.upstream_id, departure.born_ms or 0, now_s)
+        is_gone = self.feed.registry.leave(departure)
+        self.metrics.announcements["left" if is_gone else "refused"] += 1
+        return is_gone
 
     def families(self) -> "list[MetricFamily]":
         """Return all metric families with their current values."""
--- a/arbutuslift/coordination/dissemination/startregistry.py
+++ b/arbutuslift/coordination/dissemination/startregistry.py
@@ -10,7 +10,13 @@
 from ...histograms import Histogram, doubling_bounds
 from ...protocol.feed import StartNews
 from ...state.startdigests import StartDigests, bucket_of
-from ...state.starts import GONE_RETENTION_S, Phase, StartTable, UpstreamStart
+from ...state.starts import (
+    GONE_RETENTION_S,
+    Departure,
+    Phase,
+    StartTable,
+    UpstreamStart,
+)
 from .feedpages import FeedPage, first_page, page_in_order
 
 # Announcement intervals after which an upstream counts as silent. This tolerates two
@@ -137,6 +143,13 @@
         entry = self._entries.get(upstream_id)
         return entry.start if entry is not None else None
 
+    def _known_start(self, upstream_id: str) -> UpstreamStart | None:
+        """Return the newest start of an upstream, announced or restored."""
+        current = self._table.get(upstream_id)
+        if current is not None or upstream_id not in self._restored:
+            return current
+        return self._restored[upstream_id].start
+
     def ready_starts(self) -> list[UpstreamStart]:
         """Return the starts that accept new flows and announce themselves."""
         return [
@@ -166,12 +179,22 @@
             )
         self._merge(start, is_silent=False, origin=Origin.ANNOUNCED)
 
-    def leave(self, upstream_id: str) -> None:
-        """Record that an upstream leaves."""
-        current = self._table.get(upstream_id)
-        if current is not None:
-            gone = evolve(current, phase=Phase.GONE)
-            self._merge(gone, is_silent=False, origin=Origin.ANNOUNCED)
+    def leave(self, departure: Departure) -> bool:
+        """Record that a start of an upstream leaves.
+
+        Returns:
+            Whether the start is gone. It isn't if the report may speak of an earlier
+            one, which a partition has delayed.
+        """
+        current = self._known_start(departure.upstream_id)
+        if current is None or departure.is_of_earlier_start(current):
+            return True
+        if departure.is_ambiguous(current):
+            return False
+        born_ms = departure.born_ms or current.born_ms
+        gone = evolve(current, born_ms=born_ms, phase=Phase.GONE)
+        self._merge(gone, is_silent=False, origin=Origin.ANNOUNCED)
+        return True
 
     def record_loss_report(self, upstream_id: str, born_ms: int) -> None:
         """Record a loss report of an entry instance and add it to the feed."""
--- a/arbutuslift/state/starts.py
+++ b/arbutuslift/state/starts.py
@@ -64,6 +64,32 @@
         return (self.ip, self.port)
 
 
+@frozen(kw_only=True)
+class Departure:
+    """Report of an upstream that it leaves.
+
+    Attributes:
+        upstream_id: Identity of the upstream.
+        born_ms: When the process that leaves started, None if the report doesn't say.
+    """
+
+    upstream_id: str
+    born_ms: int | None = None
+
+    def is_of_earlier_start(self, current: UpstreamStart) -> bool:
+        """Return whether it speaks of a start before the given one."""
+        return self.born_ms is not None and self.born_ms < current.born_ms
+
+    def is_ambiguous(self, current: UpstreamStart) -> bool:
+        """Return whether it may speak of the given start or of an earlier one.
+
+        A start that is draining has announced that it leaves, and one without a time
+        of birth is the only one of its identity.
+        """
+        is_told = self.born_ms is not None or not current.born_ms
+        return not is_told and current.phase is Phase.READY
+
+
 class StartTable:
     """The newest start of each upstream; the result doesn't depend on merge order.
 
--- a/tests/coordination/dissemination/test_startregistry.py
+++ b/tests/coordination/dissemination/test_startregistry.py
@@ -3,7 +3,7 @@
 from arbutuslift.clock import ManualClock
 from arbutuslift.coordination.dissemination.startregistry import StartRegistry
 from arbutuslift.protocol.feed import StartNews
-from arbutuslift.state.starts import GONE_RETENTION_S, Phase
+from arbutuslift.state.starts import GONE_RETENTION_S, Departure, Phase
 
 from ...builders import start
 
@@ -83,7 +83,7 @@
 def test_a_leaving_upstream_is_gone_and_later_removed():
     clock, registry, _ = create_registry()
     registry.announce(start(1))
-    registry.leave(start(1).upstream_id)
+    assert registry.leave(departure_of(start(1)))
     assert announced_starts(registry) == ()
     assert [n.start.phase for n in registry.page_after(1, 10).news] == [Phase.GONE]
     clock.jump(GONE_RETENTION_S + 1)
@@ -93,10 +93,54 @@
 
 def test_leaving_of_an_unknown_upstream_is_no_error():
     _, registry, _ = create_registry()
-    registry.leave("i-00")
+    assert registry.leave(departure_of(start(1)))
     assert registry.position == 0
 
 
+def test_a_late_report_of_leaving_does_not_end_the_next_start():
+    """Guards against resets of the flows of a start by a leave of an earlier one."""
+    _, registry, _ = create_registry()
+    registry.announce(start(1, born_ms=20))
+    assert registry.leave(departure_of(start(1, born_ms=10)))
+    assert [s.start.born_ms for s in announced_starts(registry)] == [20]
+
+
+def test_a_report_of_leaving_without_a_birth_ends_only_what_it_can_mean():
+    """Guards against an unfenced report that ends a start that goes on serving."""
+    _, registry, _ = create_registry()
+    registry.announce(start(1, born_ms=20))
+    unfenced = Departure(upstream_id=start(1).upstream_id)
+    assert not registry.leave(unfenced)
+    assert len(announced_starts(registry)) == 1
+    registry.announce(start(1, born_ms=20, sequence=2, phase=Phase.DRAINING))
+    assert registry.leave(unfenced)
+    registry.announce(start(2, born_ms=0))
+    assert registry.leave(Departure(upstream_id=start(2).upstream_id))
+    assert announced_starts(registry) == ()
+
+
+def test_the_leaving_of_a_start_that_never_announced_itself_here_ends_both():
+    _, registry, _ = create_registry()
+    registry.announce(start(1, born_ms=10))
+    assert registry.leave(departure_of(start(1, born_ms=20)))
+    registry.announce(start(1, born_ms=20, sequence=9))
+    assert announced_starts(registry) == ()
+
+
+def test_a_restored_start_that_leaves_is_gone():
+    """Guards against new flows to a start that left a control that had restarted."""
+    _, registry, _ = create_registry()
+    registry.add_restored((start(1), start(2)))
+    assert registry.leave(departure_of(start(1)))
+    assert registry.restored() == (start(2),)
+    news = registry.page_after(2, 10).news
+    assert [item.start.phase for item in news] == [Phase.GONE]
+
+
+def departure_of(record):
+    return Departure(upstream_id=record.upstream_id, born_ms=record.born_ms)
+
+
 def test_what_was_announced_here_is_shared_once():
     _, registry, _ = create_registry()
     registry.announce(start(1))
@@ -215,7 +259,7 @@
     registry = long_list_of_two_data_centres()
     page = registry.first_page("dc-1", 30)
     ended = next(item.start for item in page.news if not item.is_remembered)
-    registry.leave(ended.upstream_id)
+    registry.leave(departure_of(ended))
     seen = {}
     while not page.is_last:
         page = registry.page_after(page.position, 30)
--- a/tests/platform/test_httpapi.py
+++ b/tests/platform/test_httpapi.py
@@ -7,6 +7,7 @@
 
 from arbutuslift.errors import AnnouncementError, NoQuorum
 from arbutuslift.state.agreedstate import AgreedState, PutConfiguration, SetInService
+from arbutuslift.state.starts import Departure
 from arbutuslift.transport.httpserver import HttpRequest
 
 from .test_announcements import REPORT
@@ -22,14 +23,16 @@
         self.orders = []
         self.state = AgreedState()
         self.refusal = None
+        self.is_ambiguous = False
 
     def announce(self, start):
         if self.refusal is not None:
             raise self.refusal
         self.announced.append(start)
 
-    def leave(self, identity):
-        self.deregistered.append(identity)
+    def leave(self, departure):
+        self.deregistered.append(departure)
+        return not self.is_ambiguous
 
     async def submit(self, order, is_connected):
         if self.refusal is not None:
@@ -76,9 +79,25 @@
     assert call.control.announced == []
 
 
-async def test_a_leave_names_its_upstream(call):
-    assert (await call("POST", "/Instances.Leave/i-7f3a91c2")).status == 200
-    assert call.control.deregistered == ["i-7f3a91c2"]
+async def test_a_leave_names_its_start(call):
+    """Guards against a report of leaving that loses the boot that it speaks of."""
+    path = "/Instances.Leave/i-7f3a91c2"
+    assert (await call("POST", path)).status == 200
+    assert (await call("POST", path, json.dumps(REPORT).encode())).status == 200
+    assert call.control.deregistered == [
+        Departure(upstream_id="i-7f3a91c2"),
+        Departure(upstream_id="i-7f3a91c2", born_ms=REPORT["born"]),
+    ]
+
+
+async def test_a_leave_that_is_not_carried_out_is_not_acknowledged(call):
+    path = "/Instances.Leave/i-7f3a91c2"
+    for body in (b"{", b"[]", b'{"born": -1}', b'{"born": 1e30}'):
+        assert (await call("POST", path, body)).status == 400
+    assert (await call("POST", "/Instances.Leave/xyz")).status == 400
+    assert call.control.deregistered == []
+    call.control.is_ambiguous = True
+    assert (await call("POST", path)).status == 409
 
 
 async def test_a_configuration_is_submitted_as_it_was_sent(call):
