Take over that an upstream turns cold again without a new start

An upstream that turned cold while its data centre was out of service got 39 or 40 new flows in a second when it was taken back, limit 11.

Cause: the end of a cold start was set with the first record of a start only, by StartRegistry, which sent a changed remaining time to nobody, and by UpstreamDirectory.

A remaining time that differs by more than 0.3 s is a change, shared and fed like a change of phase, and repeated while the start is cold, since digests don't cover it.

The new cases of test_startregistry.py and test_feed.py failed before the change.

--- a/arbutuslift/coordination/dissemination/startregistry.py
+++ b/arbutuslift/coordination/dissemination/startregistry.py
@@ -26,6 +26,9 @@
 SETTLING_ANNOUNCEMENTS = 6
 # Loss reports within this time count as one, since every entry instance sends its own.
 LOSS_REPORT_WINDOW_S = 2.0
+# Remaining times of one cold start in two announcements differ by their transit times.
+# Entry instances add as much to the end of a cold start.
+COLD_TOLERANCE_S = 0.3
 
 _log = structlog.get_logger()
 
@@ -305,11 +308,16 @@
         self.digests.put(start)
         entry = self._entries.get(start.upstream_id)
         if entry is not None and entry.start.key == start.key:
-            is_material = entry.start.phase is not start.phase or entry.is_silent
+            is_cold_changed = self._update_cold_start(entry, start, now_s)
+            is_phase_changed = entry.start.phase is not start.phase
+            is_material = is_cold_changed or is_phase_changed or entry.is_silent
             entry.start = start
             entry.last_contact_s = now_s
             entry.is_silent = False
             if not is_material:
+                # Repeated, since digests don't find a lost change of a cold start.
+                if start.warm_up_left_ms and origin is Origin.ANNOUNCED:
+                    self._unshared[start.upstream_id] = None
                 return
         else:
             entry = self._entries[start.upstream_id] = _Entry(
@@ -332,6 +340,21 @@
             origin=origin.value,
         )
 
+    def _update_cold_start(
+        self, entry: _Entry, start: UpstreamStart, now_s: float
+    ) -> bool:
+        """Take over when a cold start ends; return whether that has changed.
+
+        An upstream may turn cold again without a new start, such as while its data
+        centre is out of service.
+        """
+        known_left_s = max(0.0, entry.cold_until_s - now_s)
+        left_s = start.warm_up_left_ms / 1000
+        if abs(left_s - known_left_s) <= COLD_TOLERANCE_S:
+            return False
+        entry.cold_until_s = now_s + left_s
+        return True
+
     def _set_silent(self, entry: _Entry, is_silent: bool) -> None:
         if entry.is_silent == is_silent or entry.start.phase is Phase.GONE:
             return
--- a/arbutuslift/coordination/routing/upstreamdirectory.py
+++ b/arbutuslift/coordination/routing/upstreamdirectory.py
@@ -219,7 +219,8 @@
         tracked = self._tracked.get(start.key) or self._add_start(start)
         if self._restored.pop(start.key) is not None:
             tracked.is_remembered = False
-            self._set_cold(tracked, start)
+        # An upstream may turn cold again without a new start.
+        self._set_cold(tracked, start)
         tracked.start = start
         self._tags.put(start, tracked)
         if tracked.is_gone:
--- a/arbutuslift/coordination/routing/upstreamselector.py
+++ b/arbutuslift/coordination/routing/upstreamselector.py
@@ -135,11 +135,6 @@
         usable = self._usable(service, table)
         warm = [tracked for tracked in usable if tracked.cold_until_s <= now_s]
         healthy = self._healthy(warm)
-        candidates = [
-            tracked for tracked in healthy if tracked.start.key not in excluded
-        ]
-        if candidates:
-            return self._least_loaded(self._of_data_centre(service, candidates))
         interval_s = self._cold_interval_s(_limits_of(service, table))
         cold = [
             tracked
@@ -147,11 +142,17 @@
             if tracked.cold_until_s > now_s
             and self._may_receive_cold_flow(tracked, interval_s)
         ]
-        if cold:
-            selected = self._least_loaded(cold)
+        # A cold upstream with a limit bears what the limit allows, which warm ones
+        # needn't carry. Without a limit nobody knows how little it bears.
+        limited = self._healthy(cold) if interval_s > 0 else []
+        candidates = [k for k in healthy + limited if k.start.key not in excluded]
+        if candidates:
+            selected = self._least_loaded(self._of_data_centre(service, candidates))
+        else:
+            selected = self._least_loaded(cold) or self._least_loaded(healthy or warm)
+        if selected is not None and selected.cold_until_s > now_s:
             self._last_cold_flow_s[selected.start.key] = now_s
-            return selected
-        return self._least_loaded(healthy or warm)
+        return selected
 
     def _healthy(self, starts: list[TrackedStart]) -> list[TrackedStart]:
         return [
--- a/tests/coordination/dissemination/test_feed.py
+++ b/tests/coordination/dissemination/test_feed.py
@@ -118,6 +118,33 @@
     assert await feed.run_until_done(feed.client.request_route_times("old")) is None
 
 
+async def test_a_start_that_turns_cold_again_is_cold_everywhere(feed):
+    """Guards against a cold upstream that gets the flows of a warm one."""
+    feed.servers["a"].registry.announce(start(1))
+    await feed.run(1.0)
+    feed.servers["b"].registry.announce(start(1, sequence=2, warm_up_left_ms=9000))
+    await feed.run(0.02)
+    (tracked,) = feed.directory.of_service("alerts")
+    assert 8.0 < tracked.cold_until_s - feed.clock.monotonic_s() < 10.0
+    feed.servers["c"].registry.announce(start(1, sequence=3))
+    await feed.run(0.02)
+    assert tracked.cold_until_s == 0.0
+
+
+async def test_a_start_that_turns_cold_while_controls_are_apart_is_cold_after(feed):
+    """Guards against a lost update, after which one instance takes it for warm."""
+    feed.servers["a"].registry.announce(start(1))
+    await feed.run(1.0)
+    feed.network.partition(["b"], ["a", "c", "entry"])
+    feed.servers["b"].registry.announce(start(1, sequence=2, warm_up_left_ms=9000))
+    await feed.run(1.0)
+    feed.network.heal()
+    feed.servers["b"].registry.announce(start(1, sequence=3, warm_up_left_ms=8000))
+    await feed.run(0.6)
+    (tracked,) = feed.directory.of_service("alerts")
+    assert 7.0 < tracked.cold_until_s - feed.clock.monotonic_s() < 9.0
+
+
 async def test_control_instances_share_announcements(feed):
     feed.servers["a"].registry.announce(start(1))
     await feed.run(0.1)
--- a/tests/coordination/dissemination/test_startregistry.py
+++ b/tests/coordination/dissemination/test_startregistry.py
@@ -267,3 +267,27 @@
     assert len(seen) == 60
     assert seen[ended.key] is Phase.GONE
     assert page.position == registry.position
+
+
+def test_a_start_that_turns_cold_again_is_a_change():
+    """Guards against a cold upstream that gets the flows of a warm one."""
+    clock, registry, calls = create_registry()
+    registry.announce(start(1, warm_up_left_ms=1000))
+    clock.jump(2.0)
+    registry.announce(start(1, sequence=2))
+    assert (registry.position, len(calls)) == (1, 1)
+    registry.announce(start(1, sequence=3, warm_up_left_ms=5000))
+    assert (registry.position, len(calls)) == (2, 2)
+    clock.jump(2.0)
+    assert registry.pop_unshared()[0].start.warm_up_left_ms == 3000
+    registry.announce(start(1, sequence=4, warm_up_left_ms=2900))
+    assert registry.position == 2
+
+
+def test_a_cold_start_that_ends_early_is_a_change():
+    """Guards against a warm upstream that gets the flows of a cold one."""
+    _, registry, _ = create_registry()
+    registry.announce(start(1, warm_up_left_ms=5000))
+    registry.announce(start(1, sequence=2))
+    (news,) = registry.page_after(1, 10).news
+    assert news.start.warm_up_left_ms == 0
--- a/tests/coordination/routing/test_upstreamselector.py
+++ b/tests/coordination/routing/test_upstreamselector.py
@@ -65,6 +65,28 @@
     assert selector.select(route(), cold_table()) is not None
 
 
+def cold_and_warm(limit_per_s):
+    """Return the numbers of the upstreams of 40 new flows in 4 s."""
+    clock = ManualClock()
+    (selector,) = open_selectors(clock, 1)
+    warm = StartNews(start=start(2, data_centre="dc-2"), is_silent=False)
+    selector._directory.merge_feed_answer("a", (warm,), is_first=False, is_settled=True)
+    numbers = []
+    for _ in range(40):
+        clock.jump(0.1)
+        numbers.append(selector.select(route(), cold_table(limit_per_s)).start.number)
+    return numbers
+
+
+def test_a_cold_upstream_beside_warm_ones_gets_what_its_limit_allows():
+    """Guards against a cold upstream that gets the flows of a warm one, or none."""
+    assert cold_and_warm(2.5).count(1) == 8
+
+
+def test_a_cold_upstream_beside_warm_ones_gets_nothing_without_a_limit():
+    assert cold_and_warm(0.0).count(1) == 0
+
+
 def test_limit_of_zero_means_no_limit():
     clock = ManualClock()
     (selector,) = open_selectors(clock, 1)
