Contain messages, records, packets and tasks that fail

Cause: one task for many messages, whose failure ends the process.

- TaskSet.spawn_contained and spawn_loop: a task that fails is logged, counted and run again after 0.2 s.
Only the supervisor of the agreement may end a process.
- Channel refuses what can't be encoded or decoded, with a counter; news of starts are decoded one by one, and a start checks what packets and tags encode.
- A feed answer that fails is asked for again, then elsewhere; the table stays.
- ApplicableTables: the newest configuration that can be read is in effect, decided from the agreed revisions alone; a newer one mends it, also after a version out of range. arbutuslift_unusable_version says so.
- Settings, reports, configurations, announcements and documents share the JSON reader and the field types; settings are checked on reload too.

test_groupmembership.py expected OverflowError from encode; it is a MessageError now, and the test skips the same generated values as before.

--- a/arbutuslift/control.py
+++ b/arbutuslift/control.py
@@ -11,9 +11,9 @@
 from .clock import Clock
 from .controlmetrics import ControlMetrics
 from .coordination.agreement.orderprocessor import OrderSender
+from .coordination.applicabletables import ApplicableTables, TableReader
 from .coordination.dissemination.feedserver import FeedServer
 from .coordination.dissemination.startpersistence import StartPersistence
-from .coordination.freezedetector import FreezeDetector
 from .errors import AnnouncementError, ArbutusliftError
 from .membersupervisor import MemberSupervisor
 from .protocol.channel import Channel
@@ -43,10 +43,9 @@
 
 if TYPE_CHECKING:
     from .coordination.dissemination.loadserver import LoadServer
+    from .coordination.freezedetector import FreezeDetector
     from .metricfamilies import MetricFamily
 
-TableReader = Callable[[int, AgreedState], RoutingTable]
-
 _log = structlog.get_logger()
 
 
@@ -116,13 +115,13 @@
         self.load: LoadServer | None = None
         self.metrics = ControlMetrics()
         self._settings = settings
-        self._read_table = read_table
+        self._tables = ApplicableTables(read_table)
         self._channel: Channel | None = None
         self._supervisor: MemberSupervisor | None = None
         self._table: RoutingTable | None = None
         self._unpublished: StoredRevision | None = None
         self._has_published = asyncio.Event()
-        self._freeze_detector = FreezeDetector(clock, ORDER_FREEZE_S)
+        self._freeze_detector: FreezeDetector | None = None
 
     @property
     def table(self) -> RoutingTable | None:
@@ -153,10 +152,9 @@
         persistence = StartPersistence(self.feed.registry, store, self._clock)
         persistence.restore()
         await bus.open(endpoint_of_address(settings.listen))
-        self._tasks.spawn(persistence.run())
         self._tasks.spawn(self._supervisor.run())
-        self._tasks.spawn(self.feed.run())
-        self._tasks.spawn(self._freeze_detector.run())
+        self._tasks.spawn_loop(self.feed.run, self._clock)
+        self._tasks.spawn_loop(persistence.run, self._clock)
         _log.info("started", name=settings.name, seeds=",".join(settings.seeds))
 
     async def wait_for_first_table(self) -> None:
@@ -170,6 +168,13 @@
                 await self._has_published.wait()
                 await self._clock.sleep(FEED_PUSH_S)
 
+    def start_freeze_detector(self) -> None:
+        """Detect freezes from now on; to be called before orders are submitted."""
+        from .coordination.freezedetector import FreezeDetector
+
+        self._freeze_detector = FreezeDetector(self._clock, ORDER_FREEZE_S)
+        self._tasks.spawn_loop(self._freeze_detector.run, self._clock)
+
     def start_load_server(self) -> None:
         """Answer load reports, unless the modules for it can't be loaded."""
         try:
@@ -183,7 +188,7 @@
             self.feed.registry,
             self._get_other_control_names,
         )
-        self._tasks.spawn(self.load.run())
+        self._tasks.spawn_loop(self.load.run, self._clock)
 
     async def stop(self) -> None:
         """Transfer leadership, so that orders don't wait for an election."""
@@ -256,7 +261,12 @@
 
     def families(self) -> "list[MetricFamily]":
         """Return all metric families with their current values."""
-        families = self.metrics.families(self.feed, self._table)
+        families = self.metrics.families(
+            self.feed,
+            self._table,
+            self._tables.unusable_version,
+            self._refusals(self._channel),
+        )
         if self.load is not None:
             # Imported on the first request, as by entry instances.
             from .loadmetrics import control_load_families
@@ -271,6 +281,9 @@
     def _get_other_control_names(self) -> tuple[str, ...]:
         return self._supervisor.other_control_names
 
+    def _known_revisions(self) -> list[StoredRevision]:
+        return self._supervisor.history() if self._supervisor is not None else []
+
     def _on_commit(self, stored: StoredRevision) -> None:
         """Publish only the newest of the revisions that are committed together.
 
@@ -278,13 +291,14 @@
         routing table of each takes time in proportion to its configuration.
         """
         if self._unpublished is None:
-            self._tasks.spawn(self._publish())
+            self._tasks.spawn_contained(self._publish())
         self._unpublished = stored
 
     async def _publish(self) -> None:
         stored, self._unpublished = self._unpublished, None
-        state = AgreedState.decode(stored.submission.document)
-        table = self._read_table(stored.revision, state)
+        table = self._tables.table_of(stored, self._known_revisions)
+        if table is None:
+            return
         if self._table is not None and table.revision <= self._table.revision:
             return
         self._table = table
--- a/arbutuslift/controlmetrics.py
+++ b/arbutuslift/controlmetrics.py
@@ -1,6 +1,8 @@
 """Metrics of a control instance."""
 
 from collections import Counter
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import TYPE_CHECKING
 
 from . import logs
@@ -28,13 +30,20 @@
         self.order_duration_s = Histogram(doubling_bounds(0.001, 14))
 
     def families(
-        self, feed: FeedServer, table: RoutingTable | None
+        self,
+        feed: FeedServer,
+        table: RoutingTable | None,
+        unusable_version: int = 0,
+        refusals: Mapping[str, int] = MappingProxyType({}),
     ) -> "list[MetricFamily]":
         """Return all metric families with their current values.
 
         Args:
             feed: Feed to which entry instances subscribe.
             table: Newest routing table of this instance.
+            unusable_version: Version of the newest configuration if it can't be put in
+                effect, 0 if it can.
+            refusals: Messages, records and tasks that were refused or failed, by kind.
         """
         # Imported on the first request, as by entry instances.
         from .metricfamilies import Counts, Distribution, Gauge, Gauges
@@ -53,6 +62,17 @@
                 values=self.announcements,
             ),
             logs.dropped_lines(),
+            Counts(
+                name="arbutuslift_refusals",
+                help_text="What peers sent and couldn't be used, by kind.",
+                label="kind",
+                values=refusals,
+            ),
+            Gauge(
+                name="arbutuslift_unusable_version",
+                help_text="Newest configuration if it can't be in effect, 0 if it can.",
+                value=unusable_version,
+            ),
             Gauges(
                 name="arbutuslift_upstreams",
                 help_text="Starts of upstreams by state; one can be in several.",
--- a/arbutuslift/coordination/agreement/member.py
+++ b/arbutuslift/coordination/agreement/member.py
@@ -33,6 +33,7 @@
 from ...protocol.channel import Channel
 from ...protocol.messages import Message
 from ...state.configuration import (
+    MAX_HISTORY,
     StoredRevision,
     Submission,
     SubmissionOutcome,
@@ -243,6 +244,10 @@
             raise NoQuorum("the leader's entries weren't received", step="read")
         return state.configuration.newest
 
+    def revisions(self) -> list[StoredRevision]:
+        """Return all revisions that this member holds, newest first."""
+        return self._state.configuration.history(MAX_HISTORY)
+
     async def history(self, limit: int) -> list[StoredRevision]:
         """Return the newest revisions that this member has applied, newest first."""
         return self._state.configuration.history(limit)
--- a/arbutuslift/coordination/agreement/orderprocessor.py
+++ b/arbutuslift/coordination/agreement/orderprocessor.py
@@ -139,6 +139,10 @@
             # Such as a full disk of this member: another one takes the order.
             _log.warning("orders_failed", count=len(batch), reason=str(error))
             _complete(batch, error)
+        except Exception as error:
+            # An order must not end the processing of those that follow.
+            _log.exception("orders_failed", count=len(batch))
+            _complete(batch, OutcomeUnknown(repr(error), step="agree"))
         else:
             _complete(batch, revision)
 
--- a/arbutuslift/coordination/concurrency.py
+++ b/arbutuslift/coordination/concurrency.py
@@ -3,8 +3,16 @@
 import asyncio
 from collections.abc import Callable, Coroutine
 
+import structlog
+
 from ..clock import Clock
 
+# Delay before a loop that failed runs again, so that a fault that stays doesn't take
+# the whole processor.
+RESTART_DELAY_S = 0.2
+
+_log = structlog.get_logger()
+
 
 class ChangeNotifier:
     """Wakes the tasks that wait for a change of shared state.
@@ -50,11 +58,18 @@
 class TaskSet:
     """Tasks that are cancelled together.
 
+    What processes messages or records of others is run contained: an error that one of
+    them causes costs that message, and neither the process nor what follows.
+
     Args:
-        on_failure: Called with the error of a task that failed.
+        on_failure: Called with the error of a task that failed and isn't contained.
+
+    Attributes:
+        contained_failures: Number of errors of contained tasks.
     """
 
     def __init__(self, on_failure: Callable[[Exception], None]) -> None:
+        self.contained_failures = 0
         self._on_failure = on_failure
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -64,6 +79,34 @@
         self._tasks.add(task)
         task.add_done_callback(self._on_task_done)
 
+    def spawn_contained(self, coroutine: Coroutine[object, object, None]) -> None:
+        """Run a coroutine whose failure costs only what it does."""
+        self.spawn(self._contain(coroutine))
+
+    def spawn_loop(
+        self, run: Callable[[], Coroutine[object, object, None]], clock: Clock
+    ) -> None:
+        """Run a coroutine function, and again after each failure."""
+        self.spawn(self._run_again(run, clock))
+
+    async def _contain(self, coroutine: Coroutine[object, object, None]) -> None:
+        await self._succeeds(coroutine)
+
+    async def _run_again(
+        self, run: Callable[[], Coroutine[object, object, None]], clock: Clock
+    ) -> None:
+        while not await self._succeeds(run()):
+            await clock.sleep(RESTART_DELAY_S)
+
+    async def _succeeds(self, coroutine: Coroutine[object, object, None]) -> bool:
+        try:
+            await coroutine
+        except Exception:
+            self.contained_failures += 1
+            _log.exception("task_contained", task=coroutine.__qualname__)
+            return False
+        return True
+
     def cancel(self) -> None:
         """Cancel all tasks."""
         for task in list(self._tasks):
--- a/arbutuslift/coordination/dissemination/announcement.py
+++ b/arbutuslift/coordination/dissemination/announcement.py
@@ -4,6 +4,7 @@
 from jsonschema.exceptions import ValidationError
 
 from ...errors import AnnouncementError
+from ...fieldtypes import IPV4_PATTERN, MAX_INTEGER
 from ...state.upstreams import UpstreamRecord, UpstreamState
 
 ANNOUNCED_STATES = {
@@ -12,7 +13,6 @@
     "draining": UpstreamState.DRAINING,
     "leaving": UpstreamState.LEAVING,
 }
-MAX_INTEGER = 2**63 - 1
 MAX_WEIGHT = 10_000
 MAX_WORK_KINDS = 32
 MAX_FAULT_LENGTH = 200
@@ -20,7 +20,6 @@
 
 _NAME = {"type": "string", "minLength": 1, "maxLength": 128, "pattern": r"^[!-~]+\Z"}
 _COUNT = {"type": "integer", "minimum": 0, "maximum": MAX_INTEGER}
-_OCTET = r"(25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])"
 
 _validator = Draft202012Validator(
     {
@@ -45,7 +44,7 @@
             "upstream_id": {"type": "string", "pattern": r"^[0-9a-f]{32}\Z"},
             "name": _NAME,
             "data_centre": _NAME,
-            "address": {"type": "string", "pattern": rf"^({_OCTET}\.){{3}}{_OCTET}\Z"},
+            "address": {"type": "string", "pattern": rf"^{IPV4_PATTERN}\Z"},
             "port": {"type": "integer", "minimum": 1, "maximum": 65535},
             "service": _NAME,
             "work_kinds": {"type": "array", "items": _NAME, "maxItems": MAX_WORK_KINDS},
--- a/arbutuslift/coordination/dissemination/feedclient.py
+++ b/arbutuslift/coordination/dissemination/feedclient.py
@@ -181,12 +181,27 @@
                 continue
             if epoch != answer.epoch:
                 _log.info("feed_followed", peer=name, revision=answer.revision)
+            if not self._use(name, answer):
+                failures += 1
+                await self._clock.sleep(RETRY_S)
+                continue
             failures = 0
             epoch, position = answer.epoch, answer.position
             self._add_known_names(answer.controls)
-            self._on_answer(name, answer)
             is_behind = answer.revision > self._revision()
 
+    def _use(self, name: str, answer: FeedAnswer) -> bool:
+        """Return whether an answer could be used; another instance's may differ."""
+        try:
+            self._on_answer(name, answer)
+        except Exception:
+            # An answer must not end the process, nor stop it from following the feed.
+            _log.exception("feed_answer_refused", peer=name, revision=answer.revision)
+            if self._table_source == name:
+                self._table_source = ""
+            return False
+        return True
+
     async def _request_answer(self, name: str, request: FeedRequest) -> FeedAnswer:
         answer = await self._channel.request(name, request, ANSWER_TIMEOUT_S)
         if not isinstance(answer, FeedAnswer):
--- a/arbutuslift/coordination/routing/packetdecision.py
+++ b/arbutuslift/coordination/routing/packetdecision.py
@@ -30,6 +30,7 @@
     DROPPED_UNKNOWN_TAG = "dropped_unknown_tag"
     DROPPED_NO_TABLE = "dropped_no_table"
     DROPPED_MALFORMED = "dropped_malformed"
+    DROPPED_FAILED = "dropped_failed"
     DROPPED_STALE = "dropped_stale"
     DROPPED_LINK_FULL = "dropped_link_full"
     DROPPED_BUSY = "dropped_busy"
--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Callable
 from contextlib import AsyncExitStack, suppress
+from functools import partial
 from typing import TYPE_CHECKING
 
 import structlog
@@ -109,7 +110,7 @@
             clock,
             self._directory,
             settings.data_centre,
-            self._tasks.spawn,
+            self._tasks.spawn_contained,
             self._on_lost,
         )
         check_load_settings(settings.load)
@@ -171,9 +172,11 @@
     def _start_load_features(self, channel: Channel) -> None:
         self._load.start(channel, self._tasks)
         if self._hedger is not None:
-            self._tasks.spawn(self._hedger.run(self._receive, self._send_hedge))
+            run = partial(self._hedger.run, self._receive, self._send_hedge)
+            self._tasks.spawn_loop(run, self._clock)
         if self._gate is not None:
-            self._tasks.spawn(self._gate.run(self._router.route, self._carry_out))
+            run = partial(self._gate.run, self._router.route, self._carry_out)
+            self._tasks.spawn_loop(run, self._clock)
 
     async def open(self) -> None:
         """Open the bus and the readiness endpoint, and start all tasks.
@@ -185,6 +188,7 @@
         self._stack.callback(self._socket.close)
         self._stack.callback(self._tasks.cancel)
         channel = Channel(self._make_bus(settings.name))
+        self.metrics.refusals = partial(self._refusals, channel)
         self._feed = FeedClient(
             channel,
             self._clock,
@@ -194,9 +198,10 @@
             self._on_answer,
             self._directory.remove_source,
         )
-        self._tasks.spawn(self._feed.run())
-        self._tasks.spawn(self._expire())
-        self._tasks.spawn(self._sender.run(self._drop_stale))
+        self._tasks.spawn_loop(self._feed.run, self._clock)
+        self._tasks.spawn_loop(self._expire, self._clock)
+        run = partial(self._sender.run, self._drop_stale)
+        self._tasks.spawn_loop(run, self._clock)
         await self._forward_waiting_packets()
         await self._open_readiness()
         self.add_load_features()
@@ -260,7 +265,7 @@
             except OSError as error:
                 _log.warning("receive_failed", reason=str(error))
                 return
-            self._handle(datagram)
+            self._handle_contained(datagram)
             now_s = time.perf_counter()
             self.metrics.packet_duration_s.observe(now_s - before_s)
             before_s = now_s
@@ -296,6 +301,14 @@
         except BlockingIOError:
             return
 
+    def _handle_contained(self, datagram: bytes) -> None:
+        try:
+            self._handle(datagram)
+        except Exception:
+            # An error in one packet must not hold up those that wait behind it.
+            self.metrics.packets[Verdict.DROPPED_FAILED] += 1
+            _log.exception(Verdict.DROPPED_FAILED, size_bytes=len(datagram))
+
     def _handle(self, datagram: bytes) -> None:
         try:
             packet = self._codec.decode(datagram)
@@ -357,7 +370,8 @@
 
     def _on_lost(self, tracked: TrackedStart) -> None:
         start = tracked.start
-        self._tasks.spawn(self._feed.report_loss(start.upstream_id, start.born_ms))
+        report = self._feed.report_loss(start.upstream_id, start.born_ms)
+        self._tasks.spawn_contained(report)
 
     def _apply(self, source: str, encoded: bytes) -> None:
         table = decode_table(encoded)
@@ -379,7 +393,7 @@
                 loader = RouteTimesLoader(
                     self._clock, self._feed, self._router, self._load.apply
                 )
-                self._tasks.spawn(loader.load(source, table.revision))
+                self._tasks.spawn_contained(loader.load(source, table.revision))
 
     async def _expire(self) -> None:
         while True:
--- a/arbutuslift/entrymetrics.py
+++ b/arbutuslift/entrymetrics.py
@@ -1,6 +1,7 @@
 """Metrics of an entry instance."""
 
 from collections import Counter
+from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
 from . import logs
@@ -29,6 +30,8 @@
         batch_packets: Packets read from the socket in one batch.
         hedges: Number of SYNs without an answer in time, by what became of them.
         view_age_s: Age of the newest answer of a control instance when a flow opens.
+        refusals: Returns the number of messages, records and tasks that were refused or
+            failed, by kind.
     """
 
     def __init__(
@@ -44,6 +47,7 @@
         self._egress = egress
         self._load = LoadFeatures()
         self._gate: AdmissionGate | None = None
+        self.refusals: Callable[[], Mapping[str, int]] = dict
 
     def use(self, load: LoadFeatures, gate: "AdmissionGate | None") -> None:
         """Set what is loaded after the start.
@@ -76,6 +80,12 @@
                 values=dict(self.hedges),
             ),
             logs.dropped_lines(),
+            Counts(
+                name="arbutuslift_refusals",
+                help_text="What peers sent and couldn't be used, by kind.",
+                label="kind",
+                values=self.refusals(),
+            ),
             Gauge(
                 name="arbutuslift_flows",
                 help_text="Flows seen lately.",
--- a/arbutuslift/fieldtypes.py
+++ b/arbutuslift/fieldtypes.py
@@ -8,6 +8,8 @@
 import re
 import socket
 from abc import ABC, abstractmethod
+from collections.abc import Callable
+from functools import cache
 from typing import Any, Generic, TypeVar
 
 from attrs import frozen
@@ -16,6 +18,8 @@
 
 T = TypeVar("T")
 
+PairsHook = Callable[[list[tuple[str, object]]], dict[str, object]]
+
 MAX_DEPTH = 32
 # Whole numbers are encoded in 64 bits, some of them with a sign.
 MAX_INTEGER = 2**63 - 1
@@ -27,7 +31,8 @@
 _STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
 _ADDRESS = re.compile(r"([0-9.]{7,15}):([1-9][0-9]{0,4})", re.ASCII)
 _OCTET = r"(?:25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
-_IPV4 = re.compile(rf"{_OCTET}(?:\.{_OCTET}){{3}}")
+IPV4_PATTERN = rf"{_OCTET}(?:\.{_OCTET}){{3}}"
+_IPV4 = re.compile(IPV4_PATTERN)
 _FIRST_MULTICAST_OCTET = 224
 _REQUIRED: Any = object()
 
@@ -90,7 +95,6 @@
         return value
 
 
-@frozen
 class Ipv4(FieldType[str]):
     """Dotted IPv4 address to which a packet can be sent."""
 
@@ -104,7 +108,6 @@
         return value
 
 
-@frozen
 class IpPort(FieldType[tuple[str, int]]):
     """``ip:port`` with a dotted IPv4 address and a port from 1 to 65535."""
 
@@ -204,21 +207,32 @@
         return f"{path}.{name}" if path else name
 
 
-def parse_json(body: bytes) -> object:
+def parse_json(body: bytes, object_pairs_hook: PairsHook | None = None) -> object:
     """Return the value of a JSON text in UTF-8, nested at most ``MAX_DEPTH`` times.
 
+    Args:
+        body: The text.
+        object_pairs_hook: Returns an object from its pairs; see ``json.loads``.
+
     Raises:
         FieldError: It isn't JSON, or it is nested deeper.
     """
     if not _nests_within_limit(body):
-        reason = f"nested deeper than {MAX_DEPTH}, or brackets that don't match"
-        raise FieldError("", reason)
+        reason = f"brackets that don't match, or nested deeper than {MAX_DEPTH}"
+        raise FieldError("", f"not JSON: {reason}")
     try:
-        return json.loads(body.decode(), parse_constant=_refuse_constant)
+        return _decoder(object_pairs_hook).decode(body.decode())
     except ValueError as error:
         raise FieldError("", f"not JSON: {error}") from error
 
 
+@cache
+def _decoder(object_pairs_hook: PairsHook | None) -> json.JSONDecoder:
+    return json.JSONDecoder(
+        parse_constant=_refuse_constant, object_pairs_hook=object_pairs_hook
+    )
+
+
 def shown(value: object) -> str:
     """Return a short ASCII text that shows a value in messages and logs."""
     if isinstance(value, (list, dict)):
--- a/arbutuslift/membersupervisor.py
+++ b/arbutuslift/membersupervisor.py
@@ -22,6 +22,7 @@
 from .errors import StorageError
 from .protocol.channel import Channel
 from .rolesettings import ControlSettings
+from .state.configuration import StoredRevision
 from .state.files import check_writable
 from .state.storage import MemberStorage
 
@@ -95,6 +96,10 @@
             raise StorageError("the data folder is closed", step="reach agreement")
         return self._order_processor
 
+    def history(self) -> list[StoredRevision]:
+        """Return the revisions that the running member holds, newest first."""
+        return self.member.revisions() if self.member is not None else []
+
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Use the seeds of changed settings."""
         self._seeds = seeds
--- a/arbutuslift/protocol/channel.py
+++ b/arbutuslift/protocol/channel.py
@@ -1,11 +1,13 @@
 """Typed messages over a bus."""
 
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 import structlog
 
 from ..errors import ArbutusliftError, MessageError, PeerFailure
+from ..state.fieldcodec import dropped_items
 from ..transport.bus import Bus
 from .messages import Failure, Message, decode, encode
 
@@ -23,9 +25,14 @@
 
     Args:
         bus: Carries the bytes; the channel replaces its handler.
+
+    Attributes:
+        refusals: Number of messages and records that couldn't be encoded or decoded,
+            by kind.
     """
 
     def __init__(self, bus: Bus) -> None:
+        self.refusals: Counter[str] = Counter()
         self._bus = bus
         self._handlers: dict[type[Message], MessageHandler] = {}
         self._permitted_to_operators: set[type[Message]] = set()
@@ -65,35 +72,74 @@
         Raises:
             PeerTimeout: No answer in time; whether the peer acted is unknown.
             PeerFailure: The peer's handler raised an error.
-            MessageError: The answer is malformed.
+            MessageError: The request can't be encoded, or the answer is malformed.
         """
-        answer = decode(await self._bus.request(peer, encode(message), timeout_s))
+        body = await self._bus.request(peer, self._encode(message), timeout_s)
+        answer = self._decode(peer, body)
         if isinstance(answer, Failure):
             raise PeerFailure(answer.reason, step=answer.step, peer=peer)
         return answer
 
     async def send(self, peer: str, message: Message) -> None:
-        """Send a message that needs no answer."""
-        await self._bus.send(peer, encode(message))
+        """Send a message that needs no answer.
 
-    async def _handle(self, peer: str, body: bytes) -> bytes | None:
+        One that can't be encoded is lost, as it may be on the way.
+        """
+        try:
+            body = self._encode(message)
+        except MessageError as error:
+            _log.error("message_not_sent", peer=peer, reason=error.message)
+            return
+        await self._bus.send(peer, body)
+
+    def _encode(self, message: Message) -> bytes:
+        try:
+            return encode(message)
+        except MessageError:
+            self.refusals["not_encodable"] += 1
+            raise
+
+    def _decode(self, peer: str, body: bytes) -> Message:
+        dropped = dropped_items.total()
         try:
             message = decode(body)
+        except MessageError:
+            self.refusals["message"] += 1
+            raise
+        count = dropped_items.total() - dropped
+        if count:
+            self.refusals["record"] += count
+            name = type(message).__name__
+            _log.warning("records_refused", peer=peer, message=name, count=count)
+        return message
+
+    async def _handle(self, peer: str, body: bytes) -> bytes | None:
+        answer = await self._answer(peer, body)
+        if answer is None:
+            return None
+        try:
+            return self._encode(answer)
+        except MessageError as error:
+            _log.error("message_not_sent", peer=peer, reason=error.message)
+            return encode(Failure(step=error.step, reason="not encodable"))
+
+    async def _answer(self, peer: str, body: bytes) -> Message | None:
+        try:
+            message = self._decode(peer, body)
             handler = self._handlers.get(type(message))
             if handler is None:
                 name = type(message).__name__
                 raise MessageError(f"no handler for {name}", step="handle message")
             self._check_permission(peer, type(message))
-            answer = await handler(peer, message)
+            return await handler(peer, message)
         except MessageError as error:
             # A one-way message gets no answer, so the refusal shows only in the log.
             _log.warning(
                 "message_refused", peer=peer, step=error.step, reason=error.message
             )
-            answer = Failure(step=error.step, reason=error.message)
+            return Failure(step=error.step, reason=error.message)
         except ArbutusliftError as error:
-            answer = Failure(step=error.step, reason=error.message)
-        return encode(answer) if answer is not None else None
+            return Failure(step=error.step, reason=error.message)
 
     def _check_permission(self, peer: str, message_class: type[Message]) -> None:
         is_operator = peer.startswith(OPERATOR_PREFIX)
--- a/arbutuslift/protocol/documentfile.py
+++ b/arbutuslift/protocol/documentfile.py
@@ -1,16 +1,15 @@
 """Parsers of operators' YAML and JSON input into plain values."""
 
-import json
 from pathlib import Path
 
 import yaml
 
-from ..errors import DocumentError, Fault
+from ..errors import DocumentError, Fault, FieldError
+from ..fieldtypes import MAX_INTEGER, parse_json as parse_json_text
 
 # A document of 2,100 services and 1,500 instances takes about 0.6 MB. An answer that
 # carries a document has to fit into a message of 4 MiB.
 MAX_DOCUMENT_BYTES = 2 * 1024 * 1024
-MAX_INTEGER = 2**63
 
 # The parser of YAML takes up to 1 KB for each value, so 2 MB of short values would take
 # 1 GB. A document of the target scale has 70,000 values.
@@ -120,15 +119,12 @@
     Raises:
         DocumentError: Too large, not JSON, or with duplicate keys.
     """
-    text = _decode(body)
-    if not text.strip():
+    if not _decode(body).strip():
         raise _error("empty")
     try:
-        return json.loads(
-            text, object_pairs_hook=_build_mapping, parse_constant=_refuse_constant
-        )
-    except (ValueError, RecursionError) as error:
-        raise _error(f"not JSON: {error}") from error
+        return parse_json_text(body, object_pairs_hook=_build_mapping)
+    except FieldError as error:
+        raise _error(error.reason) from error
 
 
 def compose_yaml(body: bytes) -> yaml.Node | None:
@@ -170,10 +166,6 @@
     return mapping
 
 
-def _refuse_constant(name: str) -> None:
-    raise ValueError(f"{name} isn't a JSON number")
-
-
 def _error(reason: str, peer: str | None = None) -> DocumentError:
     fault = Fault("", reason, rule=FILE_RULE)
     return DocumentError((fault,), step=_STEP, peer=peer)
--- a/arbutuslift/protocol/feed.py
+++ b/arbutuslift/protocol/feed.py
@@ -1,7 +1,8 @@
 """Messages of the feed, to which entry instances subscribe at control instances."""
 
-from attrs import frozen
+from attrs import field, frozen
 
+from ..state.fieldcodec import INDEPENDENT_ITEMS
 from ..state.starts import UpstreamStart
 from .messages import Message, register
 
@@ -77,7 +78,7 @@
     position: int
     is_first: bool
     is_settled: bool
-    news: tuple[StartNews, ...]
+    news: tuple[StartNews, ...] = field(metadata=INDEPENDENT_ITEMS)
     revision: int
     table: bytes
     controls: tuple[str, ...]
--- a/arbutuslift/protocol/messages.py
+++ b/arbutuslift/protocol/messages.py
@@ -54,9 +54,17 @@
 
 
 def encode(message: Message) -> bytes:
-    """Return the message as bytes."""
+    """Return the message as bytes.
+
+    Raises:
+        MessageError: A value can't be encoded, such as a number of more than 64 bits.
+    """
     name = type(message).__name__
-    return msgpack.packb([name, to_row(message)])
+    try:
+        return msgpack.packb([name, to_row(message)])
+    except (ArithmeticError, TypeError, ValueError) as error:
+        message = f"{name} isn't encodable: {error!r}"
+        raise MessageError(message, step="encode message") from error
 
 
 def decode(body: bytes) -> Message:
--- a/arbutuslift/protocol/sharing.py
+++ b/arbutuslift/protocol/sharing.py
@@ -1,7 +1,8 @@
 """Messages by which control instances share the announcements of upstreams."""
 
-from attrs import frozen
+from attrs import field, frozen
 
+from ..state.fieldcodec import INDEPENDENT_ITEMS
 from .feed import StartNews
 from .messages import Message, register
 
@@ -17,7 +18,7 @@
             since its last update.
     """
 
-    news: tuple[StartNews, ...]
+    news: tuple[StartNews, ...] = field(metadata=INDEPENDENT_ITEMS)
     heard: tuple[str, ...]
 
 
--- a/arbutuslift/roleinstance.py
+++ b/arbutuslift/roleinstance.py
@@ -8,6 +8,7 @@
 from .clock import Clock
 from .coordination.concurrency import TaskSet
 from .errors import TaskFailed
+from .protocol.channel import Channel
 from .transport.zmqbus import ZmqBus, endpoint_of_address
 
 # Frequent attempts are affordable, since each process has few peers. After a power
@@ -66,6 +67,10 @@
         self._stack.push_async_callback(bus.close)
         return bus
 
+    def _refusals(self, channel: Channel) -> dict[str, int]:
+        """Return how many messages, records and tasks failed, by kind."""
+        return {**channel.refusals, "task": self._tasks.contained_failures}
+
     def _fail(self, error: Exception) -> None:
         """End the process after a failed task, since nothing else would report it."""
         self.failure = TaskFailed(repr(error), step=self._step)
--- a/arbutuslift/sharedload.py
+++ b/arbutuslift/sharedload.py
@@ -67,7 +67,7 @@
             self._on_summary,
             self._rng,
         )
-        tasks.spawn(self.client.run())
+        tasks.spawn_loop(self.client.run, self._clock)
 
     def apply(self, table: RoutingTable) -> None:
         """Use the services of a routing table that is in effect from now on."""
--- a/arbutuslift/state/agreedstate.py
+++ b/arbutuslift/state/agreedstate.py
@@ -6,6 +6,8 @@
 
 from .codec import decode_value, encode_value
 
+MAX_VERSION = 2**63 - 1
+
 
 @frozen(kw_only=True)
 class AgreedState:
@@ -90,7 +92,9 @@
 
 @apply_order.register
 def _put(order: PutConfiguration, state: AgreedState) -> AgreedState:
-    if order.version <= state.version:
+    # A version beyond the range, which an earlier version of this program accepted,
+    # would shut out every later configuration.
+    if order.version <= state.version <= MAX_VERSION:
         return state
     return evolve(state, version=order.version, source=order.source)
 
--- a/arbutuslift/state/codec.py
+++ b/arbutuslift/state/codec.py
@@ -11,8 +11,16 @@
 
 
 def encode_value(value: object) -> bytes:
-    """Return an attrs object as bytes."""
-    return msgpack.packb(to_map(value))
+    """Return an attrs object as bytes.
+
+    Raises:
+        StorageError: A value can't be encoded, such as a number of more than 64 bits.
+    """
+    try:
+        return msgpack.packb(to_map(value))
+    except (ArithmeticError, TypeError, ValueError) as error:
+        step = f"encode {type(value).__name__}"
+        raise StorageError(f"not encodable: {error!r}", step=step) from error
 
 
 def decode_value(body: bytes, value_class: type[T]) -> T:
--- a/arbutuslift/state/fieldcodec.py
+++ b/arbutuslift/state/fieldcodec.py
@@ -8,6 +8,7 @@
 
 import math
 import types
+from collections import Counter
 from collections.abc import Callable
 from enum import Enum
 from functools import cache
@@ -23,6 +24,14 @@
 _Decode = Callable[[Any, type], Any]
 
 _PLAIN = (int, str, bytes, bool)
+_DECODING_ERRORS = (ArithmeticError, TypeError, ValueError)
+
+# Metadata of a field with a tuple of records that don't depend on each other: one that
+# can't be decoded costs itself, not the others.
+INDEPENDENT_ITEMS = {"are_items_independent": True}
+
+# Numbers of records that couldn't be decoded, by the field that holds them.
+dropped_items: Counter[str] = Counter()
 
 
 @frozen
@@ -123,7 +132,10 @@
     attrs.resolve_types(owner)
     factory = _ColumnFactory(encode, decode)
     return tuple(
-        factory.column(field.name, field.type) for field in attrs.fields(owner)
+        factory.independent_column(field.name, field.type)
+        if field.metadata.get("are_items_independent")
+        else factory.column(field.name, field.type)
+        for field in attrs.fields(owner)
     )
 
 
@@ -145,6 +157,22 @@
         encode, decode = self._converters(value_type)
         return _Column(name, plain, encode, decode)
 
+    def independent_column(self, name: str, value_type: Any) -> _Column:
+        """Return the column of a field whose items are decoded one by one."""
+        encode, _ = self._converters(value_type)
+        _, decode_item = self._converters(get_args(value_type)[0])
+
+        def decode_good(values: Any) -> tuple[Any, ...]:
+            items = []
+            for value in _check_type(values, list):
+                try:
+                    items.append(decode_item(value))
+                except _DECODING_ERRORS:
+                    dropped_items[name] += 1
+            return tuple(items)
+
+        return _Column(name, None, encode, decode_good)
+
     def _converters(self, value_type: Any) -> tuple[Convert, Convert]:
         """Return the functions that encode and decode values of a type.
 
--- a/arbutuslift/state/starts.py
+++ b/arbutuslift/state/starts.py
@@ -1,5 +1,6 @@
 """Starts of upstreams, each one run of a process, and the merging of their records."""
 
+import socket
 from collections.abc import Iterator
 from enum import IntEnum
 
@@ -10,6 +11,12 @@
 GONE_RETENTION_S = 120.0
 MAX_STARTS = 50_000
 
+# Flow tags hash the time of birth as 64 bits with a sign, and packets carry the number
+# of the upstream in 64 bits without one.
+MAX_BORN_MS = 2**63 - 1
+MAX_NUMBER = 2**64 - 1
+MAX_PORT = 65535
+
 # Identity of an upstream and when its process started, in ms of the Unix epoch.
 StartKey = tuple[str, int]
 
@@ -53,6 +60,24 @@
     sequence: int = 0
     warm_up_left_ms: int = 0
 
+    def __attrs_post_init__(self) -> None:
+        """Check what packets and flow tags encode; peers may send anything.
+
+        Raises:
+            ValueError: A value doesn't fit its field.
+        """
+        is_valid = (
+            0 <= self.born_ms <= MAX_BORN_MS
+            and 0 < self.port <= MAX_PORT
+            and 0 <= self.number <= MAX_NUMBER
+        )
+        if not is_valid:
+            raise ValueError(f"values of {self.upstream_id[:64]} out of range")
+        try:
+            socket.inet_aton(self.ip)
+        except OSError as error:
+            raise ValueError(f"{self.ip[:64]!r} is no address") from error
+
     @property
     def key(self) -> StartKey:
         """Return the unique key of this start."""
--- a/arbutuslift/transport/announcements.py
+++ b/arbutuslift/transport/announcements.py
@@ -2,14 +2,14 @@
 
 import hashlib
 import hmac
-import json
 from collections import Counter
 from collections.abc import Callable
 
 from aiohttp import web
 from attrs import frozen
 
-from ..errors import AnnouncementError, TransportError
+from ..errors import AnnouncementError, FieldError, TransportError
+from ..fieldtypes import parse_json
 from .fabric import Address
 
 ANNOUNCEMENTS_PATH = "/v1/announcements"
@@ -100,13 +100,11 @@
         ):
             return self._refuse(peer, 401, f"{SIGNATURE_HEADER}: missing or wrong")
         try:
-            self._accept(json.loads(body, parse_constant=_refuse_constant))
+            self._accept(parse_json(body))
+        except FieldError as error:
+            return self._refuse(peer, 400, f"body: {error.reason}")
         except AnnouncementError as error:
             return self._refuse(peer, 400, error.message)
-        except RecursionError:
-            return self._refuse(peer, 400, "body: nested too deeply")
-        except ValueError as error:
-            return self._refuse(peer, 400, f"body: not JSON: {error}")
         self.counts["accepted"] += 1
         return web.Response(status=204)
 
@@ -133,7 +131,3 @@
     # A header may hold surrogate escapes, but compare_digest accepts only ASCII text.
     given = signature.encode("utf-8", "surrogateescape")
     return hmac.compare_digest(given, expected.encode())
-
-
-def _refuse_constant(name: str) -> float:
-    raise ValueError(f"{name} is not a JSON number")
--- a/arbutuslift/transport/httpserver.py
+++ b/arbutuslift/transport/httpserver.py
@@ -224,11 +224,18 @@
 
 
 def _path_of(target: str) -> str:
-    """Return the unquoted path of a request target, without the query."""
+    """Return the unquoted path of a request target, without the query.
+
+    Raises:
+        h11.RemoteProtocolError: The target is malformed.
+    """
     is_plain = target.startswith("/") and not target.startswith("//")
     if is_plain and not any(character in target for character in "%?#"):
         return target
     # Readiness checks don't need the module, whose import takes processor time.
     from urllib.parse import unquote, urlsplit
 
-    return unquote(urlsplit(target).path)
+    try:
+        return unquote(urlsplit(target).path)
+    except ValueError as error:
+        raise h11.RemoteProtocolError(f"malformed target: {error}") from error
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -188,7 +188,7 @@
         "number": number,
         "born_ms": 1_000_000 + number,
         "service": "alerts",
-        "ip": f"127.20.0.{number}",
+        "ip": f"127.20.{number // 256}.{number % 256}",
         "port": 6081,
         "data_centre": "dc-1",
         "sequence": 1,
--- a/tests/coordination/dissemination/test_groupmembership.py
+++ b/tests/coordination/dissemination/test_groupmembership.py
@@ -7,6 +7,7 @@
 
 from arbutuslift.clock import ManualClock
 from arbutuslift.coordination.dissemination.groupmembership import GroupMembership
+from arbutuslift.errors import MessageError
 from arbutuslift.protocol import gossip
 from arbutuslift.protocol.channel import Channel
 from arbutuslift.protocol.messages import Message, encode
@@ -51,7 +52,7 @@
     def check(message):
         try:
             body = encode(message)
-        except OverflowError:
+        except MessageError:
             reject()
         asyncio.run(_deliver(body))
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -143,3 +143,34 @@
 def test_an_unusable_bandwidth_is_refused(tmp_path, link_mbps):
     with pytest.raises(SettingsError):
         read(tmp_path, FRONT | {"limits": {"link_mbps": link_mbps}})
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"ip": "1.2.3.4.5"},
+        {"zone": "\ud800"},
+        {"zones": ["a" * 200]},
+        {"listen": {"control": "10.1.0.13:70000"}},
+        {"port_range": [7720, 70000]},
+        {"port_range": [7720.5, 7735]},
+        {"seeds": ["10.1.0.13:٨٠"]},
+        {"heartbeat_ms": 0},
+        {"heartbeat_ms": 10**400},
+        {"bounds": {"grace_s": -1}},
+        {"fault_tolerance": {"machines": 10**20}},
+        {"limits": {"link_mbps": "fast"}},
+    ],
+)
+def test_settings_out_of_range_are_refused(tmp_path, changes):
+    """Guards against a reload that ends, or changes a process to what can't be."""
+    with pytest.raises(SettingsError):
+        read(tmp_path, SETTINGS | changes)
+
+
+@pytest.mark.parametrize("body", [b"[" * 5000, b"\xff", b"[]", b'{"ip": NaN}', b""])
+def test_a_settings_file_that_is_no_object_is_refused(tmp_path, body):
+    path = tmp_path / "boot.json"
+    path.write_bytes(body)
+    with pytest.raises(SettingsError):
+        read_settings(path)
--- a/tests/transport/test_httpserver.py
+++ b/tests/transport/test_httpserver.py
@@ -196,3 +196,10 @@
     await writer.wait_closed()
     await asyncio.sleep(0.05)
     assert not site.requests[0].is_connected()
+
+
+async def test_a_malformed_target_costs_its_connection_only(site):
+    """Guards against an error in a task that nobody handles."""
+    bad = b"GET //[::1 HTTP/1.1\r\nHost: a\r\n\r\n"
+    assert await site.exchange(bad) == b""
+    assert b"200" in await site.exchange(post("/a", b""), end=True)
