--- a/measure/start.py
+++ b/measure/start.py
@@ -151,7 +151,7 @@
                 await asyncio.sleep(POLL_S)
         return Start(
             wall_s=time.monotonic() - started_s,
-            processor_s=_processor_s(program.process.pid),
+            processor_s=processor_s(program.process.pid),
             resident_mb=resident_mb(program.process.pid),
         )
     finally:
@@ -167,7 +167,7 @@
         return False
 
 
-def _processor_s(pid: int) -> float:
+def processor_s(pid: int) -> float:
     """Return the processor time of all threads of a process, to the nanosecond."""
     tasks = Path(f"/proc/{pid}/task").iterdir()
     spent_ns = [int((task / "schedstat").read_text().split()[0]) for task in tasks]
--- a/standins/soak/ledger.py
+++ b/standins/soak/ledger.py
@@ -155,6 +155,12 @@
                 "in force", f"the route of version {version} isn't served"
             )
 
+    def record_odd_answer(self, path: str, status: int) -> None:
+        """Record the status of the answer to odd input, 0 without an answer."""
+        self.counts["odd input"] += 1
+        if status and not 400 <= status < 500:
+            self.record_breach("odd input", f"{path}: {status}")
+
     def record_recovery(self, served: int, requested: int) -> None:
         """Record how many requests are answered after all faults have ended."""
         if served < 0.9 * requested:
--- a/standins/soak/soak.py
+++ b/standins/soak/soak.py
@@ -12,6 +12,7 @@
 from .faults import CONTROL_ACTIONS, ENTRY_ACTIONS
 from .ledger import APPLY_S, CONTACT_S, Ledger
 from .operators import FIRST_PORT, Operator
+from .otherwriter import OtherWriter
 from .programs import (
     CONTROL_PORT,
     DATA_CENTRES,
@@ -85,6 +86,12 @@
         self._operator = Operator(
             self._addresses, SERVICES, HOST, self.ledger, random.Random(seed)
         )
+        self._other_writer = OtherWriter(
+            self._addresses,
+            [entry.ip for entry in self._entries],
+            self.ledger,
+            random.Random(seed),
+        )
         self._stack = AsyncExitStack()
 
     async def run(self) -> Ledger:
@@ -99,6 +106,7 @@
                 self._run_operator,
                 self._poll_configuration,
                 self._watch_ends,
+                self._other_writer.run,
             ]
             tasks = [asyncio.create_task(step()) for step in work]
             tasks += [
--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_ledger.py
@@ -41,6 +41,16 @@
     assert ledger.breaches == []
 
 
+@pytest.mark.parametrize("status", [200, 307, 500, 503])
+def test_odd_input_that_is_not_refused_is_reported(status):
+    ledger = Ledger()
+    ledger.record_odd_answer("/Config.Put", 0)
+    ledger.record_odd_answer("/Config.Put", 400)
+    assert ledger.breaches == []
+    ledger.record_odd_answer("/Config.Put", status)
+    assert broken_promises(ledger) == ["odd input"]
+
+
 def test_request_that_is_not_idempotent_and_runs_twice_is_reported():
     ledger = Ledger()
     ledger.record_run("r1", is_idempotent=False)
