Send packets of a former boot to the next one under the same identity

Callers got resets of 12 of 12 open flows at a living upstream: it had crashed and started again while only control couldn't reach it, and the flows had opened there with the tag of the earlier boot, before the new one could register.

Cause: the router reset every flow whose tag is of a boot that is gone.

Packets of the earlier tag go to the boot that follows under the identity, if it is alive at the same address and of the same service; it resets what it doesn't hold.

--- a/arbutuslift/coordination/routing/flowtagrouter.py
+++ b/arbutuslift/coordination/routing/flowtagrouter.py
@@ -226,8 +226,13 @@
                 return Decision(Verdict.DROPPED_UNKNOWN_TAG)
             upstream = flow.upstream
         if upstream.is_gone:
-            self._remove_if_tracked(packet.flow, EndReason.RESET_HERE)
-            return Decision(Verdict.RESET_UPSTREAM_GONE, upstream)
+            # The flow may have opened at the next start before that was known. The
+            # upstream resets it itself if it doesn't hold it.
+            successor = self._directory.successor_of(upstream.start)
+            if successor is None:
+                self._remove_if_tracked(packet.flow, EndReason.RESET_HERE)
+                return Decision(Verdict.RESET_UPSTREAM_GONE, upstream)
+            upstream = successor
         if route is None:
             self._remove_if_tracked(packet.flow, EndReason.RESET_HERE)
             return Decision(Verdict.RESET_ROUTE_REMOVED, upstream)
--- a/arbutuslift/coordination/routing/upstreamdirectory.py
+++ b/arbutuslift/coordination/routing/upstreamdirectory.py
@@ -81,6 +81,20 @@
         """Return the start with a key."""
         return self._tracked.get(key)
 
+    def successor_of(self, start: UpstreamStart) -> TrackedStart | None:
+        """Return the start that followed under the same identity, None without one.
+
+        It is of the same service and has the same address, so that packets for the
+        former start reach it. One that is gone is no successor.
+        """
+        current = self._table.get(start.upstream_id)
+        if current is None or current.born_ms <= start.born_ms:
+            return None
+        if (current.address, current.service) != (start.address, start.service):
+            return None
+        tracked = self._tracked.get(current.key)
+        return tracked if tracked is not None and not tracked.is_gone else None
+
     def of_data_centre(self, data_centre: str) -> list[TrackedStart]:
         """Return the starts of a data centre that aren't gone, of all services."""
         return [
