Grant each new flow at a cold upstream by one of three control instances

An instance that was cut off went on with a share that others had been given.

Cause: shares of a number that instances only guess, and a first flow that nothing counted.

An entry instance asks a control instance for a permit for each new flow at a cold upstream whose service has a limit, and uses it within 0.25 s. Three granters a start grant a third of 0.8 of the limit each, without agreement among them; the sum stays below limit + 3 for any number of instances. A SYN waits for the answer, a second at most.

--- a/arbutuslift/control.py
+++ b/arbutuslift/control.py
@@ -175,6 +175,18 @@
         self._freeze_detector = FreezeDetector(self._clock, ORDER_FREEZE_S)
         self._tasks.spawn_loop(self._freeze_detector.run, self._clock)
 
+    def start_cold_permits(self) -> None:
+        """Grant new flows at cold upstreams from now on."""
+        from .coordination.dissemination.coldpermitserver import ColdPermitServer
+
+        ColdPermitServer(
+            self._channel,
+            self._clock,
+            self.feed.registry,
+            lambda: self._table,
+            self._get_other_control_names,
+        )
+
     def start_load_server(self) -> None:
         """Answer load reports, unless the modules for it can't be loaded."""
         try:
--- a/arbutuslift/coordination/routing/flowtagrouter.py
+++ b/arbutuslift/coordination/routing/flowtagrouter.py
@@ -165,6 +165,8 @@
         if upstream is None:
             if gate is not None and gate.keep(packet, route, self.table):
                 return Decision(Verdict.SYN_WAITS)
+            if self._selector.awaits_permit(route, self.table):
+                return Decision(Verdict.SYN_WAITS_COLD)
             self._observer.record_arrival(route.first_service, None)
             return Decision(Verdict.REFUSED_NO_UPSTREAM)
         if verdict is Verdict.NEW_FLOW:
--- a/arbutuslift/coordination/routing/packetdecision.py
+++ b/arbutuslift/coordination/routing/packetdecision.py
@@ -19,6 +19,7 @@
     SYN_MOVED = "syn_moved"
     SYN_HEDGED = "syn_hedged"
     SYN_WAITS = "syn_waits"
+    SYN_WAITS_COLD = "syn_waits_cold"
     FORWARDED = "forwarded"
     REPEATED = "repeated"
     REFUSED_NO_ROUTE = "refused_no_route"
--- a/arbutuslift/coordination/routing/poolsource.py
+++ b/arbutuslift/coordination/routing/poolsource.py
@@ -8,10 +8,11 @@
 from ...state.loadfigures import ServiceLoad, UpstreamLoad
 from ...state.routingtable import Route, RouteKey, RoutingTable
 from ...state.starts import StartKey
+from .coldadmission import COLD_SHARED_FRACTION
 from .demandshare import DemandShare
 from .servicepool import PooledUpstream, ServicePool
 from .trackedstart import TrackedStart
-from .upstreamselector import COLD_SHARED_FRACTION, UpstreamSelector
+from .upstreamselector import UpstreamSelector
 
 # Greatest age of a pool. Building one takes longer than the rest of a decision, and its
 # figures change once a second; what is outstanding here is read for each flow. In a
--- a/arbutuslift/coordination/routing/upstreamselector.py
+++ b/arbutuslift/coordination/routing/upstreamselector.py
@@ -7,6 +7,7 @@
 from ...clock import Clock
 from ...state.routingtable import Route, RoutingTable, ServiceLimits
 from ...state.starts import StartKey
+from .coldadmission import ColdAdmission, EvenColdShares
 from .outlierdetector import OutlierDetector
 from .restoredstarts import may_receive_new_flows
 from .trackedstart import TrackedStart
@@ -25,9 +26,6 @@
 # An upstream counts as slow if its response time exceeds the median by this factor.
 # Smaller factors are within the ordinary variation between requests.
 SLOW_FACTOR = 2.0
-# Fraction of a cold upstream's limit that is divided among the entry instances. The
-# rest is for instances that the control instances don't count yet.
-COLD_SHARED_FRACTION = 0.8
 
 
 class UpstreamSelector:
@@ -43,6 +41,7 @@
     Attributes:
         shared_choice: Chooses among upstreams while the load of all instances is known;
             without it the flows of this instance decide.
+        cold_admission: Decides about new flows at cold upstreams with a limit.
         entry_count: Entry instances that share the limit of a cold upstream.
         can_reach: Whether an upstream may answer at all. One that can't isn't even a
             last resort: the caller would wait until its time-out for nothing.
@@ -64,12 +63,11 @@
         self.shared_choice = shared_choice
         self.locality: LocalityWeights | None = None
         self._clock = clock
-        self._started_s = clock.monotonic_s()
         self._directory = directory
         self._outlier_detector = outlier_detector
         self._data_centre = data_centre
         self._rng = rng
-        self._last_cold_flow_s: dict[StartKey, float] = {}
+        self.cold_admission: ColdAdmission = EvenColdShares(clock, rng)
 
     def select(
         self,
@@ -115,6 +113,14 @@
             and (not tracked.is_remembered or may_receive_new_flows(tracked, limits))
         ]
 
+    def awaits_permit(self, route: Route, table: RoutingTable) -> bool:
+        """Return whether a cold upstream of a route may soon be allowed a flow."""
+        return any(
+            self.cold_admission.is_pending(tracked.start.key)
+            for service in self._services_in_order(route)
+            for tracked in self._usable(service, table)
+        )
+
     def use_locality(self, locality: "LocalityWeights") -> None:
         """Let ``locality`` decide the data centre of new flows."""
         self.locality = locality
@@ -135,25 +141,34 @@
         usable = self._usable(service, table)
         warm = [tracked for tracked in usable if tracked.cold_until_s <= now_s]
         healthy = self._healthy(warm)
-        interval_s = self._cold_interval_s(_limits_of(service, table))
+        limits = _limits_of(service, table)
+        limit_per_s = limits.cold_new_flows_per_s if limits is not None else 0.0
         cold = [
             tracked
             for tracked in usable
             if tracked.cold_until_s > now_s
-            and self._may_receive_cold_flow(tracked, interval_s)
+            and self._may_receive_cold_flow(tracked, limit_per_s)
         ]
         # A cold upstream with a limit bears what the limit allows, which warm ones
         # needn't carry. Without a limit nobody knows how little it bears.
-        limited = self._healthy(cold) if interval_s > 0 else []
+        limited = self._healthy(cold) if limit_per_s > 0 else []
         candidates = [k for k in healthy + limited if k.start.key not in excluded]
         if candidates:
             selected = self._least_loaded(self._of_data_centre(service, candidates))
         else:
             selected = self._least_loaded(cold) or self._least_loaded(healthy or warm)
         if selected is not None and selected.cold_until_s > now_s:
-            self._last_cold_flow_s[selected.start.key] = now_s
+            self.cold_admission.record_flow(selected.start.key)
         return selected
 
+    def _may_receive_cold_flow(self, tracked: TrackedStart, limit_per_s: float) -> bool:
+        """Return whether a cold upstream may get a flow; a limit of 0 means none."""
+        if limit_per_s <= 0:
+            return True
+        return self.cold_admission.may_open(
+            tracked.start, limit_per_s, self.entry_count
+        )
+
     def _healthy(self, starts: list[TrackedStart]) -> list[TrackedStart]:
         return [
             tracked
@@ -163,23 +178,6 @@
             and not self._directory.is_silent(tracked.start)
         ]
 
-    def _cold_interval_s(self, limits: ServiceLimits | None) -> float:
-        """Return the time between two new flows of this instance to a cold upstream.
-
-        The limit is divided evenly among the entry instances. Their sum stays within
-        it, even though the views of the instances differ. A limit of 0 means no limit.
-        """
-        if limits is None or limits.cold_new_flows_per_s <= 0:
-            return 0.0
-        rate_per_s = (
-            COLD_SHARED_FRACTION * limits.cold_new_flows_per_s / self.entry_count
-        )
-        return 1 / rate_per_s
-
-    def _may_receive_cold_flow(self, tracked: TrackedStart, interval_s: float) -> bool:
-        last_flow_s = self._last_cold_flow_s.get(tracked.start.key, self._started_s)
-        return self._clock.monotonic_s() - last_flow_s >= interval_s
-
     def _least_loaded(self, starts: Sequence[TrackedStart]) -> TrackedStart | None:
         """Return the start with the fewest flows, weighted by slow response times.
 
--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -4,6 +4,7 @@
 import random
 import socket
 import time
+from collections import deque
 from collections.abc import Callable
 from contextlib import AsyncExitStack, suppress
 from functools import partial
@@ -38,6 +39,7 @@
 from .transport.callerpackets import CallerPacket, PacketCodec
 
 if TYPE_CHECKING:
+    from .coordination.dissemination.coldpermits import ColdPermits
     from .coordination.routing.admissiongate import AdmissionGate
     from .coordination.routing.synhedging import SynHedger
 
@@ -60,6 +62,9 @@
 # Ticks are half a second apart. A longer gap means that the process was suspended and
 # that queued datagrams are stale.
 MAX_TICK_GAP_S = 1.5
+# Longest wait of a SYN for a permit of a cold upstream. All granters are asked in it.
+MAX_PERMIT_WAIT_S = 1.0
+MAX_WAITING_SYNS = 256
 # Delay of the lines about the upstreams of a first answer, in which the event loop
 # reads the packets that are waiting.
 LOG_DELAY_S = 0.005
@@ -137,6 +142,11 @@
         self.metrics = EntryMetrics(self._router, self._directory, self._sender.queue)
         self._sender.dropped = self.metrics.packets
         self._last_answer_s = clock.monotonic_s()
+        self._controls: tuple[str, ...] = ()
+        self._cold_permits: ColdPermits | None = None
+        self._waiting_syns: deque[tuple[float, CallerPacket]] = deque(
+            maxlen=MAX_WAITING_SYNS
+        )
         self._feed: FeedClient | None = None
 
     @property
@@ -169,6 +179,30 @@
             self._hedger = SynHedger(self._clock, self._selector, self._router)
             self.metrics.hedges = self._hedger.outcomes
 
+    def _use_cold_permits(self, channel: Channel) -> None:
+        """Ask control for new flows at cold upstreams from now on."""
+        from .coordination.dissemination.coldpermits import ColdPermits
+
+        permits = ColdPermits(
+            channel,
+            self._clock,
+            self._tasks.spawn_contained,
+            random.Random(),
+            self._selector.cold_admission,
+            self._route_waiting,
+        )
+        permits.set_controls(self._controls)
+        self._selector.cold_admission = self._cold_permits = permits
+
+    def _route_waiting(self) -> None:
+        """Route the SYNs that waited for a permit again; the first one gets it."""
+        oldest_s = self._clock.monotonic_s() - MAX_PERMIT_WAIT_S
+        waiting, self._waiting_syns = self._waiting_syns, deque(maxlen=MAX_WAITING_SYNS)
+        for arrived_s, packet in waiting:
+            if arrived_s >= oldest_s:
+                decision = self._router.route(packet)
+                self._carry_out(packet, decision, arrived_s)
+
     def _start_load_features(self, channel: Channel) -> None:
         self._load.start(channel, self._tasks)
         if self._hedger is not None:
@@ -206,6 +240,7 @@
         await self._open_readiness()
         self.add_load_features()
         self._start_load_features(channel)
+        self._use_cold_permits(channel)
         _log.info("started", listen_port=settings.listen_port)
 
     async def _forward_waiting_packets(self) -> None:
@@ -318,9 +353,24 @@
             return
         self._carry_out(packet, self._router.route(packet))
 
-    def _carry_out(self, packet: CallerPacket, decision: Decision) -> None:
+    def _carry_out(
+        self,
+        packet: CallerPacket,
+        decision: Decision,
+        arrived_s: float | None = None,
+    ) -> None:
+        """Carry out a decision.
+
+        Args:
+            packet: The packet.
+            decision: What the router does with it.
+            arrived_s: When it arrived, None for now.
+        """
         verdict = decision.verdict
         self.metrics.packets[verdict] += 1
+        if verdict is Verdict.SYN_WAITS_COLD:
+            arrived_s = arrived_s or self._clock.monotonic_s()
+            self._waiting_syns.append((arrived_s, packet))
         if verdict is Verdict.NEW_FLOW:
             age_s = self._clock.monotonic_s() - self._last_answer_s
             self.metrics.view_age_s.observe(age_s)
@@ -343,6 +393,9 @@
     def _on_answer(self, source: str, answer: FeedAnswer) -> None:
         self._last_answer_s = self._clock.monotonic_s()
         self._load.on_feed_answer(answer)
+        self._controls = answer.controls
+        if self._cold_permits is not None:
+            self._cold_permits.set_controls(answer.controls)
         changed = self._directory.merge_feed_answer(
             source,
             answer.news,
--- a/arbutuslift/explanation.py
+++ b/arbutuslift/explanation.py
@@ -28,6 +28,7 @@
     ("started", "the instance had just been started again"),
     ("repeated", "the upstream gave no answer within 150 ms, or it was lost"),
     ("request_unanswered", "the upstream gave no answer before the caller gave up"),
+    ("syn_waits_cold", "it waited for a permit, since its upstreams are in cold start"),
     ("syn_waits", "it waited for capacity before it was opened"),
     ("syn_moved", "the first upstream left the opening unanswered"),
 )
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -20,10 +20,12 @@
     DRAIN_S,
     EntryInstance,
 )
+from arbutuslift.protocol.channel import Channel
 from arbutuslift.protocol.feed import FeedAnswer, StartNews
 from arbutuslift.rolesettings import LoadSettings
 from arbutuslift.routetimesloader import ROUTE_TIMES_RETRY_S, RouteTimesLoader
-from arbutuslift.state.routingtable import encode_table
+from arbutuslift.state.routingtable import ServiceLimits, encode_table
+from arbutuslift.transport.bus import MemoryNetwork
 from arbutuslift.transport.opensockets import open_packet_socket
 
 from .builders import caller_packet, entry_settings, route, routing_table, start
@@ -160,6 +162,38 @@
         return self.monotonic_s() + self.suspended_s
 
 
+async def test_a_syn_waits_for_the_permit_of_a_cold_upstream():
+    """Guards against callers of a cold service that are refused too early."""
+    async with AsyncExitStack() as stack:
+        instance = make_instance(stack, ManualClock())
+        instance._start_receiving = lambda: None
+        cold = StartNews(start=start(1, warm_up_left_ms=60_000), is_silent=False)
+        limits = ServiceLimits(
+            name="alerts",
+            max_connections=2000,
+            cold_new_flows_per_s=4.0,
+            cold_start_s=60,
+        )
+        table = encode_table(routing_table(1, services=(limits,)))
+        answer = evolve(
+            first_answer(), news=(cold,), table=table, controls=("control",)
+        )
+        instance._on_answer("control", answer)
+        network = MemoryNetwork(instance._clock)
+        instance._use_cold_permits(Channel(network.bus("entry")))
+        syns = [caller_packet(number, is_syn=True) for number in (1, 2)]
+        for syn in syns:
+            instance._carry_out(syn, instance._router.route(syn))
+        assert instance.metrics.packets == {Verdict.SYN_WAITS_COLD: 2}
+        permits = instance._cold_permits
+        permits._pending.clear()
+        permits._valid_until_s[cold.start.key] = float("inf")
+        permits._next_request_s[cold.start.key] = float("inf")
+        instance._route_waiting()
+        assert instance.metrics.packets[Verdict.NEW_FLOW] == 1
+        assert instance.metrics.packets[Verdict.REFUSED_NO_UPSTREAM] == 1
+
+
 class UploadHarness:
     """An entry instance behind a link of 2 Mbit/s with the packets of an upload."""
 
