Probe new upstreams of a data centre that counts as unreachable

Cause: a data centre is cleared by an answer from there only. The checks of the lost upstreams end when these are gone, and their successors get no flow that could show that they answer.

Every half second up to three upstreams there that nothing is known against are checked, so that the data centre is cleared within a second of the announcement of the first one that answers. The new test leaves the data centre shut without it.

--- a/arbutuslift/coordination/routing/reachability.py
+++ b/arbutuslift/coordination/routing/reachability.py
@@ -74,11 +74,7 @@
         lost.add(tracked.start.key)
         if data_centre in self.unreachable:
             return
-        others = [
-            other
-            for other in self._directory.of_data_centre(data_centre)
-            if not other.is_lost
-        ]
+        others = self._not_lost_in(data_centre)
         if len(lost) >= LOST_UNTIL_UNREACHABLE or not others:
             self.unreachable.add(data_centre)
             _log.warning(
@@ -87,6 +83,20 @@
         for other in others[:PROBED_PER_LOSS]:
             self._probe(other)
 
+    def probe_unreachable(self) -> None:
+        """Check starts in unreachable data centres that nothing is known against.
+
+        The checks of the lost ones end when these are gone. Their successors, under new
+        identities, get no flow that could show that they answer.
+        """
+        for data_centre in self.unreachable:
+            for tracked in self._not_lost_in(data_centre)[:PROBED_PER_LOSS]:
+                self._probe(tracked)
+
+    def _not_lost_in(self, data_centre: str) -> list[TrackedStart]:
+        starts = self._directory.of_data_centre(data_centre)
+        return [tracked for tracked in starts if not tracked.is_lost]
+
     def references(self, tracked: TrackedStart) -> list[TrackedStart]:
         """Return starts whose answer shows that a silence isn't this instance's own.
 
--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -457,3 +457,4 @@
             if self._gate is not None:
                 self._gate.expire()
             self._directory.expire()
+            self._health.reachability.probe_unreachable()
--- a/tests/coordination/routing/test_reachability.py
+++ b/tests/coordination/routing/test_reachability.py
@@ -9,6 +9,7 @@
 import random
 
 import pytest
+from attrs import evolve
 
 from arbutuslift.clock import ManualClock
 from arbutuslift.coordination.routing.flowtagrouter import FlowTagRouter, Verdict
@@ -21,7 +22,9 @@
 from arbutuslift.coordination.routing.reachability import Reachability
 from arbutuslift.coordination.routing.upstreamdirectory import UpstreamDirectory
 from arbutuslift.coordination.routing.upstreamselector import UpstreamSelector
+from arbutuslift.entry import EXPIRE_INTERVAL_S
 from arbutuslift.protocol.feed import StartNews
+from arbutuslift.state.starts import Phase
 
 from ...builders import caller_packet, routing_table, start
 
@@ -217,3 +220,22 @@
     await instance.load(CALLER_WAIT_S)
     assert "dc-2" in instance.reachability.unreachable
     assert instance.network.attempts < 3 * 40
+
+
+async def test_a_data_centre_whose_upstreams_all_return_under_new_names_is_reached():
+    """Guards against a data centre that stays shut, since nobody asks a new one."""
+    instance = Instance("dc-1")
+    instance.cut_off("dc-2")
+    for tracked in instance.directory.of_data_centre("dc-2"):
+        instance.checker.check(tracked)
+    await instance.load(CALLER_WAIT_S)
+    assert instance.reachability.unreachable == {"dc-2"}
+    former = [item for item in instance.starts if item.data_centre == "dc-2"]
+    gone = [evolve(item, phase=Phase.GONE) for item in former]
+    present = [start(100 + n, data_centre="dc-2") for n in range(len(former))]
+    news = [StartNews(start=item, is_silent=False) for item in (*gone, *present)]
+    instance.directory.merge_feed_answer("a", news, is_first=False, is_settled=True)
+    for _ in range(2):
+        instance.reachability.probe_unreachable()
+        await instance.load(EXPIRE_INTERVAL_S)
+    assert instance.reachability.unreachable == set()
