Let an instance that hears no leader ask every other one to be admitted

Cause: Enrolment preferred the last leader of its own member, which nobody corrects: the former leader has no reason to write to an instance that isn't a member.

The own leader is asked only if it was heard within four election time-outs.

--- a/arbutuslift/coordination/agreement/enrolment.py
+++ b/arbutuslift/coordination/agreement/enrolment.py
@@ -63,12 +63,9 @@
             await self._clock.sleep(ENROL_INTERVAL_S)
 
     async def _enrol(self, attempt: int) -> None:
-        names = self.other_control_names
-        target = self._member.leader_name or self._leader_hint
-        if not target or target == self._channel.name:
-            if not names:
-                return
-            target = names[attempt % len(names)]
+        target = self._target(attempt)
+        if target is None:
+            return
         request = EnrolRequest(
             identity=self._member.identity, data_centre=self._data_centre
         )
@@ -82,6 +79,21 @@
             self._leader_hint = answer.leader_name
             self._add_known_names(answer.controls)
 
+    def _target(self, attempt: int) -> str | None:
+        """Return whom to ask, None if no other control instance is known.
+
+        A leader that sends nothing may be a former one, and those that are asked may
+        know a former one only. So every other attempt without a leader asks the next
+        instance, and each instance is asked in time.
+        """
+        if self._member.hears_leader:
+            return self._member.leader_name
+        hint = self._leader_hint
+        if hint and hint != self._channel.name and attempt % 2:
+            return hint
+        names = self.other_control_names
+        return names[attempt // 2 % len(names)] if names else None
+
     def _add_known_names(self, names: tuple[str, ...]) -> None:
         for name in names:
             self._known_names.pop(name, None)
--- a/arbutuslift/coordination/agreement/member.py
+++ b/arbutuslift/coordination/agreement/member.py
@@ -55,6 +55,8 @@
 MAX_DOCUMENT_BYTES = 2 * 1024 * 1024
 MIN_INITIAL_MEMBERS = 3
 MAX_MEMBERS = 13
+# Election time-outs after which a leader that sends nothing may be a former one.
+LEADER_SILENCE = 4.0
 
 _log = structlog.get_logger()
 
@@ -139,6 +141,13 @@
         """Return the leader of the newest term, if known."""
         return self._state.leader_name
 
+    @property
+    def hears_leader(self) -> bool:
+        """Return whether another member has lately been heard as the leader."""
+        silence_s = self._clock.monotonic_s() - self._state.leader_last_contact_s
+        is_recent = silence_s < LEADER_SILENCE * self._timing.election_timeout_s
+        return self._state.leader_name is not None and is_recent
+
     @property
     def control_names(self) -> tuple[str, ...]:
         """Return the names of the control instances that the manager knows."""
--- a/tests/coordination/agreement/test_membershipmanager.py
+++ b/tests/coordination/agreement/test_membershipmanager.py
@@ -1,11 +1,16 @@
 """Guards against lost members that aren't replaced, and against lost state."""
 
 import asyncio
+import random
 
 import pytest
 
-from arbutuslift.coordination.agreement.enrolment import Enrolment
+from arbutuslift.clock import ManualClock
+from arbutuslift.coordination.agreement.enrolment import ENROL_INTERVAL_S, Enrolment
 from arbutuslift.coordination.agreement.membershipmanager import MembershipPolicy
+from arbutuslift.protocol.channel import Channel
+from arbutuslift.protocol.enrolment import EnrolAnswer
+from arbutuslift.transport.bus import MemoryNetwork
 
 from ..cluster import Cluster
 
@@ -138,3 +143,84 @@
     assert await cluster.voters() == sorted(["d", *others])
     statuses = await cluster.run_until_done(cluster.members[leader].members())
     assert {s.name: s.role for s in statuses}[isolated] == "learner"
+
+
+class FormerLeader:
+    """A member whose last leader no longer sends anything to it."""
+
+    identity = b"i" * 16
+    is_leader = False
+    hears_leader = False
+    leader_name = "former"
+    control_names = ()
+
+
+class Answering(Channel):
+    """Answers enrolments; each instance knows the leaders that ``hints`` gives."""
+
+    def __init__(self, hints):
+        super().__init__(MemoryNetwork(ManualClock()).bus("learner"))
+        self.hints = hints
+        self.asked = []
+
+    async def request(self, peer, message, timeout_s):
+        self.asked.append(peer)
+        hint = self.hints[peer]
+        return EnrolAnswer(is_leader=hint == peer, leader_name=hint, controls=())
+
+
+@pytest.mark.parametrize(
+    "hints",
+    [
+        {"former": "former", "b": "leader", "leader": "leader"},
+        {"former": "b", "b": "former", "leader": "leader"},
+    ],
+)
+async def test_a_learner_asks_others_than_a_former_leader(hints):
+    """Guards against a learner that is never admitted, since it asks one for ever."""
+    channel, clock = Answering(hints), ManualClock()
+    enrolment = Enrolment(FormerLeader(), channel, clock, "dc-1", tuple(hints))
+    task = asyncio.ensure_future(enrolment.run())
+    await clock.advance(2 * len(hints) * ENROL_INTERVAL_S)
+    assert "leader" in channel.asked
+    task.cancel()
+
+
+@pytest.mark.parametrize("seed", range(6))
+async def test_after_random_faults_every_instance_follows_the_leader(seed):
+    """Guards against an instance that stays out of the agreement for ever."""
+    rng = random.Random(seed)
+    count = rng.randint(5, 6)
+    cluster = ManagedCluster(voters=5 if count > 4 else 3)
+    names = list(DATA_CENTRES)[:count]
+    cluster.start()
+    await cluster.leader()
+    for name in names[3:]:
+        cluster.start(name, initial=())
+        await cluster.run(rng.uniform(0.1, 2.0))
+    for _ in range(8):
+        name = rng.choice(names)
+        fault = rng.choice(("kill", "isolate", "isolate", "freeze"))
+        if fault == "kill":
+            await cluster.kill(name)
+            await cluster.run(rng.uniform(0.1, 4.0))
+            cluster.start(name, initial=())
+        elif fault == "isolate":
+            cluster.isolate(*rng.sample(names, rng.randint(1, 2)))
+            await cluster.run(rng.uniform(0.5, 8.0))
+            cluster.network.heal()
+        else:
+            cluster.freeze(name)
+            await cluster.run(rng.uniform(0.5, 4.0))
+            cluster.unfreeze(name)
+        await cluster.run(rng.uniform(0.0, 2.0))
+    for _ in range(60):
+        await cluster.run(0.5)
+        if all(m.is_leader or m.hears_leader for m in cluster.members.values()):
+            break
+    assert [
+        name
+        for name, member in cluster.members.items()
+        if not (member.is_leader or member.hears_leader)
+    ] == []
+    await cluster.close()
