--- a/arbutuslift/coordination/routing/upstreamselector.py
+++ b/arbutuslift/coordination/routing/upstreamselector.py
@@ -149,10 +149,14 @@
             if tracked.cold_until_s > now_s
             and self._may_receive_cold_flow(tracked, limit_per_s)
         ]
-        # A cold upstream with a limit bears what the limit allows, which warm ones
-        # needn't carry. Without a limit nobody knows how little it bears.
-        limited = self._healthy(cold) if limit_per_s > 0 else []
-        candidates = [k for k in healthy + limited if k.start.key not in excluded]
+        candidates = [k for k in healthy if k.start.key not in excluded]
+        # Without a limit nobody knows how little a cold upstream bears.
+        if limit_per_s > 0 and not any(map(self._is_local, candidates)):
+            candidates += [
+                tracked
+                for tracked in self._healthy(cold)
+                if self._is_local(tracked) and tracked.start.key not in excluded
+            ]
         if candidates:
             selected = self._least_loaded(self._of_data_centre(service, candidates))
         else:
@@ -161,6 +165,9 @@
             self.cold_admission.record_flow(selected.start.key)
         return selected
 
+    def _is_local(self, tracked: TrackedStart) -> bool:
+        return tracked.start.data_centre == self._data_centre
+
     def _may_receive_cold_flow(self, tracked: TrackedStart, limit_per_s: float) -> bool:
         """Return whether a cold upstream may get a flow; a limit of 0 means none."""
         if limit_per_s <= 0:
@@ -209,8 +216,8 @@
 
     def _prefer_local(self, starts: list[TrackedStart]) -> list[TrackedStart]:
         """Return the starts of the own data centre unless they answer late."""
-        local = [k for k in starts if k.start.data_centre == self._data_centre]
-        remote = [k for k in starts if k.start.data_centre != self._data_centre]
+        local = [k for k in starts if self._is_local(k)]
+        remote = [k for k in starts if not self._is_local(k)]
         if not local or not remote:
             return local or remote
         now_s = self._clock.monotonic_s()
