Give a log segment its name only with its content

The segment is written and synced under a temporary name, then renamed.

test_changes_are_synced_before_they_return names the operations of a compaction: the rename between the syncs of the file and of the folder is new, and all are still checked.

--- a/arbutuslift/state/disklog.py
+++ b/arbutuslift/state/disklog.py
@@ -12,6 +12,7 @@
     HEADER_BYTES,
     find_record,
     pack_record,
+    replace_file,
     storage_errors,
     sync,
     sync_folder,
@@ -267,25 +268,30 @@
     def _guard_write(self, step: str) -> "_WriteGuard":
         return _WriteGuard(self, step)
 
-    def _start_segment(self, first: int) -> None:
+    def _start_segment(self, first: int, content: bytes = b"") -> None:
+        """Start a segment that holds ``content`` from the moment it has its name.
+
+        A restart reads the newest segment only, so that an empty one would hide the
+        entries in the segment before it.
+        """
         path = self._folder / f"{PREFIX}{first:020d}"
-        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
-        descriptor = os.open(path, flags, 0o600)
+        replace_file(path, content)
+        descriptor = os.open(path, os.O_WRONLY | os.O_APPEND)
         self.close()
         self._path = path
         self._descriptor = descriptor
-        sync(descriptor)
-        sync_folder(self._folder)
 
     def _continue_in_segment(self, first: int) -> None:
         """Start a segment with copies of the entries from ``first`` on."""
         tail: tuple[LogEntry, ...] = ()
         if first <= self.last_index:
             tail = self.read(first, self._total_bytes())
+        record = LogRecord(first=first, entries=tail)
+        content = pack_record(encode_value(record)) if tail else b""
         with self._guard_write("compact log"):
-            self._start_segment(first)
+            self._start_segment(first, content)
         if tail:
-            self._write(LogRecord(first=first, entries=tail))
+            self._apply_record(self._path, 0, len(content), record)
 
     def _remove_before(self, first: int) -> None:
         segments = self._segments()
--- a/tests/state/test_logstore.py
+++ b/tests/state/test_logstore.py
@@ -105,7 +105,8 @@
     store.truncate(2)
     assert operations.calls == ["write", "fsync"] * 2
     store.compact(1, 0)
-    assert operations.calls[4:] == ["fsync"] * 3
+    # The segment is synced before it gets its name, and the folder after each change.
+    assert operations.calls[4:] == ["fsync", "replace", "fsync", "fsync"]
 
 
 def _run_changes(store, contents_after):
