--- a/tests/coordination/dissemination/test_startregistry.py
+++ b/tests/coordination/dissemination/test_startregistry.py
@@ -1,5 +1,7 @@
 """Guards against upstreams that are wrongly removed, restored or listed as alive."""
 
+from hypothesis import given, strategies as st
+
 from arbutuslift.clock import ManualClock
 from arbutuslift.coordination.dissemination.startregistry import StartRegistry
 from arbutuslift.protocol.feed import StartNews
@@ -291,3 +293,34 @@
     registry.announce(start(1, sequence=2))
     (news,) = registry.page_after(1, 10).news
     assert news.start.warm_up_left_ms == 0
+
+
+_MESSAGES = [
+    (born_ms, kind) for born_ms in (10, 20, 30) for kind in ("report", "drain", "leave")
+]
+
+
+@given(st.lists(st.sampled_from(_MESSAGES), min_size=1, max_size=20))
+def test_reports_and_leaves_in_any_order_end_alike(messages):
+    """Guards against late, repeated and overtaken messages of earlier starts."""
+    _, registry, _ = create_registry()
+    for born_ms, kind in messages:
+        if kind == "leave":
+            registry.leave(departure_of(start(1, born_ms=born_ms)))
+        else:
+            phase = Phase.DRAINING if kind == "drain" else Phase.READY
+            sequence = 2 if kind == "drain" else 1
+            record = start(1, born_ms=born_ms, phase=phase, sequence=sequence)
+            registry.announce(record)
+    first_report = next((i for i, (_, k) in enumerate(messages) if k != "leave"), None)
+    if first_report is None:
+        assert registry.find(start(1).upstream_id) is None
+        return
+    # What left before anything was known of the upstream is unknown here.
+    known = messages[first_report:]
+    newest_ms = max(born_ms for born_ms, _ in known)
+    kinds = {kind for born_ms, kind in known if born_ms == newest_ms}
+    found = registry.find(start(1).upstream_id)
+    assert found.born_ms == newest_ms
+    expected = Phase.DRAINING if "drain" in kinds else Phase.READY
+    assert found.phase is (Phase.GONE if "leave" in kinds else expected)
