Split the entry instance and the registry of starts, and simplify contained tasks

SYNs that wait for a permit (permitqueue.py), datagrams that a suspension made stale (staledatagrams.py) and what is kept of each start (startentries.py) have modules of their own. SYNs that wait for a permit are dropped after a suspension like all others. TaskSet.spawn_contained needs no wrapper coroutine, which would never run if the set closed first. Whether a SYN waits for a permit no longer draws random numbers.

--- a/arbutuslift/coordination/concurrency.py
+++ b/arbutuslift/coordination/concurrency.py
@@ -75,13 +75,11 @@
 
     def spawn(self, coroutine: Coroutine[object, object, None]) -> None:
         """Run a coroutine until it ends or the set is closed."""
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._on_task_done)
+        self._add(coroutine, self._on_task_done)
 
     def spawn_contained(self, coroutine: Coroutine[object, object, None]) -> None:
         """Run a coroutine whose failure costs only what it does."""
-        self.spawn(self._contain(coroutine))
+        self._add(coroutine, self._on_contained_done)
 
     def spawn_loop(
         self, run: Callable[[], Coroutine[object, object, None]], clock: Clock
@@ -89,23 +87,33 @@
         """Run a coroutine function, and again after each failure."""
         self.spawn(self._run_again(run, clock))
 
-    async def _contain(self, coroutine: Coroutine[object, object, None]) -> None:
-        await self._succeeds(coroutine)
-
     async def _run_again(
         self, run: Callable[[], Coroutine[object, object, None]], clock: Clock
     ) -> None:
-        while not await self._succeeds(run()):
+        while True:
+            try:
+                return await run()
+            except Exception as error:
+                self._record_contained(error)
             await clock.sleep(RESTART_DELAY_S)
 
-    async def _succeeds(self, coroutine: Coroutine[object, object, None]) -> bool:
-        try:
-            await coroutine
-        except Exception:
-            self.contained_failures += 1
-            _log.exception("task_contained", task=coroutine.__qualname__)
-            return False
-        return True
+    def _record_contained(self, error: BaseException) -> None:
+        self.contained_failures += 1
+        _log.error("task_contained", reason=repr(error), exc_info=error)
+
+    def _add(
+        self,
+        coroutine: Coroutine[object, object, None],
+        on_done: Callable[[asyncio.Task[None]], None],
+    ) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(on_done)
+
+    def _on_contained_done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._record_contained(task.exception())
 
     def cancel(self) -> None:
         """Cancel all tasks."""
--- /dev/null
+++ b/arbutuslift/coordination/dissemination/startentries.py
@@ -0,0 +1,49 @@
+"""What a control instance keeps of each start of an upstream."""
+
+from enum import Enum
+
+from attrs import define
+
+from ...state.starts import UpstreamStart
+
+
+class Origin(Enum):
+    """Source from which this instance received a start."""
+
+    ANNOUNCED = "announced"
+    SHARED = "shared"
+
+
+@define(kw_only=True)
+class StartEntry:
+    """A start with the state of its announcements.
+
+    Attributes:
+        start: Newest record.
+        last_contact_s: When this or another control instance last received an
+            announcement.
+        cold_until_s: End of the cold start.
+        is_silent: Whether the announcements have stopped.
+        position: Position of the last change in the feed.
+        loss_reported_s: When the last loss report was recorded.
+    """
+
+    start: UpstreamStart
+    last_contact_s: float
+    cold_until_s: float
+    is_silent: bool = False
+    position: int = 0
+    loss_reported_s: float = float("-inf")
+
+
+@define(kw_only=True)
+class RestoredStart:
+    """A start that a previous process saved.
+
+    Attributes:
+        start: Saved record.
+        position: Its position in the feed.
+    """
+
+    start: UpstreamStart
+    position: int
--- a/arbutuslift/coordination/dissemination/startregistry.py
+++ b/arbutuslift/coordination/dissemination/startregistry.py
@@ -1,10 +1,9 @@
 """Registry of the starts of upstreams on a control instance."""
 
 from collections.abc import Callable
-from enum import Enum
 
 import structlog
-from attrs import define, evolve
+from attrs import evolve
 
 from ...clock import Clock
 from ...histograms import Histogram, doubling_bounds
@@ -18,6 +17,7 @@
     UpstreamStart,
 )
 from .feedpages import FeedPage, first_page, page_in_order
+from .startentries import Origin, RestoredStart, StartEntry
 
 # Announcement intervals after which an upstream counts as silent. This tolerates two
 # lost announcements and a late third one.
@@ -33,48 +33,6 @@
 _log = structlog.get_logger()
 
 
-class Origin(Enum):
-    """Source from which this instance received a start."""
-
-    ANNOUNCED = "announced"
-    SHARED = "shared"
-
-
-@define(kw_only=True)
-class _Entry:
-    """A start with the state of its announcements.
-
-    Attributes:
-        start: Newest record.
-        last_contact_s: When this or another control instance last received an
-            announcement.
-        cold_until_s: End of the cold start.
-        is_silent: Whether the announcements have stopped.
-        position: Position of the last change in the feed.
-        loss_reported_s: When the last loss report was recorded.
-    """
-
-    start: UpstreamStart
-    last_contact_s: float
-    cold_until_s: float
-    is_silent: bool = False
-    position: int = 0
-    loss_reported_s: float = float("-inf")
-
-
-@define(kw_only=True)
-class _RestoredStart:
-    """A start that a previous process saved.
-
-    Attributes:
-        start: Saved record.
-        position: Its position in the feed.
-    """
-
-    start: UpstreamStart
-    position: int
-
-
 class StartRegistry:
     """Holds the starts, when they were last announced and the order of their changes.
 
@@ -100,11 +58,11 @@
         self._on_change = on_change
         self._table = StartTable()
         self.digests = StartDigests()
-        self._entries: dict[str, _Entry] = {}
+        self._entries: dict[str, StartEntry] = {}
         self._created_s = clock.monotonic_s()
         self._unshared: dict[str, None] = {}
         self._announced: dict[str, None] = {}
-        self._restored: dict[str, _RestoredStart] = {}
+        self._restored: dict[str, RestoredStart] = {}
 
     @property
     def is_settled(self) -> bool:
@@ -124,7 +82,7 @@
         """
         for start in starts:
             self.position += 1
-            self._restored[start.upstream_id] = _RestoredStart(
+            self._restored[start.upstream_id] = RestoredStart(
                 start=start, position=self.position
             )
 
@@ -320,7 +278,7 @@
                     self._unshared[start.upstream_id] = None
                 return
         else:
-            entry = self._entries[start.upstream_id] = _Entry(
+            entry = self._entries[start.upstream_id] = StartEntry(
                 start=start,
                 last_contact_s=now_s,
                 cold_until_s=now_s + start.warm_up_left_ms / 1000,
@@ -341,7 +299,7 @@
         )
 
     def _update_cold_start(
-        self, entry: _Entry, start: UpstreamStart, now_s: float
+        self, entry: StartEntry, start: UpstreamStart, now_s: float
     ) -> bool:
         """Take over when a cold start ends; return whether that has changed.
 
@@ -355,7 +313,7 @@
         entry.cold_until_s = now_s + left_s
         return True
 
-    def _set_silent(self, entry: _Entry, is_silent: bool) -> None:
+    def _set_silent(self, entry: StartEntry, is_silent: bool) -> None:
         if entry.is_silent == is_silent or entry.start.phase is Phase.GONE:
             return
         entry.is_silent = is_silent
@@ -368,12 +326,12 @@
         )
         self._on_change()
 
-    def _record_change(self, entry: _Entry) -> None:
+    def _record_change(self, entry: StartEntry) -> None:
         self.position += 1
         entry.position = self.position
 
-    def _changed_after(self, position: int) -> list[_Entry | _RestoredStart]:
-        changed: list[_Entry | _RestoredStart] = [
+    def _changed_after(self, position: int) -> list[StartEntry | RestoredStart]:
+        changed: list[StartEntry | RestoredStart] = [
             entry
             for entry in self._entries.values()
             if entry.position > position
@@ -382,14 +340,14 @@
         changed.extend(i for i in self._unconfirmed_restored() if i.position > position)
         return changed
 
-    def _unconfirmed_restored(self) -> list[_RestoredStart]:
+    def _unconfirmed_restored(self) -> list[RestoredStart]:
         if self.is_settled:
             return []
         restored = self._restored.items()
         return [item for name, item in restored if self._table.get(name) is None]
 
-    def _to_news(self, entry: _Entry | _RestoredStart) -> StartNews:
-        if isinstance(entry, _RestoredStart):
+    def _to_news(self, entry: StartEntry | RestoredStart) -> StartNews:
+        if isinstance(entry, RestoredStart):
             return StartNews(start=entry.start, is_silent=False, is_remembered=True)
         now_s = self._clock.monotonic_s()
         remaining_s = max(0.0, entry.cold_until_s - now_s)
--- a/arbutuslift/coordination/routing/upstreamselector.py
+++ b/arbutuslift/coordination/routing/upstreamselector.py
@@ -117,8 +117,8 @@
         """Return whether a cold upstream of a route may soon be allowed a flow."""
         return any(
             self.cold_admission.is_pending(tracked.start.key)
-            for service in self._services_in_order(route)
-            for tracked in self._usable(service, table)
+            for share in route.shares
+            for tracked in self._usable(share.service, table)
         )
 
     def use_locality(self, locality: "LocalityWeights") -> None:
--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -4,7 +4,6 @@
 import random
 import socket
 import time
-from collections import deque
 from collections.abc import Callable
 from contextlib import AsyncExitStack, suppress
 from functools import partial
@@ -20,6 +19,7 @@
     FlowTagRouter,
     Verdict,
 )
+from .coordination.routing.permitqueue import PermitQueue
 from .coordination.routing.trackedstart import TrackedStart
 from .coordination.routing.upstreamdirectory import UpstreamDirectory
 from .coordination.routing.upstreamhealth import UpstreamHealth
@@ -35,15 +35,14 @@
 from .roleinstance import RoleInstance
 from .rolesettings import EntrySettings
 from .routetimesloader import RouteTimesLoader
+from .staledatagrams import MAX_DATAGRAM_BYTES, StaleDatagrams
 from .state.routingtable import decode_table
 from .transport.callerpackets import CallerPacket, PacketCodec
 
 if TYPE_CHECKING:
-    from .coordination.dissemination.coldpermits import ColdPermits
     from .coordination.routing.admissiongate import AdmissionGate
     from .coordination.routing.synhedging import SynHedger
 
-MAX_DATAGRAM_BYTES = 2048
 # Datagrams read in one callback of the event loop. The limit lets the loop process
 # control traffic in between.
 BATCH_DATAGRAMS = 32
@@ -59,12 +58,6 @@
 FIRST_PACKETS_WAIT_S = 0.1
 # Part of the stop time-out that is reserved for closing sockets.
 CLOSE_RESERVE_S = 0.7
-# Ticks are half a second apart. A longer gap means that the process was suspended and
-# that queued datagrams are stale.
-MAX_TICK_GAP_S = 1.5
-# Longest wait of a SYN for a permit of a cold upstream. All granters are asked in it.
-MAX_PERMIT_WAIT_S = 1.0
-MAX_WAITING_SYNS = 256
 # Delay of the lines about the upstreams of a first answer, in which the event loop
 # reads the packets that are waiting.
 LOG_DELAY_S = 0.005
@@ -101,11 +94,13 @@
         self._codec = codec
         self._is_stopping = False
         self._has_upstreams = False
-        self._last_boottime_s = clock.boottime_s()
         self._socket = packets
         self._sender = PacketSender(
             packets, codec, clock, settings.link_bytes_per_s, settings.listen_port
         )
+        self._stale = StaleDatagrams(
+            clock, packets, self._clear_queues, self._record_stale
+        )
         self._has_read_all = asyncio.Event()
         self._decisions = DecisionLog(codec)
         self._directory = UpstreamDirectory(
@@ -142,11 +137,7 @@
         self.metrics = EntryMetrics(self._router, self._directory, self._sender.queue)
         self._sender.dropped = self.metrics.packets
         self._last_answer_s = clock.monotonic_s()
-        self._controls: tuple[str, ...] = ()
-        self._cold_permits: ColdPermits | None = None
-        self._waiting_syns: deque[tuple[float, CallerPacket]] = deque(
-            maxlen=MAX_WAITING_SYNS
-        )
+        self._permit_queue = PermitQueue(clock, self._selector, self._route_again)
         self._feed: FeedClient | None = None
 
     @property
@@ -179,30 +170,6 @@
             self._hedger = SynHedger(self._clock, self._selector, self._router)
             self.metrics.hedges = self._hedger.outcomes
 
-    def _use_cold_permits(self, channel: Channel) -> None:
-        """Ask control for new flows at cold upstreams from now on."""
-        from .coordination.dissemination.coldpermits import ColdPermits
-
-        permits = ColdPermits(
-            channel,
-            self._clock,
-            self._tasks.spawn_contained,
-            random.Random(),
-            self._selector.cold_admission,
-            self._route_waiting,
-        )
-        permits.set_controls(self._controls)
-        self._selector.cold_admission = self._cold_permits = permits
-
-    def _route_waiting(self) -> None:
-        """Route the SYNs that waited for a permit again; the first one gets it."""
-        oldest_s = self._clock.monotonic_s() - MAX_PERMIT_WAIT_S
-        waiting, self._waiting_syns = self._waiting_syns, deque(maxlen=MAX_WAITING_SYNS)
-        for arrived_s, packet in waiting:
-            if arrived_s >= oldest_s:
-                decision = self._router.route(packet)
-                self._carry_out(packet, decision, arrived_s)
-
     def _start_load_features(self, channel: Channel) -> None:
         self._load.start(channel, self._tasks)
         if self._hedger is not None:
@@ -234,13 +201,13 @@
         )
         self._tasks.spawn_loop(self._feed.run, self._clock)
         self._tasks.spawn_loop(self._expire, self._clock)
-        run = partial(self._sender.run, self._drop_stale)
+        run = partial(self._sender.run, self._stale.drop)
         self._tasks.spawn_loop(run, self._clock)
         await self._forward_waiting_packets()
         await self._open_readiness()
         self.add_load_features()
         self._start_load_features(channel)
-        self._use_cold_permits(channel)
+        self._permit_queue.open(channel, self._tasks.spawn_contained)
         _log.info("started", listen_port=settings.listen_port)
 
     async def _forward_waiting_packets(self) -> None:
@@ -288,7 +255,7 @@
         loop.call_soon(self._receive)
 
     def _receive(self) -> None:
-        self._drop_stale()
+        self._stale.drop()
         before_s = time.perf_counter()
         for count in range(BATCH_DATAGRAMS):
             try:
@@ -306,35 +273,13 @@
             before_s = now_s
         self.metrics.batch_packets.observe(BATCH_DATAGRAMS)
 
-    def _drop_stale(self) -> None:
-        if self._was_suspended():
-            self._drop_queued_datagrams()
+    def _clear_queues(self) -> int:
+        """Drop the packets that wait, and return how many did."""
+        count = self._sender.queue.clear() + self._permit_queue.clear()
+        return count + (self._gate.clear() if self._gate is not None else 0)
 
-    def _was_suspended(self) -> bool:
-        """Return whether the process was suspended since the last tick."""
-        now_s = self._clock.boottime_s()
-        gap_s = now_s - self._last_boottime_s
-        if gap_s < MAX_TICK_GAP_S:
-            return False
-        self._last_boottime_s = now_s
-        _log.warning("process_was_frozen", gap_s=round(gap_s, 3))
-        return True
-
-    def _drop_queued_datagrams(self) -> None:
-        """Drop the datagrams that waited while the process was suspended.
-
-        Their callers have retransmitted them to other instances, and the view of this
-        instance is as old as they are. Those that waited for the link were routed by
-        that view.
-        """
-        self.metrics.packets[Verdict.DROPPED_STALE] += self._sender.queue.clear()
-        if self._gate is not None:
-            self.metrics.packets[Verdict.DROPPED_STALE] += self._gate.clear()
-        try:
-            while self._socket.recv(MAX_DATAGRAM_BYTES):
-                self.metrics.packets[Verdict.DROPPED_STALE] += 1
-        except BlockingIOError:
-            return
+    def _record_stale(self, count: int) -> None:
+        self.metrics.packets[Verdict.DROPPED_STALE] += count
 
     def _handle_contained(self, datagram: bytes) -> None:
         try:
@@ -359,18 +304,11 @@
         decision: Decision,
         arrived_s: float | None = None,
     ) -> None:
-        """Carry out a decision.
-
-        Args:
-            packet: The packet.
-            decision: What the router does with it.
-            arrived_s: When it arrived, None for now.
-        """
+        """Carry out the decision about a packet that arrived at ``arrived_s``, or now."""
         verdict = decision.verdict
         self.metrics.packets[verdict] += 1
         if verdict is Verdict.SYN_WAITS_COLD:
-            arrived_s = arrived_s or self._clock.monotonic_s()
-            self._waiting_syns.append((arrived_s, packet))
+            self._permit_queue.add(packet, arrived_s)
         if verdict is Verdict.NEW_FLOW:
             age_s = self._clock.monotonic_s() - self._last_answer_s
             self.metrics.view_age_s.observe(age_s)
@@ -382,6 +320,9 @@
             self._sender.reset(packet)
         self._decisions.log_decision(packet, decision, self._router.table)
 
+    def _route_again(self, packet: CallerPacket, arrived_s: float) -> None:
+        self._carry_out(packet, self._router.route(packet), arrived_s)
+
     def _send_hedge(self, packet: CallerPacket, decision: Decision) -> None:
         self.metrics.packets[decision.verdict] += 1
         self._sender.forward(packet, decision.upstream)
@@ -393,9 +334,7 @@
     def _on_answer(self, source: str, answer: FeedAnswer) -> None:
         self._last_answer_s = self._clock.monotonic_s()
         self._load.on_feed_answer(answer)
-        self._controls = answer.controls
-        if self._cold_permits is not None:
-            self._cold_permits.set_controls(answer.controls)
+        self._permit_queue.set_controls(answer.controls)
         changed = self._directory.merge_feed_answer(
             source,
             answer.news,
@@ -451,8 +390,7 @@
     async def _expire(self) -> None:
         while True:
             await self._clock.sleep(EXPIRE_INTERVAL_S)
-            self._drop_stale()
-            self._last_boottime_s = self._clock.boottime_s()
+            self._stale.tick()
             self._router.expire()
             if self._gate is not None:
                 self._gate.expire()
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -180,16 +180,17 @@
         )
         instance._on_answer("control", answer)
         network = MemoryNetwork(instance._clock)
-        instance._use_cold_permits(Channel(network.bus("entry")))
+        channel = Channel(network.bus("entry"))
+        instance._permit_queue.open(channel, instance._tasks.spawn_contained)
         syns = [caller_packet(number, is_syn=True) for number in (1, 2)]
         for syn in syns:
             instance._carry_out(syn, instance._router.route(syn))
         assert instance.metrics.packets == {Verdict.SYN_WAITS_COLD: 2}
-        permits = instance._cold_permits
+        permits = instance._permit_queue.permits
         permits._pending.clear()
         permits._valid_until_s[cold.start.key] = float("inf")
         permits._next_request_s[cold.start.key] = float("inf")
-        instance._route_waiting()
+        instance._permit_queue.route_waiting()
         assert instance.metrics.packets[Verdict.NEW_FLOW] == 1
         assert instance.metrics.packets[Verdict.REFUSED_NO_UPSTREAM] == 1
 
@@ -204,7 +205,7 @@
         self.sent = []
         self.instance._sender.queue._send = lambda data, address: self.sent.append(data)
         for work in (
-            self.instance._sender.run(self.instance._drop_stale),
+            self.instance._sender.run(self.instance._stale.drop),
             self.instance._expire(),
         ):
             stack.callback(asyncio.ensure_future(work).cancel)
