--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -304,7 +304,7 @@
         decision: Decision,
         arrived_s: float | None = None,
     ) -> None:
-        """Carry out the decision about a packet that arrived at ``arrived_s``, or now."""
+        """Carry out the decision about a packet; it arrived now without a time."""
         verdict = decision.verdict
         self.metrics.packets[verdict] += 1
         if verdict is Verdict.SYN_WAITS_COLD:
