Let refused requests for permits wait longer where many instances ask

A refused instance asked again after about a second at any number of instances, which is 1,500 requests a second at each granter with 1,500 of them. The wait grows with the number beyond 50, 2 s at most: 750 a second, by arithmetic.

--- a/arbutuslift/coordination/dissemination/coldpermits.py
+++ b/arbutuslift/coordination/dissemination/coldpermits.py
@@ -16,10 +16,11 @@
 # A permit that is used later would add to those of the next second.
 VALID_S = 0.25
 REQUEST_TIMEOUT_S = 0.3
-# After a refusal an instance waits at least this long, so that many instances don't
-# ask all the time.
+# After a refusal an instance waits at least this long, and longer in proportion to the
+# number of instances, so that they don't ask all the time.
 MIN_WAIT_S = 0.1
 MAX_WAIT_S = 2.0
+UNCROWDED_INSTANCES = 50
 MAX_STARTS = 5000
 
 _log = structlog.get_logger()
@@ -54,6 +55,7 @@
         self._rng = rng
         self._fallback = fallback
         self._on_outcome = on_outcome
+        self._entry_count = 1
         self._controls: tuple[str, ...] = ()
         self._is_supported = True
         self._pending: set[StartKey] = set()
@@ -69,6 +71,7 @@
     ) -> bool:
         """Return whether there is a permit for a start; ask for one if not."""
         now_s = self._clock.monotonic_s()
+        self._entry_count = entry_count
         if self._valid_until_s.get(start.key, 0.0) >= now_s:
             return True
         self._ask(start, now_s)
@@ -128,7 +131,9 @@
                 return 0.0
             wait_s = min(wait_s, answer.wait_ms / 1000)
         self._is_supported = unsupported < len(granters)
-        return max(MIN_WAIT_S, wait_s) * (0.5 + self._rng.random())
+        crowd = max(1.0, self._entry_count / UNCROWDED_INSTANCES)
+        wait_s = min(MAX_WAIT_S, max(MIN_WAIT_S, wait_s) * crowd)
+        return wait_s * (0.5 + self._rng.random())
 
     def _set_wait(self, key: StartKey, wait_s: float) -> None:
         self._next_request_s.pop(key, None)
