Contain the tasks of arbutusliftd too

Each task of an instance of arbutusliftd ended the process on any error, also those that only process packets, announcements and gossip.

Its loops, and those of gossip, failure and freeze detection, run again after 0.2 s like those of the entry and control instances. Only the control plane may end it. test_only_the_agreement_may_end_a_process covers instance.py now and failed before.

--- a/arbutuslift/coordination/concurrency.py
+++ b/arbutuslift/coordination/concurrency.py
@@ -14,6 +14,33 @@
 _log = structlog.get_logger()
 
 
+Run = Callable[[], Coroutine[object, object, None]]
+
+
+async def keep_running(
+    run: Run, clock: Clock, on_error: Callable[[Exception], None]
+) -> None:
+    """Run a coroutine function, and again after each failure, until it returns.
+
+    Args:
+        run: The coroutine function.
+        clock: Measures the delay between two runs.
+        on_error: Called with the error of each failure.
+    """
+    while True:
+        try:
+            return await run()
+        except Exception as error:
+            log_contained(error)
+            on_error(error)
+        await clock.sleep(RESTART_DELAY_S)
+
+
+def log_contained(error: BaseException) -> None:
+    """Log the error of a task that costs neither the process nor what follows."""
+    _log.error("task_contained", reason=repr(error), exc_info=error)
+
+
 class ChangeNotifier:
     """Wakes the tasks that wait for a change of shared state.
 
@@ -81,25 +108,13 @@
         """Run a coroutine whose failure costs only what it does."""
         self._add(coroutine, self._on_contained_done)
 
-    def spawn_loop(
-        self, run: Callable[[], Coroutine[object, object, None]], clock: Clock
-    ) -> None:
+    def spawn_loop(self, run: Run, clock: Clock) -> None:
         """Run a coroutine function, and again after each failure."""
-        self.spawn(self._run_again(run, clock))
+        self.spawn(keep_running(run, clock, self._count_contained))
 
-    async def _run_again(
-        self, run: Callable[[], Coroutine[object, object, None]], clock: Clock
-    ) -> None:
-        while True:
-            try:
-                return await run()
-            except Exception as error:
-                self._record_contained(error)
-            await clock.sleep(RESTART_DELAY_S)
-
-    def _record_contained(self, error: BaseException) -> None:
+    def _count_contained(self, error: BaseException) -> None:
+        del error
         self.contained_failures += 1
-        _log.error("task_contained", reason=repr(error), exc_info=error)
 
     def _add(
         self,
@@ -113,7 +128,8 @@
     def _on_contained_done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            self._record_contained(task.exception())
+            log_contained(task.exception())
+            self._count_contained(task.exception())
 
     def cancel(self) -> None:
         """Cancel all tasks."""
--- a/arbutuslift/coordination/dissemination/groupmembership.py
+++ b/arbutuslift/coordination/dissemination/groupmembership.py
@@ -17,6 +17,7 @@
 from ...state.registers import Register
 from ...state.revisionstore import RevisionStore
 from ..bandwidth import BandwidthLimiter
+from ..concurrency import keep_running
 from ..freezedetector import FreezeDetector
 from .activeconfiguration import ActiveConfiguration
 from .failuredetector import FailureDetector
@@ -68,6 +69,7 @@
         self.instances = InstanceView()
         self.active_configuration = ActiveConfiguration(store)
         self.freeze_detector = FreezeDetector(clock)
+        self._clock = clock
         self._channel = channel
         self.reported_revisions = RevisionView()
         bandwidth = BandwidthLimiter(clock)
@@ -116,8 +118,16 @@
             )
             self.gossip.incarnation = self.join.own_record.incarnation
             async with asyncio.TaskGroup() as group:
-                group.create_task(self.gossip.run())
-                group.create_task(self.failure_detector.run())
-                group.create_task(self.freeze_detector.run())
+                for run in (
+                    self.gossip.run,
+                    self.failure_detector.run,
+                    self.freeze_detector.run,
+                ):
+                    group.create_task(keep_running(run, self._clock, _ignore))
         finally:
             await self.revision_distributor.close()
+
+
+def _ignore(error: Exception) -> None:
+    """Ignore an error, which is logged."""
+    del error
--- a/arbutuslift/instance.py
+++ b/arbutuslift/instance.py
@@ -1,14 +1,13 @@
 """One instance: builds its components, connects them and runs their tasks."""
 
-import asyncio
 import random
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from contextlib import AsyncExitStack
-from typing import Any
 
 from . import logs
 from .clock import Clock
+from .coordination.concurrency import TaskSet
 from .coordination.controlplane import ControlPlane
 from .coordination.dissemination.instancedirectory import InstanceDirectory
 from .coordination.dissemination.registrar import Registrar
@@ -76,6 +75,8 @@
         self._stack = stack
         self._on_stop = on_stop
         self._is_stopping = False
+        self._tasks = TaskSet(self._fail)
+        stack.callback(self._tasks.cancel)
         self._tracer: Tracer = NoOpTracer()
         self._view = UpstreamView(clock)
         self._services = ServiceTable(clock, self._view)
@@ -120,12 +121,12 @@
         timeout_detector = UpstreamTimeoutDetector(
             self._view, self.registrar, self._clock, settings.data_centre
         )
-        self._start_task(forwarder.run())
-        self._start_task(self._admission.run())
-        self._start_task(self._limiter.run())
-        self._start_task(timeout_detector.run())
-        self._start_task(self._expire())
-        self._start_task(self._report_metrics(forwarder))
+        self._tasks.spawn_loop(forwarder.run, self._clock)
+        self._tasks.spawn_loop(self._admission.run, self._clock)
+        self._tasks.spawn_loop(self._limiter.run, self._clock)
+        self._tasks.spawn_loop(timeout_detector.run, self._clock)
+        self._tasks.spawn_loop(self._expire, self._clock)
+        self._tasks.spawn_contained(self._report_metrics(forwarder))
         self._start_configuration()
         _log.info("started", listen=settings.listen.port)
 
@@ -151,7 +152,7 @@
     def _start_configuration(self) -> None:
         if self._control is not None:
             self._control.on_configuration(self.apply)
-            self._start_task(self._control.run())
+            self._tasks.spawn(self._control.run())
         elif self._settings.document is not None:
             document = load_document(self._settings.document)
             self._services.is_history_known = True
@@ -207,7 +208,7 @@
             channel=control.channel if control else None,
         )
         self._stack.callback(denials.close)
-        self._start_task(denials.run())
+        self._tasks.spawn_loop(denials.run, self._clock)
         router = SlotRouter(
             self._services,
             flows,
@@ -259,17 +260,10 @@
         path = self._settings.announcement_key_file
         return path.read_bytes().strip() if path else None
 
-    def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(coroutine)
-        task.add_done_callback(self._on_task_done)
-        self._stack.callback(task.cancel)
-
-    def _on_task_done(self, task: asyncio.Task[None]) -> None:
-        """Stop the process if a task failed, since nothing else would report it."""
-        if task.cancelled() or task.exception() is None:
-            return
-        self.failure = TaskFailed(repr(task.exception()), step=task.get_name())
-        _log.error("task_failed", reason=str(self.failure), exc_info=task.exception())
+    def _fail(self, error: Exception) -> None:
+        """Stop the process if the control plane failed; nothing else would say so."""
+        self.failure = TaskFailed(repr(error), step="run instance")
+        _log.error("task_failed", reason=str(self.failure), exc_info=error)
         self._on_stop()
 
 
--- a/tests/test_containment.py
+++ b/tests/test_containment.py
@@ -27,10 +27,12 @@
 
 PACKAGE = Path(arbutuslift.__file__).parent
 # The agreed state may end a process whose invariants it breaks, a message may not.
-MAY_END_THE_PROCESS = {"self._supervisor.run()"}
+MAY_END_THE_PROCESS = {"self._supervisor.run()", "self._control.run()"}
 
 
-@pytest.mark.parametrize("module", ["control.py", "entry.py", "sharedload.py"])
+@pytest.mark.parametrize(
+    "module", ["control.py", "entry.py", "instance.py", "sharedload.py"]
+)
 def test_only_the_agreement_may_end_a_process(module):
     tree = ast.parse((PACKAGE / module).read_text())
     spawned = {
