Ask for permits only where a cold upstream would be chosen

An instance asked for permits of all cold upstreams with each new flow, also while a warm one of its data centre took the flow, and so took them from instances that had none. The choice is two steps now: warm ones of the own data centre first, and the cold ones are looked at, and permits asked for, only without any. The times of the last flows that even shares remember are bounded.

--- a/arbutuslift/coordination/routing/coldadmission.py
+++ b/arbutuslift/coordination/routing/coldadmission.py
@@ -9,6 +9,7 @@
 # Fraction of a cold upstream's limit that is divided among the entry instances. The
 # rest is for instances that the control instances don't count yet.
 COLD_SHARED_FRACTION = 0.8
+MAX_STARTS = 5000
 
 
 class ColdAdmission(ABC):
@@ -67,4 +68,7 @@
 
     def record_flow(self, key: StartKey) -> None:
         """Record a new flow at a start."""
+        self._last_flow_s.pop(key, None)
         self._last_flow_s[key] = self._clock.monotonic_s()
+        if len(self._last_flow_s) > MAX_STARTS:
+            del self._last_flow_s[next(iter(self._last_flow_s))]
--- a/arbutuslift/coordination/routing/upstreamselector.py
+++ b/arbutuslift/coordination/routing/upstreamselector.py
@@ -141,29 +141,37 @@
         usable = self._usable(service, table)
         warm = [tracked for tracked in usable if tracked.cold_until_s <= now_s]
         healthy = self._healthy(warm)
+        candidates = [k for k in healthy if k.start.key not in excluded]
         limits = _limits_of(service, table)
         limit_per_s = limits.cold_new_flows_per_s if limits is not None else 0.0
-        cold = [
-            tracked
-            for tracked in usable
-            if tracked.cold_until_s > now_s
-            and self._may_receive_cold_flow(tracked, limit_per_s)
-        ]
-        candidates = [k for k in healthy if k.start.key not in excluded]
-        # Without a limit nobody knows how little a cold upstream bears.
-        if limit_per_s > 0 and not any(map(self._is_local, candidates)):
-            candidates += [
-                tracked
-                for tracked in self._healthy(cold)
-                if self._is_local(tracked) and tracked.start.key not in excluded
-            ]
-        if candidates:
-            selected = self._least_loaded(self._of_data_centre(service, candidates))
-        else:
-            selected = self._least_loaded(cold) or self._least_loaded(healthy or warm)
-        if selected is not None and selected.cold_until_s > now_s:
+        is_any_local = any(map(self._is_local, candidates))
+        if candidates and (limit_per_s <= 0 or is_any_local):
+            return self._least_loaded(self._of_data_centre(service, candidates))
+        selected = self._select_cold(usable, candidates, limit_per_s)
+        if selected is not None:
             self.cold_admission.record_flow(selected.start.key)
-        return selected
+            return selected
+        if candidates:
+            return self._least_loaded(self._of_data_centre(service, candidates))
+        return self._least_loaded(healthy or warm)
+
+    def _select_cold(
+        self,
+        usable: list[TrackedStart],
+        candidates: list[TrackedStart],
+        limit_per_s: float,
+    ) -> TrackedStart | None:
+        """Return the cold upstream that gets a new flow, None if none may.
+
+        Beside warm candidates, which are elsewhere then, it is one of the own data
+        centre: a service with a limit says what that bears.
+        """
+        now_s = self._clock.monotonic_s()
+        cold = [tracked for tracked in usable if tracked.cold_until_s > now_s]
+        if candidates:
+            cold = [k for k in self._healthy(cold) if self._is_local(k)]
+        permitted = [k for k in cold if self._may_receive_cold_flow(k, limit_per_s)]
+        return self._least_loaded(permitted)
 
     def _is_local(self, tracked: TrackedStart) -> bool:
         return tracked.start.data_centre == self._data_centre
