Fuzz the decoders with mutated bytes, and restart members over an unreadable entry

Bodies of reports, reports of leaving, configurations and settings with bytes cut, replaced or doubled are decoded or refused with the decoder's own error (100 generated each). Three members over a log with a configuration that can't be read are killed and started one after another, agree on the table all along, and a newer configuration takes effect.

--- a/tests/builders.py
+++ b/tests/builders.py
@@ -340,3 +340,14 @@
     ),
     max_leaves=8,
 )
+
+
+@st.composite
+def mutated(draw, body: bytes) -> bytes:
+    """Bytes of ``body`` in which up to four places are cut, replaced or doubled."""
+    for _ in range(draw(st.integers(1, 4))):
+        begin = draw(st.integers(0, len(body)))
+        end = min(len(body), begin + draw(st.integers(0, 20)))
+        part = draw(st.sampled_from([b"", body[begin:end] * 2]) | st.binary(max_size=8))
+        body = body[:begin] + part + body[end:]
+    return body
--- a/tests/coordination/test_applicabletables.py
+++ b/tests/coordination/test_applicabletables.py
@@ -1,10 +1,12 @@
 """Guards against an agreed configuration that ends every process that reads it."""
 
+import asyncio
 import json
 
 import pytest
 from adapter.configurations import routing_table
 
+from arbutuslift.coordination.agreement.orderprocessor import OrderProcessor
 from arbutuslift.coordination.applicabletables import ApplicableTables
 from arbutuslift.state.agreedstate import (
     MAX_VERSION,
@@ -16,6 +18,7 @@
 from arbutuslift.state.configuration import ConfigurationState, Submission
 
 from ..platform.test_configurations import CONFIGURATION
+from .cluster import Cluster
 
 TAKE_OUT = SetInService(data_centre="dc-1", in_service=False)
 
@@ -104,3 +107,38 @@
     )
     revisions.agreed.apply(submission)
     assert revisions.table() is None
+
+
+async def test_members_agree_during_a_rolling_restart_over_such_an_entry():
+    """Guards against members that diverge, or an order that can't mend the log."""
+    cluster = Cluster()
+    cluster.start()
+    await cluster.leader()
+
+    async def order(name, order):
+        processor = OrderProcessor(cluster.members[name], cluster.clock)
+        task = asyncio.ensure_future(processor.run())
+        await cluster.run_until_done(processor.submit(order))
+        task.cancel()
+
+    async def versions():
+        tables = []
+        for member in cluster.members.values():
+            newest = await cluster.run_until_done(member.current())
+            tables.append(
+                ApplicableTables(routing_table).table_of(newest, member.revisions)
+            )
+        assert all(table == tables[0] for table in tables)
+        return [table.version for table in tables]
+
+    for each in (good(1), poison(5), TAKE_OUT):
+        await order("a", each)
+    for name in cluster.names:
+        assert await versions() == [1, 1, 1]
+        await cluster.kill(name)
+        await cluster.run(2.0)
+        cluster.start(name)
+        await cluster.run(2.0)
+    await order("b", good(6))
+    assert await versions() == [6, 6, 6]
+    await cluster.close()
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -1,9 +1,14 @@
 """Guards against forged and malformed status reports that are accepted."""
 
 import json
+from contextlib import suppress
 
 import pytest
-from adapter.announcements import decode_announcement, upstream_number
+from adapter.announcements import (
+    decode_announcement,
+    decode_departure,
+    upstream_number,
+)
 from hypothesis import given, strategies as st
 
 from arbutuslift.errors import AnnouncementError
@@ -16,7 +21,7 @@
 from arbutuslift.state.starts import Phase
 from arbutuslift.state.startstore import SavedStarts
 
-from ..builders import json_values
+from ..builders import json_values, mutated
 
 REPORT = {
     "service": "huvo11a",
@@ -129,6 +134,14 @@
     StartDigests().put(start)
 
 
+@given(mutated(json.dumps(REPORT).encode()))
+def test_mutated_reports_are_decoded_or_refused(body):
+    """Guards against an error that the API answers with 500."""
+    for decode_body in (decode_announcement, decode_departure):
+        with suppress(AnnouncementError):
+            decode_body(ID, body)
+
+
 @pytest.mark.parametrize("opening", ["[", '{"a":'])
 def test_deeply_nested_reports_are_refused(opening):
     with pytest.raises(AnnouncementError, match="nested|JSON"):
--- a/tests/platform/test_configurations.py
+++ b/tests/platform/test_configurations.py
@@ -2,6 +2,7 @@
 
 import copy
 import json
+from contextlib import suppress
 
 import pytest
 from adapter.configurations import decode_configuration, routing_table
@@ -16,7 +17,7 @@
     with_route_times,
 )
 
-from ..builders import json_values
+from ..builders import json_values, mutated
 
 ROUTE = {
     "name": "r-1",
@@ -156,6 +157,13 @@
     assert with_route_times(sent, encode_route_times(table)) == table
 
 
+@given(mutated(json.dumps(CONFIGURATION).encode()))
+def test_a_mutated_configuration_is_decoded_or_refused(body):
+    """Guards against an error that the API answers with 500."""
+    with suppress(DocumentError):
+        decode_configuration(body)
+
+
 def test_a_deeply_nested_configuration_is_refused():
     with pytest.raises(DocumentError, match="nested"):
         decode_configuration(b"[" * 5000 + b"]" * 5000)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -3,14 +3,19 @@
 import json
 import subprocess
 import sys
+import tempfile
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
 from adapter.settings import PATH_VARIABLE, read_settings, settings_path
+from hypothesis import given
 
 from arbutuslift.errors import SettingsError
 from arbutuslift.rolesettings import LoadSettings
 
+from ..builders import mutated
+
 ROOT = Path(__file__).parents[2]
 SETTINGS = {
     "node_name": "core-1",
@@ -168,6 +173,15 @@
         read(tmp_path, SETTINGS | changes)
 
 
+@given(mutated(json.dumps(SETTINGS).encode()))
+def test_a_mutated_settings_file_is_read_or_refused(body):
+    """Guards against a reload whose task ends, so that later ones are lost."""
+    with tempfile.NamedTemporaryFile() as file, suppress(SettingsError):
+        file.write(body)
+        file.flush()
+        read_settings(file.name)
+
+
 @pytest.mark.parametrize("body", [b"[" * 5000, b"\xff", b"[]", b'{"ip": NaN}', b""])
 def test_a_settings_file_that_is_no_object_is_refused(tmp_path, body):
     path = tmp_path / "boot.json"
