Review: runs of the cases 6 to 10 at the same time use different addresses

Cause: two of five runs that began together had drawn the same loopback network, and both ended with 2.

Change: the network is reserved by a socket for the whole run.

--- a/review/kit2/programs.py
+++ b/review/kit2/programs.py
@@ -42,17 +42,22 @@
 }
 
 
-def free_block() -> int:
-    """Return the second byte of a loopback network whose ports are free."""
+def reserve_block() -> tuple[int, socket.socket]:
+    """Return the second byte of a free loopback network, and what reserves it.
+
+    The socket is held for the whole run, so that no other run takes the network.
+    """
     for _ in range(100):
         block = random.randrange(60, 250)
+        reservation = socket.socket()
         try:
+            reservation.bind((f"127.{block}.250.1", CONTROL_PORT))
             for port in (CONTROL_PORT, PORT_RANGE[0], PORT_RANGE[1]):
                 with socket.socket() as sock:
                     sock.bind((f"127.{block}.0.1", port))
-            return block
+            return block, reservation
         except OSError:
-            continue
+            reservation.close()
     raise OSError("no free loopback network")
 
 
@@ -196,7 +201,7 @@
     """
 
     def __init__(self, entries_per_zone: int = 2) -> None:
-        self.block = free_block()
+        self.block, self._reservation = reserve_block()
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         seeds = [self.address(0, n) for n in range(len(ZONES))]
         self.controls = [
@@ -245,6 +250,7 @@
         for program in self.programs:
             program.signal(signal.SIGCONT)
             program.kill()
+        self._reservation.close()
         if not os.environ.get("KEEP"):
             shutil.rmtree(self.folder, ignore_errors=True)
         else:
