--- a/review/10/case.py
+++ b/review/10/case.py
@@ -15,7 +15,8 @@
 from review.kit2.record import Record  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-HOST = "198.18.0.1"
+# A loopback address, to which nothing is sent: it stands in packets only.
+HOST = "127.30.0.1"
 ROUTES = {443: "pagos", 444: "archivo"}
 SERVICES = ("pagos", "archivo")
 
