Hand over the vote of a control instance before a planned end

Cause: a control process that stops handed over its leadership, not its vote. A learner takes the vote of a silent voter after 3 s, a time-out for crashes. Within it a second planned end takes the quorum. Ruled out: learners that haven't caught up (both had all entries; matched_index in the tests), and the list of seeds (the processes that stayed reached each other all the time).

Change: an instance that is told to stop tells the leader and goes on voting; the leader moves its vote to a learner that has caught up, one committed change of members at a time, and only then the instance ends. It waits 3 s at most, and not at all without a possible successor. A leader that has offered its leadership proposes nothing meanwhile: an entry in between kept its successor from being elected (found by the test with both ends at once). The successor knows that the former leader is about to end.

--- a/arbutuslift/control.py
+++ b/arbutuslift/control.py
@@ -26,9 +26,6 @@
 from .state.startstore import DiskStartStore
 from .transport.zmqbus import endpoint_of_address
 
-# An election takes a few round trips. A process has seconds between the signal to stop
-# and the one that kills it.
-LEADERSHIP_TRANSFER_TIMEOUT_S = 0.5
 # Longest wait for the first table before announcements are processed. An election
 # among members that start together takes half of it.
 FIRST_TABLE_WAIT_S = 0.3
@@ -203,10 +200,8 @@
         self._tasks.spawn_loop(self.load.run, self._clock)
 
     async def stop(self) -> None:
-        """Transfer leadership, so that orders don't wait for an election."""
-        member = self._supervisor.member
-        if member is not None:
-            await member.transfer_leadership(LEADERSHIP_TRANSFER_TIMEOUT_S)
+        """Hand over the leadership and the vote, so that no order waits for them."""
+        await self._supervisor.leave()
 
     async def submit(
         self, order: Order, is_connected: Callable[[], bool] = lambda: True
--- a/arbutuslift/coordination/agreement/election.py
+++ b/arbutuslift/coordination/agreement/election.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Iterable
 
 import structlog
 
@@ -10,6 +11,7 @@
 from ...protocol.agreement import TakeOver, VoteAnswer, VoteRequest
 from ...protocol.channel import Channel
 from ...state.membership import MemberRecord
+from .leavingmembers import LeavingMembers
 from .memberstate import AgreementTiming, MemberState, Role
 from .replication import Replicator
 
@@ -28,6 +30,7 @@
         channel: Reaches the other members.
         timing: Intervals.
         rng: Chooses election timeouts.
+        leaving: Members that are about to end.
     """
 
     def __init__(
@@ -37,12 +40,14 @@
         channel: Channel,
         timing: AgreementTiming,
         rng: random.Random,
+        leaving: LeavingMembers,
     ) -> None:
         self._state = state
         self._replicator = replicator
         self._channel = channel
         self._timing = timing
         self._rng = rng
+        self._leaving = leaving
         self._clock: Clock = state.clock
         self._last_voted_s = float("-inf")
         channel.register_handler(VoteRequest, self._on_vote_request)
@@ -60,7 +65,7 @@
         """Ask a voter that has the whole log to become leader.
 
         Without the transfer, the other members start an election only after their
-        election timeouts.
+        election timeouts. A member that is about to end isn't asked.
 
         Returns:
             Whether this member was the leader and no longer is.
@@ -73,6 +78,7 @@
             for peer in self._replicator.peers
             if state.membership.is_voter(peer.member.identity)
             and peer.matched_index == state.last_index
+            and peer.member.identity not in self._leaving
         ]
         if not candidates:
             return False
@@ -81,10 +87,14 @@
             target=successor.member.identity, cluster=state.cluster, term=state.term
         )
         _log.info("leadership_offered", member=successor.member.name, term=state.term)
-        await self._channel.send(successor.member.name, offer)
-        return await state.changed.wait_for(
-            lambda: state.role is not Role.LEADER, timeout_s
-        )
+        state.is_transferring = True
+        try:
+            await self._channel.send(successor.member.name, offer)
+            return await state.changed.wait_for(
+                lambda: state.role is not Role.LEADER, timeout_s
+            )
+        finally:
+            state.is_transferring = False
 
     async def _on_take_over(self, peer: str, offer: TakeOver) -> None:
         state = self._state
@@ -93,7 +103,8 @@
         if offer.term != state.term or not is_voter or state.role is Role.LEADER:
             return
         _log.info("leadership_taken_over", peer=peer, term=offer.term + 1)
-        await self._start_election(offer.term + 1)
+        former = [voter for voter in state.membership.voters if voter.name == peer]
+        await self._start_election(offer.term + 1, leaving=former)
 
     async def _check_quorum(self) -> None:
         await self._clock.sleep(self._timing.heartbeat_interval_s)
@@ -136,9 +147,13 @@
         if state.term == term - 1 and not self._has_recent_leader():
             await self._start_election(term)
 
-    async def _start_election(self, term: int) -> None:
+    async def _start_election(
+        self, term: int, leaving: Iterable[MemberRecord] = ()
+    ) -> None:
         state = self._state
         state.become_candidate(term)
+        for member in leaving:
+            self._leaving.add(member.identity)
         won = await self._request_votes(term, pre_vote=False)
         if won and state.term == term and state.role is Role.CANDIDATE:
             self._replicator.become_leader()
--- a/arbutuslift/coordination/agreement/enrolment.py
+++ b/arbutuslift/coordination/agreement/enrolment.py
@@ -41,6 +41,7 @@
         self._seeds = seeds
         self._known_names: dict[str, None] = dict.fromkeys(seeds)
         self._leader_hint = ""
+        self._is_ending = False
 
     @property
     def other_control_names(self) -> tuple[str, ...]:
@@ -53,10 +54,14 @@
         self._seeds = seeds
         self._known_names.update(dict.fromkeys(seeds))
 
+    def end(self) -> None:
+        """Stop to enrol, since the instance is about to end."""
+        self._is_ending = True
+
     async def run(self) -> None:
         """Enrol periodically until cancelled; the leader doesn't enrol."""
         attempt = 0
-        while True:
+        while not self._is_ending:
             if not self._member.is_leader:
                 await self._enrol(attempt)
                 attempt += 1
--- a/arbutuslift/coordination/agreement/member.py
+++ b/arbutuslift/coordination/agreement/member.py
@@ -46,6 +46,7 @@
 from .bootstrap import Bootstrapper
 from .election import Elector
 from .follower import Follower
+from .leavingmembers import LeavingMembers
 from .memberreplacement import MemberReplacer
 from .membershipmanager import MembershipManager, MembershipPolicy
 from .memberstate import AgreementTiming, CommitCallback, MemberState, Role
@@ -107,7 +108,10 @@
         self._state.on_failure = self._on_failure
         self._tasks = TaskSet(self._state.fail)
         self._replicator = Replicator(self._state, channel, timing, self._tasks)
-        self._elector = Elector(self._state, self._replicator, channel, timing, rng)
+        leaving = LeavingMembers(self._state)
+        self._elector = Elector(
+            self._state, self._replicator, channel, timing, rng, leaving
+        )
         self._follower = Follower(self._state, channel)
         self._replacer = MemberReplacer(self._state, self._replicator, channel, timing)
         self._bootstrapper = Bootstrapper(
@@ -120,6 +124,7 @@
                 replicator=self._replicator,
                 channel=channel,
                 policy=membership_policy,
+                leaving=leaving,
             )
         channel.register_handler(SubmitRequest, self._on_submit)
         channel.register_handler(ReadRequest, self._on_read)
@@ -155,6 +160,17 @@
             self._membership_manager.control_names if self._membership_manager else ()
         )
 
+    @property
+    def has_successor(self) -> bool:
+        """Return whether an instance without a vote can soon take a member's vote.
+
+        The leader knows the instances that enrol, others the members only.
+        """
+        manager = self._membership_manager
+        if self.is_leader and manager is not None:
+            return manager.has_successor()
+        return any(not member.voter for member in self._state.membership.members)
+
     @property
     def fault(self) -> str | None:
         """Return why the member can't take part until an operator acts, or None."""
@@ -349,7 +365,8 @@
         self, submission: Submission, timeout_s: float
     ) -> Message:
         state = self._state
-        if state.role is not Role.LEADER:
+        # An entry that the successor doesn't have would keep it from being elected.
+        if state.role is not Role.LEADER or state.is_transferring:
             return NotLeader()
         decision = state.configuration.first_decision(submission)
         if decision is not None:
--- a/arbutuslift/coordination/agreement/membershipmanager.py
+++ b/arbutuslift/coordination/agreement/membershipmanager.py
@@ -5,8 +5,14 @@
 
 from ...errors import NoQuorum
 from ...protocol.channel import Channel
-from ...protocol.enrolment import EnrolAnswer, EnrolRequest
+from ...protocol.enrolment import (
+    EnrolAnswer,
+    EnrolRequest,
+    LeaveAnswer,
+    LeaveRequest,
+)
 from ...state.membership import MemberRecord, Membership
+from .leavingmembers import LeavingMembers
 from .memberstate import MemberState, Role
 from .replication import Peer, Replicator
 
@@ -50,17 +56,21 @@
     """Changes the members to match the policy while its member is the leader.
 
     A disk that was wiped gets a new identity, so the old identity never votes again.
-    Each change is committed before the next one is proposed.
+    Each change is committed before the next one is proposed. A voter that is about to
+    end is replaced at once, while it still votes, if a learner is there.
     """
 
     state: MemberState
     replicator: Replicator
     channel: Channel
     policy: MembershipPolicy
+    leaving: LeavingMembers
     _enrolled: dict[bytes, _Enrolled] = field(factory=dict, init=False)
+    _is_check_due: bool = field(default=False, init=False)
 
     def __attrs_post_init__(self) -> None:
         self.channel.register_handler(EnrolRequest, self._on_enrol)
+        self.channel.register_handler(LeaveRequest, self._on_leave)
 
     @property
     def control_names(self) -> tuple[str, ...]:
@@ -69,10 +79,24 @@
         recent_names = [e.name for e in self._enrolled.values() if self._is_recent(e)]
         return tuple(sorted({m.name for m in members} | set(recent_names)))
 
+    def has_successor(self) -> bool:
+        """Return whether an instance without a vote can soon take that of another."""
+        membership = self.state.membership
+        enrolled = [i for i, e in self._enrolled.items() if self._is_recent(e)]
+        learners = [m for m in membership.members if not m.voter]
+        heard = [m.identity for m in learners if not self._is_timed_out(m)]
+        return any(
+            identity not in self.leaving and not membership.is_voter(identity)
+            for identity in (*enrolled, *heard)
+        )
+
     async def run(self) -> None:
-        """Check the members periodically until cancelled."""
+        """Check the members periodically, and after each change, until cancelled."""
         while True:
-            await self.state.clock.sleep(self.policy.check_interval_s)
+            await self.state.changed.wait_for(
+                lambda: self._is_check_due, self.policy.check_interval_s
+            )
+            self._is_check_due = False
             if self.state.role is Role.LEADER:
                 try:
                     await self._change_members(self.state.term)
@@ -82,11 +106,12 @@
     async def _change_members(self, term: int) -> None:
         state = self.state
         required_index = max(self.replicator.term_start_index, state.membership_index)
-        if state.commit_index < required_index:
+        if state.commit_index < required_index or state.is_transferring:
             return
         change = self._next_change()
         if change is None:
             return
+        self._is_check_due = True
         index = self.replicator.propose_membership(change)
         _log.info(
             "membership_changed",
@@ -130,6 +155,8 @@
         for identity, enrolled in self._enrolled.items():
             if not self._is_recent(enrolled) or membership.find(identity):
                 continue
+            if identity in self.leaving:
+                continue
             learner = MemberRecord(name=enrolled.name, identity=identity, voter=False)
             return evolve(membership, members=(*membership.members, learner))
         return None
@@ -163,17 +190,19 @@
         return None
 
     def _lost_voter(self, membership: Membership) -> MemberRecord | None:
-        """Return a superseded voter, or the one without contact for longest, if any."""
+        """Return a voter that is lost, or that is about to be, or None.
+
+        One that is about to end comes last, since it still votes.
+        """
         others = [m for m in membership.voters if m.identity != self.state.identity]
         for voter in others:
             if self._is_superseded(voter):
                 return voter
-        timed_out = [
-            v
-            for v in others
-            if self._since_contact_s(v) > self.policy.failure_timeout_s
-        ]
-        return max(timed_out, key=self._since_contact_s, default=None)
+        timed_out = [voter for voter in others if self._is_timed_out(voter)]
+        if timed_out:
+            return max(timed_out, key=self._since_contact_s)
+        leaving = (voter for voter in others if voter.identity in self.leaving)
+        return next(leaving, None)
 
     def _most_colocated_voter(self, membership: Membership) -> MemberRecord | None:
         others = [m for m in membership.voters if m.identity != self.state.identity]
@@ -212,13 +241,18 @@
 
     def _is_ready(self, member: MemberRecord) -> bool:
         peer = self._peer(member)
-        if member.voter or peer is None or self._is_superseded(member):
+        if member.voter or peer is None or member.identity in self.leaving:
+            return False
+        if self._is_superseded(member):
             return False
         is_in_contact = (
             self._since_contact_s(member) < self.policy.failure_timeout_s / 2
         )
         return is_in_contact and peer.matched_index >= self.state.commit_index
 
+    def _is_timed_out(self, member: MemberRecord) -> bool:
+        return self._since_contact_s(member) > self.policy.failure_timeout_s
+
     def _since_contact_s(self, member: MemberRecord) -> float:
         peer = self._peer(member)
         now_s = self.state.clock.monotonic_s()
@@ -233,6 +267,8 @@
         return silence_s < self.policy.failure_timeout_s
 
     async def _on_enrol(self, peer: str, request: EnrolRequest) -> EnrolAnswer:
+        # An instance that is about to end no longer enrols.
+        self.leaving.discard(request.identity)
         self._enrolled[request.identity] = _Enrolled(
             name=peer,
             data_centre=request.data_centre,
@@ -243,3 +279,22 @@
             leader_name=self.state.leader_name or "",
             controls=self.control_names,
         )
+
+    async def _on_leave(self, peer: str, request: LeaveRequest) -> LeaveAnswer:
+        state = self.state
+        if state.role is not Role.LEADER:
+            return LeaveAnswer(is_leader=False, may_end=False)
+        if request.identity not in self.leaving:
+            _log.info("member_leaves", peer=peer, term=state.term)
+            self.leaving.add(request.identity)
+            self._is_check_due = True
+            state.changed.notify()
+        return LeaveAnswer(is_leader=True, may_end=self._may_end(request.identity))
+
+    def _may_end(self, identity: bytes) -> bool:
+        """Return whether the quorum gains nothing from a member that is to end."""
+        state = self.state
+        if state.membership.is_voter(identity):
+            return not self.has_successor()
+        # A change of members that isn't committed may still be undone.
+        return state.commit_index >= state.membership_index
--- a/arbutuslift/coordination/agreement/memberstate.py
+++ b/arbutuslift/coordination/agreement/memberstate.py
@@ -92,6 +92,8 @@
     Attributes:
         changed: Notified after every change.
         role: Role of the member in its current term.
+        is_transferring: Whether the leader has offered the leadership to another
+            member, and so proposes nothing.
         leader_name: Leader of the term, if known.
         leader_last_contact_s: When the last request of a leader was received.
         commit_index: Last entry known to be committed; all up to it are applied.
@@ -111,6 +113,7 @@
         self.clock = clock
         self.changed = ChangeNotifier(clock)
         self.role = Role.FOLLOWER
+        self.is_transferring = False
         self.leader_name: str | None = None
         self.leader_last_contact_s = float("-inf")
         self.failure: Exception | None = None
--- a/arbutuslift/membersupervisor.py
+++ b/arbutuslift/membersupervisor.py
@@ -106,6 +106,16 @@
         if self._enrolment is not None:
             self._enrolment.set_seeds(seeds)
 
+    async def leave(self) -> None:
+        """Hand over the leadership and the vote of the member, if one runs."""
+        # Imported here, since no start needs it.
+        from .coordination.agreement.votehandover import VoteHandover
+
+        if self.member is None:
+            return
+        self._enrolment.end()
+        await VoteHandover(self.member, self._channel, self._clock).run()
+
     async def run(self) -> None:
         """Run members until cancelled."""
         while True:
--- a/arbutuslift/protocol/enrolment.py
+++ b/arbutuslift/protocol/enrolment.py
@@ -1,4 +1,4 @@
-"""Messages by which a control instance asks to join the replicated log."""
+"""Messages by which a control instance joins the replicated log, and leaves it."""
 
 from attrs import frozen
 
@@ -33,3 +33,30 @@
     is_leader: bool
     leader_name: str
     controls: tuple[str, ...]
+
+
+@register
+@frozen(kw_only=True)
+class LeaveRequest(Message):
+    """Tells the leader that a control instance is about to end.
+
+    Attributes:
+        identity: Random identity stored on the disk of the instance.
+    """
+
+    identity: bytes
+
+
+@register
+@frozen(kw_only=True)
+class LeaveAnswer(Message):
+    """Answers a LeaveRequest.
+
+    Attributes:
+        is_leader: Whether the answering instance is the leader.
+        may_end: Whether the instance may end: it has no vote any more, or no other
+            instance can take its vote.
+    """
+
+    is_leader: bool
+    may_end: bool
--- a/tests/coordination/agreement/test_membershipmanager.py
+++ b/tests/coordination/agreement/test_membershipmanager.py
@@ -8,12 +8,15 @@
 from arbutuslift.clock import ManualClock
 from arbutuslift.coordination.agreement.enrolment import ENROL_INTERVAL_S, Enrolment
 from arbutuslift.coordination.agreement.membershipmanager import MembershipPolicy
+from arbutuslift.coordination.agreement.votehandover import VoteHandover
 from arbutuslift.protocol.channel import Channel
 from arbutuslift.protocol.enrolment import EnrolAnswer
 from arbutuslift.transport.bus import MemoryNetwork
 
 from ..cluster import Cluster
 
+CATCH_UP_S = 4.0
+
 DATA_CENTRES = {
     "a": "dc-1",
     "b": "dc-2",
@@ -32,6 +35,7 @@
             membership_policy=MembershipPolicy(voter_count=voters), **options
         )
         self.enrolments = {}
+        self._enrolling = {}
 
     def start(self, *names, initial=None):
         super().start(*names, initial=initial)
@@ -40,12 +44,20 @@
             enrolment = Enrolment(
                 member, member._channel, self.clock, DATA_CENTRES[name], self.names
             )
-            self.enrolments[name] = asyncio.ensure_future(enrolment.run())
+            self.enrolments[name] = enrolment
+            self._enrolling[name] = asyncio.ensure_future(enrolment.run())
 
     async def kill(self, name):
-        self.enrolments.pop(name).cancel()
+        self._enrolling.pop(name).cancel()
         await super().kill(name)
 
+    async def stop(self, name):
+        """End a process as planned: with what a control instance does on SIGTERM."""
+        self.enrolments[name].end()
+        member = self.members[name]
+        await VoteHandover(member, member._channel, self.clock).run()
+        await self.kill(name)
+
     async def voters(self):
         name = await self.leader()
         statuses = await self.run_until_done(self.members[name].members())
@@ -145,6 +157,109 @@
     assert {s.name: s.role for s in statuses}[isolated] == "learner"
 
 
+@pytest.fixture
+async def extended(cluster):
+    """Return the cluster with two more instances that have caught up."""
+    await cluster.submit("a", "r0", 0, "kept")
+    cluster.start("d", "e", initial=())
+    await cluster.run(2 * CATCH_UP_S)
+    return cluster
+
+
+async def stop_in_series(cluster, names, gap_s):
+    """Stop processes for good, each some time after the one before got its signal."""
+    stops = []
+    for name in names:
+        stops.append(asyncio.ensure_future(cluster.stop(name)))
+        await cluster.run(gap_s)
+    await cluster.run_until(lambda: all(stop.done() for stop in stops))
+    for stop in stops:
+        stop.result()
+
+
+@pytest.mark.parametrize("gap_s", [0.0, 0.1, 0.5, 2.0])
+@pytest.mark.parametrize("order", [(0, 1), (1, 0), (1, 2)])
+async def test_planned_ends_in_series_leave_a_quorum_of_caught_up_learners(
+    extended, gap_s, order
+):
+    """Guards against two planned replacements that end all agreement for ever."""
+    leader = await extended.leader()
+    voters = [leader, *(n for n in ("a", "b", "c") if n != leader)]
+    await stop_in_series(extended, [voters[n] for n in order], gap_s)
+    stored = await extended.run_until_done(extended.members["d"].current(), 5.0)
+    assert stored.submission.document == b"kept"
+    assert (await extended.submit("e", "r1", 1)).revision == 2
+
+
+async def test_a_planned_end_of_all_former_voters_leaves_the_two_that_are_left(
+    extended,
+):
+    await stop_in_series(extended, ("a", "b", "c"), 1.0)
+    assert (await extended.submit("e", "r1", 1)).revision == 2
+
+
+async def test_a_member_without_a_successor_ends_at_once(cluster):
+    """Guards against a rolling restart that waits for a handover to nobody."""
+    for name in ("a", "b", "c"):
+        started_s = cluster.clock.monotonic_s()
+        await cluster.run_until_done(cluster.stop(name))
+        assert cluster.clock.monotonic_s() - started_s < 0.6
+        cluster.start(name)
+        await cluster.run(2.0)
+    assert await cluster.voters() == ["a", "b", "c"]
+
+
+async def test_a_member_behind_a_partition_ends_in_time(extended):
+    """Guards against a process that is killed since it waits for a leader."""
+    leader = await extended.leader()
+    name = next(n for n in ("a", "b", "c") if n != leader)
+    extended.isolate(name)
+    started_s = extended.clock.monotonic_s()
+    await extended.run_until_done(extended.stop(name))
+    assert extended.clock.monotonic_s() - started_s < 4.0
+
+
+async def test_a_learner_that_is_about_to_end_takes_no_vote(extended):
+    """Guards against a vote that moves to an instance which ends before it."""
+    leader = await extended.leader()
+    voter = next(n for n in ("a", "b", "c") if n != leader)
+    await stop_in_series(extended, ("d", voter), 0.0)
+    await extended.run_until_voters("e", *(n for n in "abc" if n != voter))
+
+
+async def test_a_member_that_was_stopped_and_started_again_may_vote_again(extended):
+    """Guards against an announced end that outlives the process which announced it."""
+    leader = await extended.leader()
+    stopped, lost = (n for n in ("a", "b", "c") if n != leader)
+    await stop_in_series(extended, (stopped,), 1.0)
+    extended.start(stopped, initial=())
+    await extended.run(CATCH_UP_S)
+    await extended.wipe(lost)
+    await extended.run(CATCH_UP_S)
+    await stop_in_series(extended, ("d", "e"), CATCH_UP_S)
+    assert stopped in await extended.voters()
+    assert (await extended.submit(stopped, "r1", 1)).revision == 2
+
+
+@pytest.mark.parametrize("seed", range(4))
+async def test_rolling_restarts_at_any_pace_lose_no_vote(seed):
+    """Guards against a rolling restart faster than votes move."""
+    rng = random.Random(seed)
+    cluster = ManagedCluster(seed=seed)
+    cluster.start()
+    await cluster.leader()
+    cluster.start("d", "e", "f", initial=())
+    await cluster.run(CATCH_UP_S)
+    for number, name in enumerate("abcdefabcdef"):
+        await cluster.run_until_done(cluster.stop(name), 4.0)
+        await cluster.run(rng.uniform(0.0, 2.0))
+        cluster.start(name, initial=())
+        await cluster.run(rng.uniform(0.0, 2.0))
+        sender = rng.choice("abcdef")
+        assert (await cluster.submit(sender, f"r{number}", number)).revision
+    await cluster.close()
+
+
 class FormerLeader:
     """A member whose last leader no longer sends anything to it."""
 
