Check the service of a route that also has a traffic split

Cause: the decoder looked at `service` only where `traffic_split` was missing. Ruled out: the check of names itself, which refused the same name without a split. An empty split of another type ({}, "", 0) counted as missing, too.

Change: a service beside a split must have the right type and be known; flows still follow the split. Only a missing, null or empty list is no split.

--- a/arbutuslift/fieldtypes.py
+++ b/arbutuslift/fieldtypes.py
@@ -154,6 +154,10 @@
         """Return whether a field is neither missing nor empty."""
         return bool(self._content.get(name))
 
+    def get(self, name: str) -> object:
+        """Return the unchecked value of a field, None if it is missing."""
+        return self._content.get(name)
+
     @property
     def path(self) -> str:
         """Return the position of the object in the input."""
--- a/tests/platform/test_configurations.py
+++ b/tests/platform/test_configurations.py
@@ -91,6 +91,12 @@
         (("routes", 1, "path_prefix"), "/8443/"),
         (("routes", 1, "service"), "three"),
         (("routes", 0, "traffic_split", 0, "service"), "three"),
+        (("routes", 0, "service"), "three"),
+        (("routes", 0, "service"), 7),
+        (("routes", 0, "service"), ""),
+        (("routes", 1, "traffic_split"), {}),
+        (("routes", 1, "traffic_split"), 0),
+        (("routes", 1, "traffic_split"), ""),
         (("routes", 0, "traffic_split", 0, "weight"), -1),
         (("routes", 0, "traffic_split", 0, "weight"), None),
         (("limits",), None),
@@ -105,6 +111,25 @@
         decode_configuration(changed(path, value))
 
 
+def test_a_route_with_a_split_that_also_names_an_unknown_service_is_refused():
+    """Guards against a field that isn't checked where another one replaces it."""
+    with pytest.raises(DocumentError, match="unknown service"):
+        decode_configuration(changed(("routes", 0, "service"), "three"))
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        (("routes", 0, "service"), "two"),
+        (("routes", 0, "service"), None),
+        (("routes", 1, "traffic_split"), []),
+        (("routes", 1, "traffic_split"), None),
+    ],
+)
+def test_a_known_service_beside_a_split_and_an_empty_split_are_valid(path, value):
+    assert decode_configuration(changed(path, value)).version == 7
+
+
 @pytest.mark.parametrize(
     ("path", "value"),
     [
