Refuse an empty birth of another type, and a document beside the bus

- A report of leaving with "born": "" or [] counted as one without a birth, which ends a draining start that it doesn't name.
The test of CURVE gave both, and gives seeds in place of the document now; its assertions are unchanged.

--- a/arbutuslift/settings.py
+++ b/arbutuslift/settings.py
@@ -326,6 +326,9 @@
     if members and "document" in given:
         reason = "can't be given with --members; submit it with arbutusliftctl apply"
         faults.append(Fault("--document", reason))
+    elif {"bus", "seeds"} & given and "document" in given:
+        reason = "can't be given with --bus; the document then comes from the members"
+        faults.append(Fault("--document", reason))
     if not {"document", "members", "seeds"} & given:
         reason = "missing; without it, --seeds or --members there is no document"
         faults.append(Fault("--document", reason))
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -142,6 +142,13 @@
             decode_body(ID, body)
 
 
+@pytest.mark.parametrize("born", ["", [], {}, False])
+def test_a_report_of_leaving_with_an_empty_birth_of_another_type_is_refused(born):
+    """Guards against a report that ends a start which it doesn't name."""
+    with pytest.raises(AnnouncementError):
+        decode_departure(ID, json.dumps({"born": born}).encode())
+
+
 @pytest.mark.parametrize("opening", ["[", '{"a":'])
 def test_deeply_nested_reports_are_refused(opening):
     with pytest.raises(AnnouncementError, match="nested|JSON"):
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -102,6 +102,7 @@
     ({"document": "/none"}, "readable file"),
     ({"data_folder": "/none/none"}, "can be written"),
     ({"data_folder": "/dev/null"}, "must be a folder"),
+    ({"bus": "127.0.0.1:8"}, "--document: can't be given with --bus"),
     ({"curve": "maybe"}, "one of auto, on, off"),
     (REMOTE, "--curve_key_file: missing; the bus uses CURVE"),
     ({"bus": "127.0.0.1:8", "curve": "on"}, "--authorized_keys_folder: missing"),
@@ -125,9 +126,9 @@
 
 
 def test_curve_is_on_unless_the_bus_is_on_loopback_or_it_is_turned_off(given):
-    given |= REMOTE
+    folder = str(Path(given.pop("document")).parent)
+    given |= REMOTE | {"seeds": "dc-2-1=192.0.2.2:7300"}
     assert not read(given | {"curve": "off"}).uses_curve
-    folder = str(Path(given["document"]).parent)
     given |= {"curve_key_file": f"{folder}/key", "authorized_keys_folder": folder}
     assert read(given).uses_curve
 
