--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -127,7 +127,7 @@
 
 def test_curve_is_on_unless_the_bus_is_on_loopback_or_it_is_turned_off(given):
     folder = str(Path(given.pop("document")).parent)
-    given |= REMOTE | {"seeds": "dc-2-1=192.0.2.2:7300"}
+    given |= REMOTE
     assert not read(given | {"curve": "off"}).uses_curve
     given |= {"curve_key_file": f"{folder}/key", "authorized_keys_folder": folder}
     assert read(given).uses_curve
