Form the cluster from what the disks hold, not from the settings

No order was ever acknowledged and no request served.

Cause: only the settings of the very first start say that an instance takes part in forming, so that a process which started again before the first membership entry neither formed the cluster nor agreed to it. Ruled out: the identity and the cluster on its disk, which are durable before another member hears of them.

Change: the first start stores the list of initial members before anything that takes long, and the disk decides from then on. A seed that ended before that learns the list from another one, if it is that of its own settings. Each step can be repeated; a disk that is lost before there is an entry is no obstacle. One or two seeds form a cluster. A formation that can't succeed answers orders with 503 and the reason at once, and no longer makes the supervisor reopen the member.

--- a/arbutuslift/coordination/agreement/member.py
+++ b/arbutuslift/coordination/agreement/member.py
@@ -39,6 +39,7 @@
     SubmissionOutcome,
     encode_submission,
 )
+from ...state.formation import FormationIntent
 from ...state.logstore import EntryKind
 from ...state.storage import MemberStorage
 from ...tracer import REPLICATE, NoOpTracer, Tracer
@@ -79,6 +80,9 @@
         tracer: Records the replication of changes.
         membership_policy: Lets the leader add and replace members by itself; without
             a policy only operators do.
+        intent: Names of the initial members that the disk of the instance holds, in
+            place of ``initial_member_names``. Since a disk that was lost holds none,
+            there may be fewer than three.
 
     Raises:
         SettingsError: The list of initial members has an invalid length.
@@ -97,8 +101,11 @@
         timing: AgreementTiming | None = None,
         tracer: Tracer | None = None,
         membership_policy: MembershipPolicy | None = None,
+        intent: FormationIntent | None = None,
     ) -> None:
-        _check_initial_names(initial_member_names)
+        if intent is None:
+            _check_initial_names(initial_member_names)
+            intent = FormationIntent(initial_member_names)
         timing = timing or AgreementTiming()
         self._timing = timing
         self._clock = clock
@@ -114,9 +121,7 @@
         )
         self._follower = Follower(self._state, channel)
         self._replacer = MemberReplacer(self._state, self._replicator, channel, timing)
-        self._bootstrapper = Bootstrapper(
-            self._state, channel, initial_member_names, timing
-        )
+        self._bootstrapper = Bootstrapper(self._state, channel, intent, timing)
         self._membership_manager: MembershipManager | None = None
         if membership_policy is not None:
             self._membership_manager = MembershipManager(
@@ -171,12 +176,16 @@
             return manager.has_successor()
         return any(not member.voter for member in self._state.membership.members)
 
+    @property
+    def failure(self) -> str | None:
+        """Return the error that stopped the member, or None."""
+        failure = self._state.failure
+        return str(failure) if failure is not None else None
+
     @property
     def fault(self) -> str | None:
         """Return why the member can't take part until an operator acts, or None."""
-        if self._state.failure is not None:
-            return str(self._state.failure)
-        return self._bootstrapper.fault
+        return self.failure or self._bootstrapper.fault
 
     def on_commit(self, callback: CommitCallback) -> None:
         """Call ``callback`` with every committed revision, in order.
@@ -338,6 +347,8 @@
         attempt_timeout_s = attempt_timeout_s or self._timing.election_timeout_s
         end_s = self._clock.monotonic_s() + self._timing.submit_timeout_s
         while state.failure is None:
+            if self._bootstrapper.fault and state.leader_name is None:
+                raise NoQuorum(self._bootstrapper.fault, step=type(request).__name__)
             remaining_s = end_s - self._clock.monotonic_s()
             if remaining_s <= 0:
                 break
--- a/arbutuslift/coordination/agreement/memberstate.py
+++ b/arbutuslift/coordination/agreement/memberstate.py
@@ -189,9 +189,16 @@
         if self.cluster and cluster != self.cluster:
             raise MessageError("sent from another cluster", step="check target")
 
-    def join_cluster(self, cluster: bytes) -> None:
-        """Store the cluster to which the member belongs, unless it has one."""
-        if not self.cluster:
+    def join_cluster(self, cluster: bytes, former_cluster: bytes = b"") -> None:
+        """Store the cluster to which the member belongs, unless it has one.
+
+        Args:
+            cluster: Identity of the cluster.
+            former_cluster: A cluster without entries that this one replaces; empty for
+                none.
+        """
+        is_replaced = self.cluster == former_cluster and self.last_index == 0
+        if not self.cluster or is_replaced:
             self._save(evolve(self._record, cluster=cluster))
 
     def observe_term(self, term: int) -> None:
--- a/arbutuslift/membersupervisor.py
+++ b/arbutuslift/membersupervisor.py
@@ -24,6 +24,7 @@
 from .rolesettings import ControlSettings
 from .state.configuration import StoredRevision
 from .state.files import check_writable
+from .state.formation import DiskFormationIntent, record_first_start
 from .state.storage import MemberStorage
 
 # Round trips between control instances take a few ms. A change must take effect within
@@ -133,14 +134,15 @@
         settings = self._settings
         storage = MemberStorage.open(settings.data_folder)
         stack.callback(storage.close)
-        initial = tuple(sorted(settings.seeds)) if settings.is_bootstrap else ()
+        if settings.is_bootstrap:
+            record_first_start(settings.data_folder, settings.name, settings.seeds)
         member = Member(
             name=settings.name,
             storage=storage,
             channel=self._channel,
             clock=self._clock,
             rng=random.Random(),
-            initial_member_names=initial if settings.name in initial else (),
+            intent=DiskFormationIntent(settings.data_folder, settings.seeds),
             timing=TIMING,
             membership_policy=MembershipPolicy(voter_count=settings.voter_count),
         )
@@ -166,9 +168,9 @@
             self._on_failure(error)
 
     async def _wait_for_fault(self, member: Member) -> str:
-        while member.fault is None and self._task_error is None:
+        while member.failure is None and self._task_error is None:
             await self._clock.sleep(FAULT_CHECK_INTERVAL_S)
-        return member.fault or str(self._task_error)
+        return member.failure or str(self._task_error)
 
     async def _wait_until_writable(self) -> None:
         """Wait until the disk takes writes, and say once that it doesn't.
--- a/arbutuslift/protocol/agreement.py
+++ b/arbutuslift/protocol/agreement.py
@@ -113,14 +113,6 @@
     done: bool
 
 
-@register
-@frozen(kw_only=True)
-class BootstrapRequest(Message):
-    """Asks an initial member to join a cluster that is being bootstrapped."""
-
-    cluster: bytes
-
-
 @register
 @frozen(kw_only=True)
 class TakeOver(Message):
@@ -148,7 +140,7 @@
 @register
 @frozen(kw_only=True)
 class IdentityAnswer(Message):
-    """Answers a BootstrapRequest or an IdentityRequest.
+    """Answers an IdentityRequest.
 
     Attributes:
         identity: Random identity stored on the disk of the process.
--- a/tests/coordination/cluster.py
+++ b/tests/coordination/cluster.py
@@ -115,6 +115,7 @@
                 tracer=self.tracer,
                 membership_policy=self.membership_policy,
                 timing=self.timing,
+                intent=self.intent_of(name),
             )
             self._block_handler_while_frozen(channel, clock)
             self.reported[name] = []
@@ -122,6 +123,10 @@
             member.start()
             self.members[name] = member
 
+    def intent_of(self, name):
+        """Return what the disk says of the formation; None for the settings' list."""
+        return None
+
     @staticmethod
     def _block_handler_while_frozen(channel, clock):
         handle = channel._bus.handler
