Doubt upstreams of a data centre that came back until they report

Cause: after a return, upstreams counted as warm by what they had reported before it.

Change: an upstream whose service has a limit is treated like a cold one after a return until it has reported to a control instance since. Entry instances ask control, which compares two times of its own; one that missed tables asks before it trusts any data centre. Without an answer the doubt ends when a cold start from before must be over. A flow that would find nobody else waits.

--- a/arbutuslift/control.py
+++ b/arbutuslift/control.py
@@ -40,6 +40,7 @@
 
 if TYPE_CHECKING:
     from .coordination.dissemination.loadserver import LoadServer
+    from .coordination.dissemination.reportserver import ReportServer
     from .coordination.freezedetector import FreezeDetector
     from .metricfamilies import MetricFamily
 
@@ -119,6 +120,7 @@
         self._unpublished: StoredRevision | None = None
         self._has_published = asyncio.Event()
         self._freeze_detector: FreezeDetector | None = None
+        self._reports: ReportServer | None = None
 
     @property
     def table(self) -> RoutingTable | None:
@@ -184,6 +186,14 @@
             self._get_other_control_names,
         )
 
+    def start_report_server(self) -> None:
+        """Answer which upstreams haven't reported since their data centre came back."""
+        from .coordination.dissemination.reportserver import ReportServer
+
+        self._reports = ReportServer(
+            self._channel, self._clock, self.feed.registry, self._table
+        )
+
     def start_load_server(self) -> None:
         """Answer load reports, unless the modules for it can't be loaded."""
         try:
@@ -309,6 +319,8 @@
         if self._table is not None and table.revision <= self._table.revision:
             return
         self._table = table
+        if self._reports is not None:
+            self._reports.publish(table, self._known_revisions)
         self.feed.publish(table)
         self._has_published.set()
         _log.info(
--- a/arbutuslift/coordination/dissemination/startentries.py
+++ b/arbutuslift/coordination/dissemination/startentries.py
@@ -22,6 +22,7 @@
         start: Newest record.
         last_contact_s: When this or another control instance last received an
             announcement.
+        reported_s: When the newest report known here was received, at the latest.
         cold_until_s: End of the cold start.
         is_silent: Whether the announcements have stopped.
         position: Position of the last change in the feed.
@@ -34,6 +35,7 @@
     is_silent: bool = False
     position: int = 0
     loss_reported_s: float = float("-inf")
+    reported_s: float = float("-inf")
 
 
 @define(kw_only=True)
--- a/arbutuslift/coordination/dissemination/startregistry.py
+++ b/arbutuslift/coordination/dissemination/startregistry.py
@@ -29,6 +29,8 @@
 # Remaining times of one cold start in two announcements differ by their transit times.
 # Entry instances add as much to the end of a cold start.
 COLD_TOLERANCE_S = 0.3
+# Longest time from a report to another control instance until this one hears of it.
+HEARD_DELAY_S = 1.0
 
 _log = structlog.get_logger()
 
@@ -139,6 +141,23 @@
                 self._clock.monotonic_s() - entry.last_contact_s
             )
         self._merge(start, is_silent=False, origin=Origin.ANNOUNCED)
+        self._record_report(start)
+
+    def _record_report(self, start: UpstreamStart) -> None:
+        """Note a report, unless it is older than the newest one."""
+        entry = self._entries.get(start.upstream_id)
+        if entry is None or entry.start.key != start.key:
+            return
+        if start.sequence >= entry.start.sequence:
+            entry.reported_s = self._clock.monotonic_s()
+
+    def reports(self, data_centre: str) -> list[tuple[float, str]]:
+        """Return when upstreams of a data centre were heard last, oldest first."""
+        return sorted(
+            (entry.reported_s, upstream_id)
+            for upstream_id, entry in self._entries.items()
+            if entry.start.data_centre == data_centre and entry.reported_s >= 0
+        )
 
     def leave(self, departure: Departure) -> bool:
         """Record that a start of an upstream leaves.
@@ -189,6 +208,7 @@
             entry = self._entries.get(upstream_id)
             if entry is not None:
                 entry.last_contact_s = now_s
+                entry.reported_s = max(entry.reported_s, now_s - HEARD_DELAY_S)
                 self._set_silent(entry, False)
 
     def check_silence(self) -> None:
--- a/arbutuslift/coordination/routing/upstreamselector.py
+++ b/arbutuslift/coordination/routing/upstreamselector.py
@@ -6,7 +6,7 @@
 
 from ...clock import Clock
 from ...state.routingtable import Route, RoutingTable, ServiceLimits
-from ...state.starts import StartKey
+from ...state.starts import StartKey, UpstreamStart
 from .coldadmission import ColdAdmission, EvenColdShares
 from .outlierdetector import OutlierDetector
 from .restoredstarts import may_receive_new_flows
@@ -28,6 +28,9 @@
 SLOW_FACTOR = 2.0
 
 
+IsDoubtful = Callable[[UpstreamStart, ServiceLimits], bool]
+
+
 class UpstreamSelector:
     """Prefers healthy, warm upstreams of the own data centre that have few flows.
 
@@ -43,6 +46,8 @@
             without it the flows of this instance decide.
         cold_admission: Decides about new flows at cold upstreams with a limit.
         entry_count: Entry instances that share the limit of a cold upstream.
+        is_doubtful: Whether an upstream may be in a cold start that it hasn't reported
+            yet. One whose service has a limit is then treated as a cold one.
         can_reach: Whether an upstream may answer at all. One that can't isn't even a
             last resort: the caller would wait until its time-out for nothing.
         locality: Decides the data centre of a new flow by the load of all of them;
@@ -59,6 +64,7 @@
         shared_choice: "SharedLoadChoice | None" = None,
     ) -> None:
         self.entry_count = 1
+        self.is_doubtful: IsDoubtful = lambda start, limits: False
         self.can_reach: Callable[[TrackedStart], bool] = lambda tracked: True
         self.shared_choice = shared_choice
         self.locality: LocalityWeights | None = None
@@ -114,12 +120,37 @@
         ]
 
     def awaits_permit(self, route: Route, table: RoutingTable) -> bool:
-        """Return whether a cold upstream of a route may soon be allowed a flow."""
-        return any(
-            self.cold_admission.is_pending(tracked.start.key)
-            for share in route.shares
-            for tracked in self._usable(share.service, table)
-        )
+        """Return whether an upstream of a route may soon be allowed a flow.
+
+        A cold one waits for a permit, one that may have turned cold for its report.
+        """
+        now_s = self._clock.monotonic_s()
+        for share in route.shares:
+            limits = _limits_of(share.service, table)
+            for tracked in self._usable(share.service, table):
+                is_known_cold = tracked.cold_until_s > now_s
+                if self.cold_admission.is_pending(tracked.start.key) or (
+                    not is_known_cold and self._is_in_doubt(tracked, limits)
+                ):
+                    return True
+        return False
+
+    def _is_in_doubt(self, tracked: TrackedStart, limits: ServiceLimits | None) -> bool:
+        if limits is None or limits.cold_new_flows_per_s <= 0:
+            return False
+        return self.is_doubtful(tracked.start, limits)
+
+    def _warm_and_cold(
+        self, usable: list[TrackedStart], limits: ServiceLimits | None
+    ) -> tuple[list[TrackedStart], list[TrackedStart]]:
+        """Return the warm upstreams, and those that are in a cold start or may be."""
+        now_s = self._clock.monotonic_s()
+        warm: list[TrackedStart] = []
+        cold: list[TrackedStart] = []
+        for tracked in usable:
+            is_cold = tracked.cold_until_s > now_s or self._is_in_doubt(tracked, limits)
+            (cold if is_cold else warm).append(tracked)
+        return warm, cold
 
     def use_locality(self, locality: "LocalityWeights") -> None:
         """Let ``locality`` decide the data centre of new flows."""
@@ -137,17 +168,16 @@
     def _select_from_service(
         self, service: str, table: RoutingTable, excluded: frozenset[StartKey]
     ) -> TrackedStart | None:
-        now_s = self._clock.monotonic_s()
         usable = self._usable(service, table)
-        warm = [tracked for tracked in usable if tracked.cold_until_s <= now_s]
+        limits = _limits_of(service, table)
+        warm, cold = self._warm_and_cold(usable, limits)
         healthy = self._healthy(warm)
         candidates = [k for k in healthy if k.start.key not in excluded]
-        limits = _limits_of(service, table)
         limit_per_s = limits.cold_new_flows_per_s if limits is not None else 0.0
         is_any_local = any(map(self._is_local, candidates))
         if candidates and (limit_per_s <= 0 or is_any_local):
             return self._least_loaded(self._of_data_centre(service, candidates))
-        selected = self._select_cold(usable, candidates, limit_per_s)
+        selected = self._select_cold(cold, candidates, limit_per_s)
         if selected is not None:
             self.cold_admission.record_flow(selected.start.key)
             return selected
@@ -157,7 +187,7 @@
 
     def _select_cold(
         self,
-        usable: list[TrackedStart],
+        cold: list[TrackedStart],
         candidates: list[TrackedStart],
         limit_per_s: float,
     ) -> TrackedStart | None:
@@ -166,8 +196,6 @@
         Beside warm candidates, which are elsewhere then, it is one of the own data
         centre: a service with a limit says what that bears.
         """
-        now_s = self._clock.monotonic_s()
-        cold = [tracked for tracked in usable if tracked.cold_until_s > now_s]
         if candidates:
             cold = [k for k in self._healthy(cold) if self._is_local(k)]
         permitted = [k for k in cold if self._may_receive_cold_flow(k, limit_per_s)]
--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -40,6 +40,7 @@
 from .transport.callerpackets import CallerPacket, PacketCodec
 
 if TYPE_CHECKING:
+    from .coordination.dissemination.returnchecks import ReturnChecks
     from .coordination.routing.admissiongate import AdmissionGate
     from .coordination.routing.synhedging import SynHedger
 
@@ -138,6 +139,9 @@
         self._sender.dropped = self.metrics.packets
         self._last_answer_s = clock.monotonic_s()
         self._permit_queue = PermitQueue(clock, self._selector, self._route_again)
+        # Until control instances are asked, any data centre may just have come back.
+        self._selector.is_doubtful = lambda start, limits: True
+        self._returns: ReturnChecks | None = None
         self._feed: FeedClient | None = None
 
     @property
@@ -208,8 +212,27 @@
         self.add_load_features()
         self._start_load_features(channel)
         self._permit_queue.open(channel, self._tasks.spawn_contained)
+        self._open_return_checks(channel)
         _log.info("started", listen_port=settings.listen_port)
 
+    def _open_return_checks(self, channel: Channel) -> None:
+        # Imported here, since the import delays the packets that are waiting.
+        from .coordination.dissemination.returnchecks import ReturnChecks
+
+        self._returns = ReturnChecks(
+            channel,
+            self._clock,
+            self._tasks.spawn_contained,
+            lambda: self._feed.subscribed_names,
+            self._permit_queue.route_waiting,
+        )
+        self._check_returns()
+        self._selector.is_doubtful = self._returns.is_doubtful
+
+    def _check_returns(self) -> None:
+        if self._returns is not None and self._router.table is not None:
+            self._returns.apply(self._router.table)
+
     async def _forward_waiting_packets(self) -> None:
         """Wait until the packets that arrived before the first table are forwarded.
 
@@ -370,6 +393,7 @@
         is_first = self._router.table is None
         if self._router.apply(table):
             self._load.apply(table)
+            self._check_returns()
             if is_first:
                 self._start_receiving()
             _log.info(
--- a/tests/coordination/routing/test_upstreamselector.py
+++ b/tests/coordination/routing/test_upstreamselector.py
@@ -87,6 +87,41 @@
     assert cold_and_warm(0.0).count(1) == 0
 
 
+def flows_in_doubt(limit_per_s):
+    """Return the numbers of new flows at a warm upstream that may have turned cold."""
+    clock = ManualClock()
+    (selector,) = open_selectors(clock, 1)
+    warm = StartNews(start=start(1, sequence=2), is_silent=False)
+    selector._directory.merge_feed_answer("a", (warm,), is_first=False, is_settled=True)
+    selector.is_doubtful = lambda start, limits: True
+    count = 0
+    for _ in range(40):
+        clock.jump(0.1)
+        count += selector.select(route(), cold_table(limit_per_s)) is not None
+    return count
+
+
+def test_an_upstream_in_doubt_gets_no_more_than_a_cold_one():
+    """Guards against a belief from before an absence that is trusted after it."""
+    assert flows_in_doubt(2.5) == 8
+
+
+def test_without_a_limit_no_upstream_is_in_doubt():
+    assert flows_in_doubt(0.0) == 40
+
+
+def test_a_flow_waits_for_the_report_of_an_upstream_in_doubt():
+    """Guards against callers that are refused just before the report comes."""
+    clock = ManualClock()
+    (selector,) = open_selectors(clock, 1)
+    selector.is_doubtful = lambda start, limits: True
+    assert not selector.awaits_permit(route(), cold_table())
+    warm = StartNews(start=start(1, sequence=2), is_silent=False)
+    selector._directory.merge_feed_answer("a", (warm,), is_first=False, is_settled=True)
+    assert selector.awaits_permit(route(), cold_table())
+    assert not selector.awaits_permit(route(), cold_table(0.0))
+
+
 def test_limit_of_zero_means_no_limit():
     clock = ManualClock()
     (selector,) = open_selectors(clock, 1)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -195,6 +195,30 @@
         assert instance.metrics.packets[Verdict.REFUSED_NO_UPSTREAM] == 1
 
 
+async def test_an_upstream_back_in_service_gets_no_more_than_a_cold_one():
+    """Guards against upstreams that turned cold while they were out of service."""
+    async with AsyncExitStack() as stack:
+        instance = make_instance(stack, ManualClock())
+        instance._start_receiving = lambda: None
+        limits = ServiceLimits(
+            name="alerts",
+            max_connections=2000,
+            cold_new_flows_per_s=4.0,
+            cold_start_s=2.0,
+        )
+        channel = Channel(MemoryNetwork(instance._clock).bus("entry"))
+        instance._open_return_checks(channel)
+        warm = StartNews(start=start(1), is_silent=False)
+        for revision, out in ((1, frozenset({"dc-1"})), (2, frozenset())):
+            table = routing_table(revision, services=(limits,), out_of_service=out)
+            answer = evolve(first_answer(), news=(warm,), table=encode_table(table))
+            instance._on_answer("control", answer)
+        for number in range(40):
+            syn = caller_packet(number, is_syn=True)
+            instance._carry_out(syn, instance._router.route(syn))
+        assert instance.metrics.packets[Verdict.NEW_FLOW] <= 1.5 * 4 + 5
+
+
 class UploadHarness:
     """An entry instance behind a link of 2 Mbit/s with the packets of an upload."""
 
