Refuse what can't be agreed at once, and decode long bodies beside the loop

- The HTTP server took 4 MB, agreement 2 MB, so that a good configuration of 2.68 MB got 503 for ever.
The limit on what is agreed stands once now, and the body limit follows from it: 413 with the limit named.
A body that is too long is read to its end, since a client that still sends wouldn't see the answer.
The test of the two limits can't fail by a second constant any more.
- Configurations over 32 KiB are decoded, and their tables derived, beside the event loop (test with the thread that decodes).

--- a/arbutuslift/control.py
+++ b/arbutuslift/control.py
@@ -34,6 +34,8 @@
 _EPOCH_BITS = 62
 # Clocks of machines differ by seconds, those of misconfigured ones by hours.
 MAX_BORN_AHEAD_S = 24 * 3600
+# Deriving the table of a larger document takes 1 ms and more.
+DERIVE_IN_THREAD_BYTES = 32 * 1024
 # An order that has waited for longer may have been given up by its sender.
 ORDER_FREEZE_S = 0.5
 
@@ -119,6 +121,7 @@
         self._table: RoutingTable | None = None
         self._unpublished: StoredRevision | None = None
         self._has_published = asyncio.Event()
+        self._deriving = asyncio.Lock()
         self._freeze_detector: FreezeDetector | None = None
         self._reports: ReportServer | None = None
 
@@ -301,6 +304,14 @@
     def _known_revisions(self) -> list[StoredRevision]:
         return self._supervisor.history() if self._supervisor is not None else []
 
+    async def _table_of(self, stored: StoredRevision) -> RoutingTable | None:
+        """Return the table of a revision, a large one derived beside the event loop."""
+        if len(stored.submission.document) <= DERIVE_IN_THREAD_BYTES:
+            return self._tables.table_of(stored, self._known_revisions)
+        async with self._deriving:
+            known = self._known_revisions()
+            return await asyncio.to_thread(self._tables.table_of, stored, lambda: known)
+
     def _on_commit(self, stored: StoredRevision) -> None:
         """Publish only the newest of the revisions that are committed together.
 
@@ -313,7 +324,7 @@
 
     async def _publish(self) -> None:
         stored, self._unpublished = self._unpublished, None
-        table = self._tables.table_of(stored, self._known_revisions)
+        table = await self._table_of(stored)
         if table is None:
             return
         if self._table is not None and table.revision <= self._table.revision:
--- a/arbutuslift/coordination/agreement/member.py
+++ b/arbutuslift/coordination/agreement/member.py
@@ -33,6 +33,7 @@
 from ...protocol.channel import Channel
 from ...protocol.messages import Message
 from ...state.configuration import (
+    MAX_DOCUMENT_BYTES,
     MAX_HISTORY,
     StoredRevision,
     Submission,
@@ -54,7 +55,6 @@
 from .replication import Replicator
 from .store import ConfigurationStore, MemberStatus
 
-MAX_DOCUMENT_BYTES = 2 * 1024 * 1024
 MIN_INITIAL_MEMBERS = 3
 MAX_MEMBERS = 13
 # Election time-outs after which a leader that sends nothing may be a former one.
--- a/arbutuslift/protocol/documentfile.py
+++ b/arbutuslift/protocol/documentfile.py
@@ -6,10 +6,7 @@
 
 from ..errors import DocumentError, Fault, FieldError
 from ..fieldtypes import MAX_INTEGER, parse_json as parse_json_text
-
-# A document of 2,100 services and 1,500 instances takes about 0.6 MB. An answer that
-# carries a document has to fit into a message of 4 MiB.
-MAX_DOCUMENT_BYTES = 2 * 1024 * 1024
+from ..state.configuration import MAX_DOCUMENT_BYTES
 
 # The parser of YAML takes up to 1 KB for each value, so 2 MB of short values would take
 # 1 GB. A document of the target scale has 70,000 values.
--- a/arbutuslift/state/agreedstate.py
+++ b/arbutuslift/state/agreedstate.py
@@ -5,8 +5,12 @@
 from attrs import evolve, frozen
 
 from .codec import decode_value, encode_value
+from .configuration import MAX_DOCUMENT_BYTES
 
 MAX_VERSION = 2**63 - 1
+# Room in a document for the version and the names of the data centres out of service.
+_STATE_BYTES = 64 * 1024
+MAX_SOURCE_BYTES = MAX_DOCUMENT_BYTES - _STATE_BYTES
 
 
 @frozen(kw_only=True)
--- a/arbutuslift/state/configuration.py
+++ b/arbutuslift/state/configuration.py
@@ -10,6 +10,9 @@
 from ..errors import StorageError
 from .codec import decode_value, encode_value
 
+# A document of 2,100 services and 1,500 instances takes about 0.6 MB. An answer that
+# carries a document has to fit into a message of 4 MiB.
+MAX_DOCUMENT_BYTES = 2 * 1024 * 1024
 MAX_HISTORY = 100
 MAX_ANSWERS = 10_000
 _DIGEST_BYTES = 16
--- a/arbutuslift/transport/httpserver.py
+++ b/arbutuslift/transport/httpserver.py
@@ -17,6 +17,9 @@
 # Time within which the body of a request must arrive.
 REQUEST_TIMEOUT_S = 10.0
 MAX_CONNECTIONS = 2000
+# A client reads the answer only once it has sent its body, so that a body which is too
+# long is read to its end up to this multiple of the limit.
+DISCARDED_MULTIPLE = 8
 
 _log = structlog.get_logger()
 
@@ -151,7 +154,9 @@
             async with asyncio.timeout(REQUEST_TIMEOUT_S):
                 body = await self._read_body()
             if body is None:
-                await self._send(HttpResponse(status=413), is_last=True)
+                reason = f"the body is longer than {self._max_body_bytes} bytes"
+                response = HttpResponse(status=413, body=reason.encode())
+                await self._send(response, is_last=True)
                 return
             request = HttpRequest(
                 method=head.method.decode("ascii"),
@@ -179,13 +184,17 @@
         while True:
             event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
-                return b"".join(parts)
+                is_whole = size_bytes <= self._max_body_bytes
+                return b"".join(parts) if is_whole else None
             if not isinstance(event, h11.Data):
                 raise h11.RemoteProtocolError("client disconnected within a request")
             size_bytes += len(event.data)
-            if size_bytes > self._max_body_bytes:
+            if size_bytes > DISCARDED_MULTIPLE * self._max_body_bytes:
                 return None
-            parts.append(bytes(event.data))
+            if size_bytes > self._max_body_bytes:
+                parts.clear()
+            else:
+                parts.append(bytes(event.data))
 
     async def _next_event(self) -> object:
         while True:
--- a/tests/platform/test_httpapi.py
+++ b/tests/platform/test_httpapi.py
@@ -1,12 +1,22 @@
 """Guards against calls that are acknowledged but not processed."""
 
 import json
+import threading
 
 import pytest
+from adapter import httpapi
+from adapter.configurations import decode_configuration
 from adapter.httpapi import MAX_BODY_BYTES, HttpApi
 
 from arbutuslift.errors import AnnouncementError, NoQuorum
-from arbutuslift.state.agreedstate import AgreedState, PutConfiguration, SetInService
+from arbutuslift.state.agreedstate import (
+    MAX_SOURCE_BYTES,
+    MAX_VERSION,
+    AgreedState,
+    PutConfiguration,
+    SetInService,
+)
+from arbutuslift.state.configuration import MAX_DOCUMENT_BYTES
 from arbutuslift.state.starts import Departure
 from arbutuslift.transport.httpserver import HttpRequest
 
@@ -108,6 +118,34 @@
     ]
 
 
+def test_the_longest_body_that_is_taken_can_be_agreed():
+    """Guards against a valid configuration that gets 503 for ever."""
+    names = tuple(f"{number:03d}" + "d" * 125 for number in range(100))
+    state = AgreedState(
+        version=MAX_VERSION, source=b"x" * MAX_SOURCE_BYTES, out_of_service=names
+    )
+    assert len(state.encode()) <= MAX_DOCUMENT_BYTES
+
+
+@pytest.mark.parametrize(("routes", "is_beside"), [(2, False), (400, True)])
+async def test_a_long_configuration_is_decoded_beside_the_event_loop(
+    call, monkeypatch, routes, is_beside
+):
+    """Guards against a large configuration that keeps others from an answer."""
+    threads = []
+
+    def decode(body):
+        threads.append(threading.get_ident())
+        return decode_configuration(body)
+
+    monkeypatch.setattr(httpapi, "decode_configuration", decode)
+    (route, *_) = CONFIGURATION["routes"]
+    many = [route | {"path_prefix": f"/{1 + number}/"} for number in range(routes)]
+    body = json.dumps(CONFIGURATION | {"routes": many}).encode()
+    assert (await call("POST", "/Config.Put", body)).status == 200
+    assert (threads[0] != threading.get_ident()) == is_beside
+
+
 @pytest.mark.parametrize("body", [b"", b"{", b"[]", b"{}", b"\xff"])
 async def test_an_invalid_configuration_is_refused_and_not_submitted(call, body):
     assert (await call("POST", "/Config.Put", body)).status == 400
--- a/tests/transport/test_httpserver.py
+++ b/tests/transport/test_httpserver.py
@@ -118,6 +118,7 @@
     """Guards against a client that exhausts the memory."""
     answer = await site.exchange(post("/a", b"x" * (MAX_BODY_BYTES + 1)))
     assert answer.startswith(b"HTTP/1.1 413")
+    assert f"longer than {MAX_BODY_BYTES} bytes".encode() in answer
     assert site.requests == []
     await site.exchange(post("/a", b"x" * MAX_BODY_BYTES, CLOSE_HEADER))
     assert len(site.requests) == 1
