Count the data centre of the leader when a voter is chosen

Suspected by the review: the leader never enrols with itself, so that its own data centre counted as another one. Two of three voters could stand in one data centre, and its loss would take the quorum.

--- a/arbutuslift/coordination/agreement/member.py
+++ b/arbutuslift/coordination/agreement/member.py
@@ -83,6 +83,8 @@
         intent: Names of the initial members that the disk of the instance holds, in
             place of ``initial_member_names``. Since a disk that was lost holds none,
             there may be fewer than three.
+        data_centre: Data centre of the instance, by which a leader with a policy
+            chooses voters; empty if it isn't known.
 
     Raises:
         SettingsError: The list of initial members has an invalid length.
@@ -102,6 +104,7 @@
         tracer: Tracer | None = None,
         membership_policy: MembershipPolicy | None = None,
         intent: FormationIntent | None = None,
+        data_centre: str = "",
     ) -> None:
         if intent is None:
             _check_initial_names(initial_member_names)
@@ -129,6 +132,7 @@
                 replicator=self._replicator,
                 channel=channel,
                 policy=membership_policy,
+                data_centre=data_centre,
                 leaving=leaving,
             )
         channel.register_handler(SubmitRequest, self._on_submit)
--- a/arbutuslift/coordination/agreement/membershipmanager.py
+++ b/arbutuslift/coordination/agreement/membershipmanager.py
@@ -64,6 +64,7 @@
     replicator: Replicator
     channel: Channel
     policy: MembershipPolicy
+    data_centre: str
     leaving: LeavingMembers
     _enrolled: dict[bytes, _Enrolled] = field(factory=dict, init=False)
     _is_check_due: bool = field(default=False, init=False)
@@ -224,6 +225,9 @@
         return sum(self._data_centre(v) == data_centre for v in membership.voters)
 
     def _data_centre(self, member: MemberRecord) -> str:
+        # The leader doesn't enrol with itself.
+        if member.identity == self.state.identity and self.data_centre:
+            return self.data_centre
         enrolled = self._enrolled.get(member.identity)
         return enrolled.data_centre if enrolled else member.name
 
--- a/arbutuslift/membersupervisor.py
+++ b/arbutuslift/membersupervisor.py
@@ -144,6 +144,7 @@
             rng=random.Random(),
             intent=DiskFormationIntent(settings.data_folder, settings.seeds),
             timing=TIMING,
+            data_centre=settings.data_centre,
             membership_policy=MembershipPolicy(voter_count=settings.voter_count),
         )
         stack.push_async_callback(member.close)
--- a/tests/coordination/cluster.py
+++ b/tests/coordination/cluster.py
@@ -116,6 +116,7 @@
                 membership_policy=self.membership_policy,
                 timing=self.timing,
                 intent=self.intent_of(name),
+                data_centre=self.data_centre_of(name),
             )
             self._block_handler_while_frozen(channel, clock)
             self.reported[name] = []
@@ -127,6 +128,9 @@
         """Return what the disk says of the formation; None for the settings' list."""
         return None
 
+    def data_centre_of(self, name):
+        return ""
+
     @staticmethod
     def _block_handler_while_frozen(channel, clock):
         handle = channel._bus.handler
--- a/tests/coordination/managedcluster.py
+++ b/tests/coordination/managedcluster.py
@@ -38,6 +38,9 @@
             self.enrolments[name] = enrolment
             self._enrolling[name] = asyncio.ensure_future(enrolment.run())
 
+    def data_centre_of(self, name):
+        return DATA_CENTRES[name]
+
     async def kill(self, name):
         self._enrolling.pop(name).cancel()
         await super().kill(name)
