--- a/tests/coordination/dissemination/test_returnchecks.py
+++ b/tests/coordination/dissemination/test_returnchecks.py
@@ -116,16 +116,20 @@
     await opened.tasks.close()
 
 
-async def test_after_a_return_an_upstream_is_in_doubt_until_it_reports(system):
-    """Guards against a cold upstream that gets the flows of a warm one."""
-    await system.settle()
-    await system.take_out_and_back()
+async def expect_doubt_until_a_report(system):
     assert system.is_doubtful(1)
     await system.clock.advance(0.5)
     assert system.is_doubtful(1)
     system.report(1)
     await system.clock.advance(0.2)
     assert not system.is_doubtful(1)
+
+
+async def test_after_a_return_an_upstream_is_in_doubt_until_it_reports(system):
+    """Guards against a cold upstream that gets the flows of a warm one."""
+    await system.settle()
+    await system.take_out_and_back()
+    await expect_doubt_until_a_report(system)
     assert system.is_doubtful(2)
 
 
@@ -173,12 +177,7 @@
     system.report(1)
     system.publish(table(3))
     system.checks.apply(table(3))
-    assert system.is_doubtful(1)
-    await system.clock.advance(0.5)
-    assert system.is_doubtful(1)
-    system.report(1)
-    await system.clock.advance(0.2)
-    assert not system.is_doubtful(1)
+    await expect_doubt_until_a_report(system)
 
 
 async def test_one_answer_clears_a_data_centre_that_was_in_service(system):
@@ -234,12 +233,7 @@
     system.checks = system.new_checks()
     assert system.is_doubtful(1)
     system.checks.apply(table(3))
-    assert system.is_doubtful(1)
-    await system.clock.advance(0.5)
-    assert system.is_doubtful(1)
-    system.report(1)
-    await system.clock.advance(0.2)
-    assert not system.is_doubtful(1)
+    await expect_doubt_until_a_report(system)
 
 
 async def test_more_upstreams_than_an_answer_holds_are_told_in_several(system):
