Ask less often about a data centre that came back where many ask

Found while the change was read for the size to design for: at 1,500 entry instances the questions of one return came to 28,900 a second at each of three control instances (derived), more than they bear. The interval grows with the number of instances beyond 50, as for permits. The new test fails with the fixed interval.

--- a/arbutuslift/coordination/dissemination/returnchecks.py
+++ b/arbutuslift/coordination/dissemination/returnchecks.py
@@ -15,6 +15,8 @@
 
 # Upstreams report about once a second, each at its own time.
 ASK_INTERVAL_S = 0.15
+# More instances ask less often, so that control instances bear all of them.
+UNCROWDED_INSTANCES = 50
 REQUEST_TIMEOUT_S = 0.3
 # What the end of a cold start may be late by.
 MARGIN_S = 0.3
@@ -56,6 +58,7 @@
         clock: Source of time.
         spawn: Runs a check.
         controls: Returns the names of the control instances to ask.
+        entry_count: Returns the number of entry instances, which may all ask.
         on_change: Called when an answer has come.
     """
 
@@ -65,12 +68,14 @@
         clock: Clock,
         spawn: Spawn,
         controls: Callable[[], Sequence[str]],
+        entry_count: Callable[[], int],
         on_change: Callable[[], None],
     ) -> None:
         self._channel = channel
         self._clock = clock
         self._spawn = spawn
         self._controls = controls
+        self._entry_count = entry_count
         self._on_change = on_change
         self._table: RoutingTable | None = None
         self._in_effect_s = clock.monotonic_s()
@@ -118,7 +123,8 @@
                 await self._ask_all(data_centre, check)
             if self._clock.monotonic_s() > end_s:
                 break
-            await self._clock.sleep(ASK_INTERVAL_S)
+            crowd = max(1.0, self._entry_count() / UNCROWDED_INSTANCES)
+            await self._clock.sleep(ASK_INTERVAL_S * crowd)
         _log.info(
             "data_centre_checked", data_centre=data_centre, reported=len(check.reported)
         )
--- a/arbutuslift/entry.py
+++ b/arbutuslift/entry.py
@@ -224,6 +224,7 @@
             self._clock,
             self._tasks.spawn_contained,
             lambda: self._feed.subscribed_names,
+            lambda: self._selector.entry_count,
             self._permit_queue.route_waiting,
         )
         self._check_returns()
--- a/measure/returns.py
+++ b/measure/returns.py
@@ -106,7 +106,10 @@
     ]
     tasks = TaskSet(_raise)
     tasks.spawn(_report(clock, registries))
-    instances = [_instance(network, clock, tasks, n) for n in range(count)]
+    instances = [
+        _CountingChecks(Channel(network.bus(f"e{number}")), clock, tasks, count)
+        for number in range(count)
+    ]
     for instance in instances:
         instance.apply(out)
     await clock.advance(2 * REPORT_INTERVAL_S)
@@ -129,8 +132,12 @@
 class _CountingChecks(ReturnChecks):
     """Counts the requests of an instance."""
 
-    def __init__(self, channel: Channel, clock: ManualClock, tasks: TaskSet) -> None:
-        super().__init__(channel, clock, tasks.spawn, lambda: CONTROLS, _ignore)
+    def __init__(
+        self, channel: Channel, clock: ManualClock, tasks: TaskSet, count: int
+    ) -> None:
+        super().__init__(
+            channel, clock, tasks.spawn, lambda: CONTROLS, lambda: count, _ignore
+        )
         self.asked: list[str] = []
 
     async def _ask(self, name: str, *arguments: object) -> None:
@@ -138,12 +145,6 @@
         await super()._ask(name, *arguments)
 
 
-def _instance(
-    network: MemoryNetwork, clock: ManualClock, tasks: TaskSet, number: int
-) -> _CountingChecks:
-    return _CountingChecks(Channel(network.bus(f"e{number}")), clock, tasks)
-
-
 async def _wait_for_trust(
     clock: ManualClock, instances: list[_CountingChecks]
 ) -> list[float]:
--- a/tests/coordination/dissemination/test_returnchecks.py
+++ b/tests/coordination/dissemination/test_returnchecks.py
@@ -59,6 +59,7 @@
             )
         self.tasks = TaskSet(self.fail)
         self.changes = 0
+        self.entry_count = 1
         self.sequence = 0
         self.checks = self.new_checks()
         self.checks.apply(table(1))
@@ -69,6 +70,7 @@
             self.clock,
             self.tasks.spawn,
             lambda: CONTROLS,
+            lambda: self.entry_count,
             self.count_change,
         )
 
@@ -236,6 +238,20 @@
     await expect_doubt_until_a_report(system)
 
 
+async def test_many_instances_ask_less_often(system):
+    """Guards against control instances that all entry instances keep busy."""
+    await system.settle()
+    system.entry_count = 300
+    await system.take_out_and_back()
+    assert system.is_doubtful(1)
+    await system.clock.advance(0.1)
+    system.report(1)
+    await system.clock.advance(0.2)
+    assert system.is_doubtful(1)
+    await system.clock.advance(0.9)
+    assert not system.is_doubtful(1)
+
+
 async def test_more_upstreams_than_an_answer_holds_are_told_in_several(system):
     await system.settle()
     await system.take_out_and_back()
