--- a/tests/coordination/dissemination/test_returnchecks.py
+++ b/tests/coordination/dissemination/test_returnchecks.py
@@ -245,6 +245,7 @@
     await system.take_out_and_back()
     assert system.is_doubtful(1)
     await system.clock.advance(0.1)
+    assert system.is_doubtful(1)
     system.report(1)
     await system.clock.advance(0.2)
     assert system.is_doubtful(1)
