--- /dev/null
+++ b/review/kit3/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the cases of the third review; they need only Python."""
