--- a/review/kit3/machines.py
+++ b/review/kit3/machines.py
@@ -15,6 +15,8 @@
 
 REPOSITORY = Path(__file__).resolve().parents[2]
 CONTRACTS = ["base", "drain", "config", "cost", "recover", "flows", "places"]
+# A run holds this port of its network as long as it lasts.
+RESERVATION_PORT = 7711
 BOUNDS = {
     "seed_lag_s": 3,
     "addr_reuse_s": 2,
@@ -41,7 +43,8 @@
 
     def __init__(self, zones: tuple[str, ...]) -> None:
         self.zones = zones
-        self.block = random.SystemRandom().randrange(16, 240)
+        self._reservation = socket.socket()
+        self.block = _reserve(self._reservation)
         self.packets, self.ready, self.control, self.server = _free_ports(self.block, 4)
         first = _free_run(self.block, 16)
         self.port_range = [first, first + 15]
@@ -160,10 +163,17 @@
 
 
 class Fleet:
-    """All machines of one run; an asynchronous context that ends them all."""
+    """All machines of one run; an asynchronous context that ends them all.
 
-    def __init__(self, net: Net, controls: list[str], entries: list[str]) -> None:
+    Attributes:
+        late: Number of control machines that the case starts itself.
+    """
+
+    def __init__(
+        self, net: Net, controls: list[str], entries: list[str], late: int = 0
+    ) -> None:
         self.net = net
+        self.late = late
         self.folder = Path(tempfile.mkdtemp(prefix="case-"))
         self.controls = [
             Machine(net, "control", zone, number + 1, self.folder)
@@ -183,8 +193,9 @@
         return [*self.controls, *self.entries]
 
     async def __aenter__(self) -> "Fleet":
-        """Start all machines."""
-        for machine in self.machines:
+        """Start all machines but the late ones, the last of the control machines."""
+        first = len(self.controls) - self.late
+        for machine in [*self.controls[:first], *self.entries]:
             machine.start()
         return self
 
@@ -203,6 +214,17 @@
     return deploy["roles"][role]["run"].split()
 
 
+def _reserve(reservation: socket.socket) -> int:
+    """Return the second byte of a loopback network that no other run uses."""
+    blocks = list(range(16, 240))
+    random.SystemRandom().shuffle(blocks)
+    for block in blocks:
+        with contextlib.suppress(OSError):
+            reservation.bind((f"127.{block}.255.1", RESERVATION_PORT))
+            return block
+    raise RuntimeError("no free network")
+
+
 def _free_ports(block: int, count: int) -> list[int]:
     with contextlib.ExitStack() as stack:
         ports = []
--- a/review/kit3/world.py
+++ b/review/kit3/world.py
@@ -25,10 +25,12 @@
 class World:
     """Everything that one case needs."""
 
-    def __init__(self, record: Record, controls: list[str], entries: list[str]) -> None:
+    def __init__(
+        self, record: Record, controls: list[str], entries: list[str], late: int = 0
+    ) -> None:
         self.record = record
         self.net = Net(ZONES)
-        self.fleet = Fleet(self.net, controls, entries)
+        self.fleet = Fleet(self.net, controls, entries, late)
         self.routers = Routers(self.net, self.fleet.entries)
         self.operator = Operator(self.fleet.controls, record)
         self.targets: list[Target] = []
@@ -95,14 +97,17 @@
 
 
 def run(
-    play: Callable[[World], Awaitable[None]], controls: list[str], entries: list[str]
+    play: Callable[[World], Awaitable[None]],
+    controls: list[str],
+    entries: list[str],
+    late: int = 0,
 ) -> None:
     """Play a case and exit: 0 if the rule held, 1 if not, 2 if it couldn't run."""
     folder = Path(sys.argv[1])
     record = Record(folder / "record.txt")
 
     async def main() -> int:
-        world = World(record, controls, entries)
+        world = World(record, controls, entries, late)
         async with world.fleet:
             try:
                 async with asyncio.timeout(110):
