--- a/review/kit3/operators.py
+++ b/review/kit3/operators.py
@@ -7,7 +7,7 @@
 from .machines import Machine
 from .record import Record
 
-HOST = "198.18.0.1"
+HOST = "127.255.0.1"
 ROUTE = (HOST, 8443)
 
 
