Count the silence of a member on when the leader changes

Cause: a learner takes the vote of a voter that was silent for 3 s. A leader counted that from its own election on, also of a voter that had been gone for long. Each change of the leader so added 3 s to the election, together more than the 4 s after which an instance counts as repaired.

Change: each member keeps when the others were last heard of, by their own answers and by what the leader says of silent members. A leader starts from that; a member counts as lost only if it leaves a request of this leader unanswered, too. Removal of lost learners counts by the same times.

--- a/arbutuslift/coordination/agreement/election.py
+++ b/arbutuslift/coordination/agreement/election.py
@@ -192,6 +192,7 @@
             last_term=state.last_term,
             pre_vote=pre_vote,
         )
+        sent_s = self._clock.monotonic_s()
         try:
             answer = await self._channel.request(
                 voter.name, request, self._timing.request_timeout_s
@@ -200,6 +201,7 @@
             return False
         if not isinstance(answer, VoteAnswer) or answer.voter != voter.identity:
             return False
+        state.contacts.record_answer(voter.identity, sent_s)
         state.observe_term(answer.term)
         return answer.granted
 
--- a/arbutuslift/coordination/agreement/member.py
+++ b/arbutuslift/coordination/agreement/member.py
@@ -53,6 +53,7 @@
 from .membershipmanager import MembershipManager, MembershipPolicy
 from .memberstate import AgreementTiming, CommitCallback, MemberState, Role
 from .replication import Replicator
+from .silencenotices import SilenceNotices
 from .store import ConfigurationStore, MemberStatus
 
 MIN_INITIAL_MEMBERS = 3
@@ -123,6 +124,7 @@
             self._state, self._replicator, channel, timing, rng, leaving
         )
         self._follower = Follower(self._state, channel)
+        self._silence_notices = SilenceNotices(self._state, self._replicator, channel)
         self._replacer = MemberReplacer(self._state, self._replicator, channel, timing)
         self._bootstrapper = Bootstrapper(self._state, channel, intent, timing)
         self._membership_manager: MembershipManager | None = None
@@ -211,6 +213,7 @@
         self._tasks.spawn(self._bootstrapper.run())
         if self._membership_manager is not None:
             self._tasks.spawn(self._membership_manager.run())
+            self._tasks.spawn(self._silence_notices.run())
 
     async def transfer_leadership(self, timeout_s: float) -> bool:
         """Transfer the leadership to another member, before a planned stop.
--- a/arbutuslift/coordination/agreement/membershipmanager.py
+++ b/arbutuslift/coordination/agreement/membershipmanager.py
@@ -28,6 +28,9 @@
             voter. It is longer than a restart takes, and shorter than the time after
             which a machine that was restored counts as repaired.
         removal_timeout_s: Time without contact after which a learner is removed.
+        unanswered_timeout_s: Time without an answer to the leader itself, after which
+            a member that has been silent for long enough counts as lost. A leader that
+            has just been elected may not have asked it before.
         check_interval_s: Time between two checks.
         change_timeout_s: Timeout of one change of members.
     """
@@ -35,6 +38,7 @@
     voter_count: int = 3
     failure_timeout_s: float = 3.0
     removal_timeout_s: float = 30.0
+    unanswered_timeout_s: float = 0.6
     check_interval_s: float = 0.25
     change_timeout_s: float = 3.0
 
@@ -146,8 +150,8 @@
         for member in membership.members:
             if member.voter or member.identity == self.state.identity:
                 continue
-            is_timed_out = self._since_contact_s(member) > self.policy.removal_timeout_s
-            if is_timed_out or self._is_superseded(member):
+            is_lost = self._is_silent_for(member, self.policy.removal_timeout_s)
+            if is_lost or self._is_superseded(member):
                 return membership.without(member.identity)
         return None
 
@@ -255,12 +259,21 @@
         return is_in_contact and peer.matched_index >= self.state.commit_index
 
     def _is_timed_out(self, member: MemberRecord) -> bool:
-        return self._since_contact_s(member) > self.policy.failure_timeout_s
+        return self._is_silent_for(member, self.policy.failure_timeout_s)
+
+    def _is_silent_for(self, member: MemberRecord, timeout_s: float) -> bool:
+        """Return whether a member was silent for a time, and is to this leader too."""
+        peer = self._peer(member)
+        if peer is None or peer.unanswered_since_s is None:
+            return False
+        unanswered_s = self.state.clock.monotonic_s() - peer.unanswered_since_s
+        is_asked = unanswered_s > self.policy.unanswered_timeout_s
+        return is_asked and self._since_contact_s(member) > timeout_s
 
     def _since_contact_s(self, member: MemberRecord) -> float:
         peer = self._peer(member)
         now_s = self.state.clock.monotonic_s()
-        return now_s - peer.last_contact_s if peer else 0.0
+        return now_s - peer.last_heard_s if peer else 0.0
 
     def _peer(self, member: MemberRecord) -> Peer | None:
         peers = self.replicator.peers
--- a/arbutuslift/coordination/agreement/memberstate.py
+++ b/arbutuslift/coordination/agreement/memberstate.py
@@ -21,6 +21,7 @@
 from ...state.storage import MemberStorage
 from ...state.termstore import TermRecord
 from ..concurrency import ChangeNotifier
+from .lastcontacts import LastContacts
 
 SNAPSHOT_ENTRIES = 256
 APPLY_BATCH_BYTES = 1024 * 1024
@@ -96,6 +97,7 @@
             member, and so proposes nothing.
         leader_name: Leader of the term, if known.
         leader_last_contact_s: When the last request of a leader was received.
+        contacts: When the other members were last heard of.
         commit_index: Last entry known to be committed; all up to it are applied.
         configuration: Result of the applied entries.
         failure: Error that ended the member's participation; None without one.
@@ -116,6 +118,7 @@
         self.is_transferring = False
         self.leader_name: str | None = None
         self.leader_last_contact_s = float("-inf")
+        self.contacts = LastContacts(clock)
         self.failure: Exception | None = None
         self.on_failure: Callable[[], None] = lambda: None
         self._terms = storage.terms
@@ -221,6 +224,10 @@
             self.leader_name = leader_name
             self.changed.notify()
         self.leader_last_contact_s = self.clock.monotonic_s()
+        members = self.membership.members
+        self.contacts.record_leader(
+            m.identity for m in members if m.name == leader_name
+        )
 
     def record_vote(self, term: int, identity: bytes) -> None:
         """Store the vote in a term, and become a follower in it if it is newer."""
--- a/arbutuslift/coordination/agreement/replication.py
+++ b/arbutuslift/coordination/agreement/replication.py
@@ -1,6 +1,6 @@
 """Leader's side of log replication: a task for each peer, commit index, read rounds."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import structlog
 from attrs import define
@@ -29,7 +29,11 @@
         next_index: Next entry to send.
         matched_index: Last entry known to be on its disk.
         acknowledged_commit_index: Last commit index that it acknowledged.
-        last_contact_s: When the newest answered request was sent.
+        last_contact_s: When the newest answered request of this leader was sent; its
+            election before the first answer.
+        last_heard_s: When the member was last heard of, also before the election.
+        unanswered_since_s: When the oldest request since the last answer was sent;
+            None if the last one was answered.
         read_round: Newest read round that it answered.
     """
 
@@ -38,8 +42,16 @@
     matched_index: int = 0
     acknowledged_commit_index: int = 0
     last_contact_s: float
+    last_heard_s: float
+    unanswered_since_s: float | None = None
     read_round: int = 0
 
+    def record_answer(self, sent_s: float) -> None:
+        """Note that the member has answered a request sent at ``sent_s``."""
+        self.last_contact_s = sent_s
+        self.last_heard_s = max(self.last_heard_s, sent_s)
+        self.unanswered_since_s = None
+
 
 class Replicator:
     """Replicates the log to all members while this member leads.
@@ -85,18 +97,28 @@
         state = self._state
         state.role = Role.LEADER
         state.leader_name = state.name
+        identities = [member.identity for member in state.membership.members]
+        state.contacts.retain(identities)
+        # What was heard of the members before counts, a silence isn't counted anew.
+        heard_s = {i: state.contacts.last_contact_s(i) for i in identities}
         self._peers = {}
         _log.info("leader_elected", member=state.name, term=state.term)
-        self._term_start_index = self.propose(EntryKind.NO_OP, b"")
+        self._term_start_index = self._append(EntryKind.NO_OP, b"")
+        self._update_peers(heard_s)
+        self._advance_commit_index()
 
     def propose(self, kind: EntryKind, body: bytes) -> int:
         """Append an entry and return its index."""
+        index = self._append(kind, body)
+        self._update_peers({})
+        self._advance_commit_index()
+        return index
+
+    def _append(self, kind: EntryKind, body: bytes) -> int:
         state = self._state
         index = state.last_index + 1
         entry = LogEntry(index=index, term=state.term, kind=kind, body=body)
         state.append((entry,))
-        self._update_peers()
-        self._advance_commit_index()
         return index
 
     def propose_membership(self, membership: Membership) -> int:
@@ -140,8 +162,15 @@
         values.sort(reverse=True)
         return values[membership.quorum - 1]
 
-    def _update_peers(self) -> None:
+    def _update_peers(self, heard_s: Mapping[bytes, float]) -> None:
+        """Replicate to the members of the newest membership.
+
+        Args:
+            heard_s: When members were last heard of, by identity; those that aren't
+                in it count as heard now.
+        """
         state = self._state
+        now_s = state.clock.monotonic_s()
         members = state.membership.members
         others = {m.identity: m for m in members if m.identity != state.identity}
         for identity in set(self._peers) - set(others):
@@ -153,7 +182,8 @@
             peer = Peer(
                 member=member,
                 next_index=state.last_index,
-                last_contact_s=state.clock.monotonic_s(),
+                last_contact_s=now_s,
+                last_heard_s=heard_s.get(identity, now_s),
                 read_round=self._read_round - 1,
             )
             self._peers[identity] = peer
@@ -260,6 +290,8 @@
         state = self._state
         term = state.term
         sent_s = state.clock.monotonic_s()
+        if peer.unanswered_since_s is None:
+            peer.unanswered_since_s = sent_s
         read_round = self._read_round
         answer = await self._channel.request(
             peer.member.name, message, self._timing.request_timeout_s
@@ -271,7 +303,8 @@
         state.observe_term(answer.term)
         if not state.is_leader_in(term) or answer.term != term:
             return None
-        peer.last_contact_s = sent_s
+        peer.record_answer(sent_s)
+        state.contacts.record_answer(peer.member.identity, sent_s)
         peer.read_round = max(peer.read_round, read_round)
         state.changed.notify()
         return answer
--- a/arbutuslift/protocol/agreement.py
+++ b/arbutuslift/protocol/agreement.py
@@ -113,6 +113,45 @@
     done: bool
 
 
+@frozen(kw_only=True)
+class MemberSilence:
+    """How long a leader hasn't had contact with a member.
+
+    Attributes:
+        identity: Identity of the member.
+        silence_s: Time since it was last heard of, when the message was sent.
+
+    Raises:
+        ValueError: The time is negative.
+    """
+
+    identity: bytes
+    silence_s: float
+
+    def __attrs_post_init__(self) -> None:
+        if self.silence_s < 0:
+            raise ValueError(f"silence of {self.silence_s} s")
+
+
+@register
+@frozen(kw_only=True)
+class MemberSilences(Message):
+    """Tells the members which others are silent; the leader hears all others.
+
+    It is a message of its own, since an instance of a version that doesn't know it
+    must still take entries and heartbeats.
+
+    Attributes:
+        cluster: Cluster of the leader.
+        term: Term of the leader.
+        silences: The silent members.
+    """
+
+    cluster: bytes
+    term: int
+    silences: tuple[MemberSilence, ...] = ()
+
+
 @register
 @frozen(kw_only=True)
 class TakeOver(Message):
