Remove a lost voter before a learner gets its vote

Seen: a voter is lost, and 2 s later the learner that is to replace it; no order is acknowledged any more, with two of three former voters running.

Cause: the learner was added first, on the word of a contact up to 1.5 s old. A change is in effect for the leader when it is proposed, so that three of four votes were needed, two of them of instances that were gone.

Change: the choice of voters is a class of its own over what the leader knows of each member. It removes a lost voter first, and proposes nothing that the members which answer couldn't confirm. A voter that said that it ends and fell silent counts as lost at once.

--- a/arbutuslift/coordination/agreement/membershipmanager.py
+++ b/arbutuslift/coordination/agreement/membershipmanager.py
@@ -15,6 +15,7 @@
 from .leavingmembers import LeavingMembers
 from .memberstate import MemberState, Role
 from .replication import Peer, Replicator
+from .voterchoice import Condition, MemberView, VoterChoice
 
 
 @frozen(kw_only=True)
@@ -31,6 +32,8 @@
         unanswered_timeout_s: Time without an answer to the leader itself, after which
             a member that has been silent for long enough counts as lost. A leader that
             has just been elected may not have asked it before.
+        fresh_contact_s: Time without contact up to which a member is expected to
+            answer. It is longer than the interval of heartbeats.
         check_interval_s: Time between two checks.
         change_timeout_s: Timeout of one change of members.
     """
@@ -39,6 +42,7 @@
     failure_timeout_s: float = 3.0
     removal_timeout_s: float = 30.0
     unanswered_timeout_s: float = 0.6
+    fresh_contact_s: float = 1.2
     check_interval_s: float = 0.25
     change_timeout_s: float = 3.0
 
@@ -133,20 +137,20 @@
 
     def _next_change(self) -> Membership | None:
         membership = self.state.membership
-        for propose in (self._next_removal, self._next_admission, self._next_promotion):
-            change = propose(membership)
-            if change is not None:
-                return change
-        return None
+        voter_choice = VoterChoice(
+            membership,
+            (self._view(member) for member in membership.members),
+            self.state.identity,
+            self.policy.voter_count,
+        )
+        return (
+            voter_choice.next_change()
+            or self._without_lost_learner(membership)
+            or self._next_admission(membership)
+        )
 
-    def _next_removal(self, membership: Membership) -> Membership | None:
-        """Return a change that removes a surplus voter or a lost learner, or None."""
-        has_surplus = len(membership.voters) > self.policy.voter_count
-        if has_surplus:
-            lost = self._lost_voter(membership)
-            if lost is None:
-                lost = self._most_colocated_voter(membership)
-            return membership.without(lost.identity) if lost else None
+    def _without_lost_learner(self, membership: Membership) -> Membership | None:
+        """Return a change that removes a lost learner, or None."""
         for member in membership.members:
             if member.voter or member.identity == self.state.identity:
                 continue
@@ -166,67 +170,24 @@
             return evolve(membership, members=(*membership.members, learner))
         return None
 
-    def _next_promotion(self, membership: Membership) -> Membership | None:
-        """Return a change that makes a learner a voter, or None.
-
-        A voter is added if there are too few, if one is lost, or if the loss of one
-        data centre would lose the quorum and a learner elsewhere avoids this.
-        """
-        learners = [m for m in membership.members if self._is_ready(m)]
-        if not learners:
-            return None
-        is_below_target = len(membership.voters) < self.policy.voter_count
-        lost = self._lost_voter(membership)
-        if is_below_target or lost:
-            learner = min(learners, key=lambda m: self._colocated_voters(membership, m))
-            return membership.with_voter(learner.identity)
-        most_colocated = self._most_colocated_voter(membership)
-        if most_colocated is None or not self._is_quorum_colocated(
-            membership, most_colocated
-        ):
-            return None
-        least_colocated = min(
-            learners, key=lambda m: self._colocated_voters(membership, m)
+    def _view(self, member: MemberRecord) -> MemberView:
+        is_leader = member.identity == self.state.identity
+        return MemberView(
+            record=member,
+            condition=Condition.AVAILABLE if is_leader else self._condition(member),
+            silence_s=self._since_contact_s(member),
+            data_centre=self._data_centre(member),
+            is_ready=self._is_ready(member),
         )
-        if self._colocated_voters(
-            membership, least_colocated
-        ) + 1 < self._colocated_voters(membership, most_colocated):
-            return membership.with_voter(least_colocated.identity)
-        return None
 
-    def _lost_voter(self, membership: Membership) -> MemberRecord | None:
-        """Return a voter that is lost, or that is about to be, or None.
-
-        One that is about to end comes last, since it still votes.
-        """
-        others = [m for m in membership.voters if m.identity != self.state.identity]
-        for voter in others:
-            if self._is_superseded(voter):
-                return voter
-        timed_out = [voter for voter in others if self._is_timed_out(voter)]
-        if timed_out:
-            return max(timed_out, key=self._since_contact_s)
-        leaving = (voter for voter in others if voter.identity in self.leaving)
-        return next(leaving, None)
-
-    def _most_colocated_voter(self, membership: Membership) -> MemberRecord | None:
-        others = [m for m in membership.voters if m.identity != self.state.identity]
-        return max(
-            others,
-            key=lambda m: self._colocated_voters(membership, m),
-            default=None,
-        )
-
-    def _is_quorum_colocated(
-        self, membership: Membership, member: MemberRecord
-    ) -> bool:
-        """Return whether the loss of the member's data centre would lose the quorum."""
-        minority = (len(membership.voters) - 1) // 2
-        return self._colocated_voters(membership, member) > minority
-
-    def _colocated_voters(self, membership: Membership, member: MemberRecord) -> int:
-        data_centre = self._data_centre(member)
-        return sum(self._data_centre(v) == data_centre for v in membership.voters)
+    def _condition(self, member: MemberRecord) -> Condition:
+        is_leaving = member.identity in self.leaving
+        is_fresh = self._is_fresh(member)
+        if self._is_superseded(member) or self._is_timed_out(member):
+            return Condition.LOST
+        if is_leaving:
+            return Condition.LEAVING if is_fresh else Condition.LOST
+        return Condition.AVAILABLE if is_fresh else Condition.SILENT
 
     def _data_centre(self, member: MemberRecord) -> str:
         # The leader doesn't enrol with itself.
@@ -251,12 +212,12 @@
         peer = self._peer(member)
         if member.voter or peer is None or member.identity in self.leaving:
             return False
-        if self._is_superseded(member):
+        if self._is_superseded(member) or not self._is_fresh(member):
             return False
-        is_in_contact = (
-            self._since_contact_s(member) < self.policy.failure_timeout_s / 2
-        )
-        return is_in_contact and peer.matched_index >= self.state.commit_index
+        return peer.matched_index >= self.state.commit_index
+
+    def _is_fresh(self, member: MemberRecord) -> bool:
+        return self._since_contact_s(member) < self.policy.fresh_contact_s
 
     def _is_timed_out(self, member: MemberRecord) -> bool:
         return self._is_silent_for(member, self.policy.failure_timeout_s)
--- a/arbutuslift/state/membership.py
+++ b/arbutuslift/state/membership.py
@@ -78,6 +78,14 @@
         )
         return evolve(self, members=members)
 
+    def without_vote(self, identity: bytes) -> "Membership":
+        """Return a copy in which a voter is a learner."""
+        members = tuple(
+            evolve(member, voter=False) if member.identity == identity else member
+            for member in self.members
+        )
+        return evolve(self, members=members)
+
     def without(self, identity: bytes) -> "Membership":
         """Return a copy without one member."""
         kept = tuple(member for member in self.members if member.identity != identity)
--- a/tests/coordination/agreement/test_losses.py
+++ b/tests/coordination/agreement/test_losses.py
@@ -93,3 +93,17 @@
     await cluster.run(2.4)
     assert lost not in await cluster.voters()
     await check_order(cluster)
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("gap_s", [0.0, 1.0, 2.0, 2.6, 2.9])
+async def test_a_lost_voter_is_not_replaced_by_a_lost_learner(seed, gap_s):
+    """Guards against a vote for one that was lost before the time-out of the voter."""
+    cluster = await open_cluster("d", seed)
+    leader = await cluster.leader()
+    lost = next(name for name in cluster.names if name != leader)
+    await cluster.wipe(lost)
+    await cluster.run(gap_s)
+    await cluster.wipe("d")
+    await cluster.run(2 * CATCH_UP_S)
+    await check_order(cluster)
