Sync what a member reads back before it acts on it

Could be seen: a control process is killed between a write and its sync, reads the entry or the vote back, acts on it, and loses it with the power.

Cause: only what a process wrote itself was durable before it was told.

Change: a member syncs its data folder before it reads from it, and the last segment of its log once it is read; two syncs a start.

--- a/arbutuslift/state/disklog.py
+++ b/arbutuslift/state/disklog.py
@@ -180,6 +180,8 @@
         if replayed:
             self._path = replayed[-1]
             self._descriptor = os.open(self._path, os.O_WRONLY | os.O_APPEND)
+            # A process that was killed may have written its last record without a sync.
+            sync(self._descriptor)
         else:
             self._start_segment(snapshot_index + 1)
 
--- a/arbutuslift/state/storage.py
+++ b/arbutuslift/state/storage.py
@@ -7,7 +7,7 @@
 
 from ..errors import StorageError
 from .disklog import DiskLogStore
-from .files import remove_temporary_files
+from .files import remove_temporary_files, storage_errors, sync_folder
 from .identity import FolderLock, load_identity, new_identity
 from .logstore import LogStore, MemoryLogStore
 from .snapshots import (
@@ -58,6 +58,9 @@
         with ExitStack() as stack:
             stack.callback(FolderLock(folder).close)
             remove_temporary_files(folder)
+            # A process that was killed may have renamed files without a sync.
+            with storage_errors("open data folder", folder):
+                sync_folder(folder)
             identity = load_identity(folder)
             snapshots = DiskSnapshotStore(folder)
             newest = snapshots.newest()
--- a/tests/state/test_powerloss.py
+++ b/tests/state/test_powerloss.py
@@ -127,3 +127,36 @@
     assert found in expected, f"operation {fail_at}, snapshot {covered}"
     assert reopened.terms.load().term >= stored.term, f"operation {fail_at}"
     reopened.close()
+
+
+@pytest.mark.parametrize("torn", [False, True])
+def test_what_a_restart_reads_back_outlives_a_loss_of_power(
+    tmp_path, monkeypatch, torn
+):
+    """Guards against entries and votes of a killed process that were never synced."""
+    total = count_of_operations(monkeypatch, folder_in(tmp_path, "count"))
+    for fail_at in range(total + 1):
+        folder = folder_in(tmp_path, f"{fail_at}")
+        with monkeypatch.context() as patch:
+            disk = VolatileDisk(patch, folder, torn=torn)
+            MemberStorage.open(folder).close()
+            killed = MemberStorage.open(folder)
+            disk.calls, disk._fail_at = 0, fail_at
+            with suppress(PowerLost):
+                write(Stored(killed))
+            disk._fail_at = None
+            killed.close()
+            before = read_back(folder)
+            disk.lose_power()
+        assert read_back(folder) == before, f"operation {fail_at}"
+
+
+def read_back(folder):
+    """Return what a member that starts takes as stored."""
+    storage = MemberStorage.open(folder)
+    log = storage.log
+    covered = storage.snapshots.newest().index
+    terms = {i: log.term_at(i) for i in range(covered + 1, log.last_index + 1)}
+    found = (storage.identity, storage.terms.load(), covered, terms)
+    storage.close()
+    return found
