--- a/arbutuslift/coordination/agreement/bootstrap.py
+++ b/arbutuslift/coordination/agreement/bootstrap.py
@@ -17,7 +17,8 @@
 from ...state.identity import new_identity
 from ...state.logstore import EntryKind, LogEntry
 from ...state.membership import MemberRecord, Membership
-from .memberstate import AgreementTiming, MemberState, encode_membership
+from .agreementtiming import AgreementTiming
+from .memberstate import MemberState, encode_membership
 
 # A cluster forms within a second once all initial members run.
 LATE_S = 10.0
--- a/arbutuslift/coordination/agreement/election.py
+++ b/arbutuslift/coordination/agreement/election.py
@@ -11,8 +11,9 @@
 from ...protocol.agreement import TakeOver, VoteAnswer, VoteRequest
 from ...protocol.channel import Channel
 from ...state.membership import MemberRecord
+from .agreementtiming import AgreementTiming
 from .leavingmembers import LeavingMembers
-from .memberstate import AgreementTiming, MemberState, Role
+from .memberstate import MemberState, Role
 from .replication import Replicator
 
 # Longest election time-out as a multiple of the shortest.
--- a/arbutuslift/coordination/agreement/member.py
+++ b/arbutuslift/coordination/agreement/member.py
@@ -19,7 +19,6 @@
     TransportError,
 )
 from ...protocol.agreement import (
-    MemberReport,
     MembersAnswer,
     MembersRequest,
     NotLeader,
@@ -38,20 +37,19 @@
     StoredRevision,
     Submission,
     SubmissionOutcome,
-    encode_submission,
 )
 from ...state.formation import FormationIntent
-from ...state.logstore import EntryKind
 from ...state.storage import MemberStorage
-from ...tracer import REPLICATE, NoOpTracer, Tracer
+from ...tracer import NoOpTracer, Tracer
 from ..concurrency import TaskSet
+from .agreementtiming import AgreementTiming
 from .bootstrap import Bootstrapper
 from .election import Elector
 from .follower import Follower
+from .leaderservice import LeaderService
 from .leavingmembers import LeavingMembers
-from .memberreplacement import MemberReplacer
 from .membershipmanager import MembershipManager, MembershipPolicy
-from .memberstate import AgreementTiming, CommitCallback, MemberState, Role
+from .memberstate import CommitCallback, MemberState, Role
 from .replication import Replicator
 from .silencenotices import SilenceNotices
 from .store import ConfigurationStore, MemberStatus
@@ -114,7 +112,6 @@
         self._timing = timing
         self._clock = clock
         self._channel = channel
-        self._tracer = tracer or NoOpTracer()
         self._state = MemberState(name, storage, clock)
         self._state.on_failure = self._on_failure
         self._tasks = TaskSet(self._state.fail)
@@ -125,7 +122,9 @@
         )
         self._follower = Follower(self._state, channel)
         self._silence_notices = SilenceNotices(self._state, self._replicator, channel)
-        self._replacer = MemberReplacer(self._state, self._replicator, channel, timing)
+        self._leader_service = LeaderService(
+            self._state, self._replicator, channel, timing, tracer or NoOpTracer()
+        )
         self._bootstrapper = Bootstrapper(self._state, channel, intent, timing)
         self._membership_manager: MembershipManager | None = None
         if membership_policy is not None:
@@ -137,10 +136,6 @@
                 data_centre=data_centre,
                 leaving=leaving,
             )
-        channel.register_handler(SubmitRequest, self._on_submit)
-        channel.register_handler(ReadRequest, self._on_read)
-        channel.register_handler(MembersRequest, self._on_members)
-        channel.register_handler(ReplaceRequest, self._on_replace)
 
     @property
     def identity(self) -> bytes:
@@ -254,7 +249,7 @@
             raise DocumentError(message, step="submit")
 
         async def local(timeout_s: float) -> Message:
-            return await self._submit_locally(submission, timeout_s)
+            return await self._leader_service.submit(submission, timeout_s)
 
         request = SubmitRequest(submission=submission)
         answer = await self._call_leader(local, request, SubmitAnswer)
@@ -281,7 +276,9 @@
                 or the entries of the leader weren't received in time.
         """
         state = self._state
-        answer = await self._call_leader(self._read_locally, ReadRequest(), ReadAnswer)
+        answer = await self._call_leader(
+            self._leader_service.read, ReadRequest(), ReadAnswer
+        )
         is_applied = await state.changed.wait_for(
             lambda: state.commit_index >= answer.index, self._timing.submit_timeout_s
         )
@@ -305,11 +302,11 @@
         """
         try:
             answer = await self._call_leader(
-                self._report_locally, MembersRequest(), MembersAnswer
+                self._leader_service.report, MembersRequest(), MembersAnswer
             )
             reports = answer.members
         except NoQuorum:
-            reports = self._reports()
+            reports = self._leader_service.reports()
         return [
             MemberStatus(
                 name=report.name,
@@ -333,7 +330,7 @@
 
         async def local(timeout_s: float) -> Message:
             del timeout_s
-            return await self._replace_locally(old_name, new_name)
+            return await self._leader_service.replace(old_name, new_name)
 
         request = ReplaceRequest(old_name=old_name, new_name=new_name)
         timing = self._timing
@@ -383,102 +380,6 @@
         except (TransportError, PeerFailure, MessageError):
             return NotLeader()
 
-    async def _submit_locally(
-        self, submission: Submission, timeout_s: float
-    ) -> Message:
-        state = self._state
-        # An entry that the successor doesn't have would keep it from being elected.
-        if state.role is not Role.LEADER or state.is_transferring:
-            return NotLeader()
-        decision = state.configuration.first_decision(submission)
-        if decision is not None:
-            return SubmitAnswer(decision=decision)
-        term = state.term
-        body = encode_submission(submission)
-        index = state.last_index + 1
-        decision_future = state.expect_decision(index)
-        with self._tracer.change_span(REPLICATE, submission.request_id):
-            self._replicator.propose(EntryKind.SUBMISSION, body)
-            await state.changed.wait_for(
-                lambda: decision_future.done() or not state.is_leader_in(term),
-                timeout_s,
-            )
-        if not decision_future.done() or decision_future.result() is None:
-            return NotLeader()
-        return SubmitAnswer(decision=decision_future.result())
-
-    async def _read_locally(self, timeout_s: float) -> Message:
-        state = self._state
-        term = state.term
-        if state.role is not Role.LEADER:
-            return NotLeader()
-        start = self._replicator.term_start_index
-        is_settled = await state.changed.wait_for(
-            lambda: state.commit_index >= start or not state.is_leader_in(term),
-            timeout_s,
-        )
-        if not is_settled or not state.is_leader_in(term):
-            return NotLeader()
-        index = state.commit_index
-        if not await self._replicator.confirm_leadership(timeout_s):
-            return NotLeader()
-        return ReadAnswer(index=index)
-
-    async def _report_locally(self, timeout_s: float) -> Message:
-        if not await self._replicator.confirm_leadership(timeout_s):
-            return NotLeader()
-        return MembersAnswer(members=self._reports())
-
-    def _reports(self) -> tuple[MemberReport, ...]:
-        state = self._state
-        matched_indexes = {
-            p.member.identity: p.matched_index for p in self._replicator.peers
-        }
-        matched_indexes[state.identity] = state.last_index
-        reports = []
-        for member in state.membership.members:
-            role = "voter" if member.voter else "learner"
-            if member.identity == state.identity and state.role is Role.LEADER:
-                role = "leader"
-            report = MemberReport(
-                name=member.name,
-                identity=member.identity,
-                role=role,
-                matched_index=matched_indexes.get(member.identity, 0),
-            )
-            reports.append(report)
-        return tuple(reports)
-
-    async def _replace_locally(self, old_name: str, new_name: str) -> Message:
-        if self._state.role is not Role.LEADER:
-            return NotLeader()
-        try:
-            await self._replacer.replace(old_name, new_name)
-        except MembershipChangeError as error:
-            return ReplaceAnswer(reason=error.message)
-        except NoQuorum:
-            return NotLeader()
-        return ReplaceAnswer()
-
-    async def _on_submit(self, peer: str, request: SubmitRequest) -> Message:
-        del peer
-        timeout_s = self._timing.election_timeout_s
-        return await self._submit_locally(request.submission, timeout_s)
-
-    async def _on_read(self, peer: str, request: ReadRequest) -> Message:
-        del peer, request
-        return await self._read_locally(self._timing.election_timeout_s)
-
-    async def _on_members(self, peer: str, request: MembersRequest) -> Message:
-        del peer, request
-        if self._state.role is not Role.LEADER:
-            return NotLeader()
-        return await self._report_locally(self._timing.election_timeout_s)
-
-    async def _on_replace(self, peer: str, request: ReplaceRequest) -> Message:
-        del peer
-        return await self._replace_locally(request.old_name, request.new_name)
-
     def _on_failure(self) -> None:
         _log.error("member_stopped", reason=str(self._state.failure))
         self._tasks.cancel()
--- a/arbutuslift/coordination/agreement/memberreplacement.py
+++ b/arbutuslift/coordination/agreement/memberreplacement.py
@@ -10,7 +10,8 @@
 from ...protocol.agreement import IdentityAnswer, IdentityRequest
 from ...protocol.channel import Channel
 from ...state.membership import MemberRecord, Membership
-from .memberstate import AgreementTiming, MemberState
+from .agreementtiming import AgreementTiming
+from .memberstate import MemberState
 from .replication import Replicator
 
 STEP = "replace member"
--- a/arbutuslift/coordination/agreement/replication.py
+++ b/arbutuslift/coordination/agreement/replication.py
@@ -12,7 +12,8 @@
 from ...state.logstore import EntryKind, LogEntry
 from ...state.membership import MemberRecord, Membership
 from ..concurrency import TaskSet
-from .memberstate import AgreementTiming, MemberState, Role, encode_membership
+from .agreementtiming import AgreementTiming
+from .memberstate import MemberState, Role, encode_membership
 
 BATCH_BYTES = 256 * 1024
 CHUNK_BYTES = 64 * 1024
--- a/arbutuslift/membersupervisor.py
+++ b/arbutuslift/membersupervisor.py
@@ -13,10 +13,11 @@
 import structlog
 
 from .clock import Clock
+from .coordination.agreement.agreementtiming import AgreementTiming
 from .coordination.agreement.enrolment import Enrolment
 from .coordination.agreement.member import Member
 from .coordination.agreement.membershipmanager import MembershipPolicy
-from .coordination.agreement.memberstate import AgreementTiming, CommitCallback
+from .coordination.agreement.memberstate import CommitCallback
 from .coordination.agreement.orderprocessor import OrderProcessor
 from .coordination.concurrency import TaskSet
 from .errors import StorageError
--- a/measure/restart.py
+++ b/measure/restart.py
@@ -10,8 +10,9 @@
 from pathlib import Path
 
 from arbutuslift.clock import Clock, ManualClock, SystemClock
+from arbutuslift.coordination.agreement.agreementtiming import AgreementTiming
 from arbutuslift.coordination.agreement.member import Member
-from arbutuslift.coordination.agreement.memberstate import AgreementTiming, MemberState
+from arbutuslift.coordination.agreement.memberstate import MemberState
 from arbutuslift.protocol.channel import Channel
 from arbutuslift.state.configuration import Submission
 from arbutuslift.state.storage import MemberStorage
--- a/tests/coordination/agreement/test_member.py
+++ b/tests/coordination/agreement/test_member.py
@@ -5,7 +5,8 @@
 import pytest
 
 from arbutuslift.clock import ManualClock
-from arbutuslift.coordination.agreement.memberstate import AgreementTiming, MemberState
+from arbutuslift.coordination.agreement.agreementtiming import AgreementTiming
+from arbutuslift.coordination.agreement.memberstate import MemberState
 from arbutuslift.errors import (
     DocumentError,
     MembershipChangeError,
