Let no later report on an older connection begin a doubt anew

Reports are sent in the order of their sequence, so the latest known sending time counts. The new test fails without the change.

--- a/arbutuslift/coordination/dissemination/startregistry.py
+++ b/arbutuslift/coordination/dissemination/startregistry.py
@@ -159,7 +159,9 @@
         now_s = self._clock.monotonic_s()
         is_cold = start.warm_up_left_ms > 0
         entry.warm_report_s = float("-inf") if is_cold else now_s
-        entry.warm_report_sent_s = now_s if sent_after_s is None else sent_after_s
+        sent_s = now_s if sent_after_s is None else sent_after_s
+        # Reports are sent in the order of their sequence, on whichever connection.
+        entry.warm_report_sent_s = max(entry.warm_report_sent_s, sent_s)
 
     def warm_reports(
         self, data_centre: str, sent_after_s: float
--- a/tests/coordination/dissemination/test_returnchecks.py
+++ b/tests/coordination/dissemination/test_returnchecks.py
@@ -153,6 +153,18 @@
     await expect_doubt_until_a_report(system)
 
 
+async def test_a_later_report_on_an_older_connection_begins_no_doubt(system):
+    """Guards against a doubt that comes back, since an upstream keeps connections."""
+    await system.settle()
+    opened_s = system.clock.monotonic_s()
+    await system.take_out_and_back()
+    system.report(1)
+    system.report(1, sent_after_s=opened_s)
+    assert system.is_doubtful(1)
+    await system.clock.advance(0.2)
+    assert not system.is_doubtful(1)
+
+
 async def test_a_report_of_a_cold_upstream_ends_no_doubt(system):
     """Guards against an answer that overtakes the news of the cold start."""
     await system.settle()
