Let a start's entry note its reports, and draw where instances are in a test

Nothing else changes. The choice of voters comes to rest for 400 drawn memberships, conditions and data centres.

--- a/arbutuslift/coordination/dissemination/startentries.py
+++ b/arbutuslift/coordination/dissemination/startentries.py
@@ -40,6 +40,26 @@
     warm_report_s: float = float("-inf")
     warm_report_sent_s: float = float("-inf")
 
+    def record_report(self, start: UpstreamStart, read_s: float, sent_s: float) -> None:
+        """Note a report, unless it is older than the newest one or of another start.
+
+        Reports are sent in the order of their sequence, on whichever connection.
+
+        Args:
+            start: What it says.
+            read_s: When it was read.
+            sent_s: When it was sent, at the earliest.
+        """
+        if start.key != self.start.key or start.sequence < self.start.sequence:
+            return
+        is_cold = start.warm_up_left_ms > 0
+        self.warm_report_s = float("-inf") if is_cold else read_s
+        self.warm_report_sent_s = max(self.warm_report_sent_s, sent_s)
+
+    def is_warm_by_report_after(self, time_s: float) -> bool:
+        """Return whether it says that it is warm in a report sent after a time."""
+        return self.warm_report_s > float("-inf") and self.warm_report_sent_s > time_s
+
 
 @define(kw_only=True)
 class RestoredStart:
--- a/arbutuslift/coordination/dissemination/startregistry.py
+++ b/arbutuslift/coordination/dissemination/startregistry.py
@@ -147,21 +147,10 @@
                 self._clock.monotonic_s() - entry.last_contact_s
             )
         self._merge(start, is_silent=False, origin=Origin.ANNOUNCED)
-        self._record_report(start, sent_after_s)
-
-    def _record_report(self, start: UpstreamStart, sent_after_s: float | None) -> None:
-        """Note a report, unless it is older than the newest one."""
-        entry = self._entries.get(start.upstream_id)
-        if entry is None or entry.start.key != start.key:
-            return
-        if start.sequence < entry.start.sequence:
-            return
-        now_s = self._clock.monotonic_s()
-        is_cold = start.warm_up_left_ms > 0
-        entry.warm_report_s = float("-inf") if is_cold else now_s
-        sent_s = now_s if sent_after_s is None else sent_after_s
-        # Reports are sent in the order of their sequence, on whichever connection.
-        entry.warm_report_sent_s = max(entry.warm_report_sent_s, sent_s)
+        if start.upstream_id in self._entries:
+            now_s = self._clock.monotonic_s()
+            sent_s = now_s if sent_after_s is None else sent_after_s
+            self._entries[start.upstream_id].record_report(start, now_s, sent_s)
 
     def warm_reports(
         self, data_centre: str, sent_after_s: float
@@ -179,8 +168,7 @@
             (entry.warm_report_s, upstream_id)
             for upstream_id, entry in self._entries.items()
             if entry.start.data_centre == data_centre
-            and entry.warm_report_s > float("-inf")
-            and entry.warm_report_sent_s > sent_after_s
+            and entry.is_warm_by_report_after(sent_after_s)
         )
 
     def leave(self, departure: Departure) -> bool:
--- a/tests/coordination/agreement/test_voterchoice.py
+++ b/tests/coordination/agreement/test_voterchoice.py
@@ -1,6 +1,7 @@
 """Guards against choices of voters that can't be confirmed or never come to rest."""
 
 import itertools
+import random
 
 import pytest
 
@@ -44,14 +45,15 @@
 
 def settle(members, conditions, places=None):
     """Apply changes until none is left; return all memberships on the way."""
-    condition_of = dict(
-        zip((m.identity for m in members.members), conditions, strict=True)
-    )
+    identities = [member.identity for member in members.members]
+    condition_of = dict(zip(identities, conditions, strict=True))
+    place_of = dict(zip(identities, places or identities, strict=True))
     steps = [members]
     for _ in range(40):
         members = steps[-1]
         conditions = [condition_of[m.identity] for m in members.members]
-        change = next_change(members, conditions, places)
+        left = [place_of[m.identity] for m in members.members]
+        change = next_change(members, conditions, left)
         if change is None:
             return steps
         steps.append(change)
@@ -105,6 +107,17 @@
             )
 
 
+@pytest.mark.parametrize("seed", range(400))
+def test_changes_end_wherever_the_instances_are(seed):
+    """Guards against votes that move between data centres for ever."""
+    rng = random.Random(seed)
+    first = membership(rng.randint(2, 7), rng.randint(0, 3))
+    others = len(first.members) - 1
+    conditions = rng.choices([*Condition, *[Condition.AVAILABLE] * 4], k=others)
+    places = rng.choices("abc", k=others + 1)
+    settle(first, [Condition.AVAILABLE, *conditions], places)
+
+
 @pytest.mark.parametrize(
     ("places", "expected"),
     [("aabbc", 5), ("abcaa", 3), ("aaabb", 5), ("aaaaa", 5), ("aabbccd", 7)],
